--- /dev/null
+++ b/commit/group.go
@@ -0,0 +1,172 @@
+package commit
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/rs/xid"
+
+	"chutereach/platform"
+)
+
+// Part is one caller's share of a group's transaction. Its conditions must not
+// overlap with those of other parts.
+type Part struct {
+	Conds  []platform.Cond
+	Writes []platform.Write
+}
+
+// Insert returns p with one more row that must be absent.
+func (p Part) Insert(key string, value []byte) Part {
+	p.Conds = append(p.Conds, platform.Cond{Key: key})
+	p.Writes = append(p.Writes, platform.Write{Key: key, Value: value})
+	return p
+}
+
+// Put returns p with one more row that must be at version.
+func (p Part) Put(key string, version uint64, value []byte) Part {
+	p.Conds = append(p.Conds, platform.Cond{Key: key, Version: version})
+	p.Writes = append(p.Writes, platform.Write{Key: key, Value: value})
+	return p
+}
+
+// maxGroupRows bounds a transaction of a group.
+const maxGroupRows = 500
+
+// Group gathers the parts of many callers into few transactions. While one is
+// on its way the next gathers, so that the batch grows as the table slows.
+type Group struct {
+	sender *Sender
+	mu     sync.Mutex
+	parts  []*waiting
+	wake   chan struct{}
+}
+
+type waiting struct {
+	part Part
+	done chan error // has room for the one answer
+}
+
+// NewGroup returns a Group that sends by s. Run must be called.
+func NewGroup(s *Sender) *Group {
+	return &Group{sender: s, wake: make(chan struct{}, 1)}
+}
+
+// Do adds p to the next transaction and waits for its fate: nil, a
+// ConflictError for one of p's own conditions, an AbandonedError or an
+// UndecidedError. A caller whose ctx ends does not know the fate.
+func (g *Group) Do(ctx context.Context, p Part) error {
+	w := &waiting{p, make(chan error, 1)}
+	g.mu.Lock()
+	g.parts = append(g.parts, w)
+	g.mu.Unlock()
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return &UndecidedError{"of a group", ctx.Err()}
+	}
+}
+
+// Run sends transactions until ctx ends, lanes of them at a time.
+func (g *Group) Run(ctx context.Context, lanes int) {
+	var wg sync.WaitGroup
+	for range lanes {
+		wg.Go(func() { g.lane(ctx) })
+	}
+	wg.Wait()
+	for parts := g.take(); len(parts) > 0; parts = g.take() {
+		g.answer(parts, &AbandonedError{"of a group", context.Cause(ctx)})
+	}
+}
+
+func (g *Group) lane(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.wake:
+		}
+		if g.sender.Wait(ctx) != nil {
+			return
+		}
+		g.send(ctx, g.take())
+	}
+}
+
+// take removes as many waiting parts as fit one transaction. If more wait it
+// wakes another lane.
+func (g *Group) take() []*waiting {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n, rows := 0, 0
+	for n < len(g.parts) && (n == 0 || rows+len(g.parts[n].part.Conds) <= maxGroupRows) {
+		rows += len(g.parts[n].part.Conds)
+		n++
+	}
+	taken := g.parts[:n:n]
+	g.parts = g.parts[n:]
+	if len(g.parts) > 0 {
+		select {
+		case g.wake <- struct{}{}:
+		default:
+		}
+	}
+	return taken
+}
+
+// send commits parts together. A part that conflicts is answered and left out,
+// and the others are sent again.
+func (g *Group) send(ctx context.Context, parts []*waiting) {
+	for len(parts) > 0 {
+		t := platform.Txn{ID: xid.New().String()}
+		for _, w := range parts {
+			t.Conds = append(t.Conds, w.part.Conds...)
+			t.Writes = append(t.Writes, w.part.Writes...)
+		}
+		_, err := g.sender.DoNow(ctx, t)
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) {
+			g.answer(parts, err)
+			return
+		}
+		rest := g.reject(parts, conflict)
+		if len(rest) == len(parts) {
+			g.answer(parts, conflict) // a conflict of none of them: do not spin
+			return
+		}
+		parts = rest
+	}
+}
+
+func (g *Group) reject(parts []*waiting, conflict *platform.ConflictError) []*waiting {
+	var rest []*waiting
+	for _, w := range parts {
+		if hasCond(w.part, conflict.Key) {
+			w.done <- conflict
+			continue
+		}
+		rest = append(rest, w)
+	}
+	return rest
+}
+
+func hasCond(p Part, key string) bool {
+	for _, c := range p.Conds {
+		if c.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Group) answer(parts []*waiting, err error) {
+	for _, w := range parts {
+		w.done <- err
+	}
+}
--- /dev/null
+++ b/standin/table.go
@@ -0,0 +1,186 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"chutereach/platform"
+)
+
+// Operations of the table.
+const (
+	OpGet    Op = "get"
+	OpRange  Op = "range"
+	OpCommit Op = "commit"
+)
+
+// Table is a transactional table in memory.
+type Table struct {
+	Faults Faults
+	// Commits and Reads count the requests carried out; Bytes what was written.
+	Commits, Reads, Bytes atomic.Int64
+
+	mu      sync.RWMutex
+	rows    map[string]platform.Row
+	keys    []string // sorted
+	version uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{rows: map[string]platform.Row{}} }
+
+// Get implements platform.Table.
+func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+	return through(ctx, &t.Faults, platform.TableService, OpGet, key, func() (platform.Row, error) {
+		t.Reads.Add(1)
+		t.mu.RLock()
+		defer t.mu.RUnlock()
+		return t.rows[key], nil
+	})
+}
+
+// Range implements platform.Table.
+func (t *Table) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	return through(ctx, &t.Faults, platform.TableService, OpRange, prefix, func() ([]platform.Row, error) {
+		t.Reads.Add(1)
+		t.mu.RLock()
+		defer t.mu.RUnlock()
+		return t.scan(prefix, after, limit), nil
+	})
+}
+
+func (t *Table) scan(prefix, after string, limit int) []platform.Row {
+	i, found := slices.BinarySearch(t.keys, max(prefix, after))
+	if found && t.keys[i] == after {
+		i++
+	}
+	var rows []platform.Row
+	for ; i < len(t.keys) && len(rows) < limit && strings.HasPrefix(t.keys[i], prefix); i++ {
+		rows = append(rows, t.rows[t.keys[i]])
+	}
+	return rows
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	target := ""
+	if len(txn.Writes) > 0 {
+		target = txn.Writes[0].Key
+	}
+	return through(ctx, &t.Faults, platform.TableService, OpCommit, target, func() (uint64, error) {
+		return t.apply(txn)
+	})
+}
+
+func (t *Table) apply(txn platform.Txn) (uint64, error) {
+	t.Commits.Add(1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range txn.Conds {
+		if have := t.rows[c.Key]; have.Version != c.Version {
+			return 0, &platform.ConflictError{Key: c.Key, Want: c.Version, Have: have}
+		}
+	}
+	t.version++
+	for _, w := range txn.Writes {
+		t.write(w, txn.ID)
+	}
+	return t.version, nil
+}
+
+func (t *Table) write(w platform.Write, txn string) {
+	i, found := slices.BinarySearch(t.keys, w.Key)
+	if w.Delete {
+		if found {
+			t.keys = slices.Delete(t.keys, i, i+1)
+			delete(t.rows, w.Key)
+		}
+		return
+	}
+	if !found {
+		t.keys = slices.Insert(t.keys, i, w.Key)
+	}
+	t.Bytes.Add(int64(len(w.Value)))
+	t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version, Txn: txn}
+}
+
+// Objects is an object store in memory.
+type Objects struct {
+	Faults Faults
+	mu     sync.Mutex
+	data   map[string][]byte
+}
+
+// NewObjects returns an empty store.
+func NewObjects() *Objects { return &Objects{data: map[string][]byte{}} }
+
+// Operations of the object store.
+const (
+	OpPut       Op = "put"
+	OpGetObject Op = "get-object"
+	OpDelete    Op = "delete"
+)
+
+// Put implements platform.Objects.
+func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
+	_, err := through(ctx, &o.Faults, platform.ObjectService, OpPut, name, func() (struct{}, error) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.data[name] = slices.Clone(data)
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// Get implements platform.Objects.
+func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	return through(ctx, &o.Faults, platform.ObjectService, OpGetObject, name, func() ([]byte, error) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		data, found := o.data[name]
+		if !found {
+			return nil, &platform.NotFoundError{Service: platform.ObjectService, Name: name}
+		}
+		return data, nil
+	})
+}
+
+// Delete implements platform.Objects.
+func (o *Objects) Delete(ctx context.Context, name string) error {
+	_, err := through(ctx, &o.Faults, platform.ObjectService, OpDelete, name, func() (struct{}, error) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.data, name)
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// BoxList is a list of boxes that tests write.
+type BoxList struct {
+	Faults Faults
+	mu     sync.Mutex
+	boxes  []platform.Box
+}
+
+// Set replaces the list.
+func (b *BoxList) Set(boxes ...platform.Box) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.boxes = boxes
+}
+
+// OpListBoxes is the operation of the box list.
+const OpListBoxes Op = "list-boxes"
+
+// List implements platform.BoxList.
+func (b *BoxList) List(ctx context.Context) ([]platform.Box, error) {
+	return through(ctx, &b.Faults, platform.BoxListService, OpListBoxes, "", func() ([]platform.Box, error) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return slices.Clone(b.boxes), nil
+	})
+}
