--- a/job/task.go
+++ b/job/task.go
@@ -154,7 +154,9 @@
 }
 
 // Key returns the key of t's row.
-func (t Task) Key() string { return TaskPrefix(t.Job.Unit()) + string(t.Job) + "/" + strconv.Itoa(t.Index) }
+func (t Task) Key() string {
+	return TaskPrefix(t.Job.Unit()) + string(t.Job) + "/" + strconv.Itoa(t.Index)
+}
 
 // TaskPrefix returns what the keys of a unit's tasks begin with.
 func TaskPrefix(unit string) string { return "task/" + unit + "/" }
--- /dev/null
+++ b/logs/logs.go
@@ -0,0 +1,43 @@
+// Package logs makes the loggers of the parts: zerolog with a fixed prefix.
+package logs
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Part names a part of the daemon; it is the prefix of the part's lines.
+type Part string
+
+// The parts that log.
+const (
+	Box       Part = "box"
+	API       Part = "api"
+	Ownership Part = "ownership"
+	Hall      Part = "hall"
+	Route     Part = "route"
+	Peer      Part = "peer"
+	Publish   Part = "publish"
+)
+
+const partField = "part"
+
+// New returns a logger that writes to w, as JSON or for people.
+func New(w io.Writer, json bool, level zerolog.Level) zerolog.Logger {
+	if !json {
+		w = zerolog.ConsoleWriter{
+			Out: w, TimeFormat: time.TimeOnly, NoColor: w != os.Stderr || os.Getenv("NO_COLOR") != "",
+			PartsOrder:    []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, partField, zerolog.MessageFieldName},
+			FieldsExclude: []string{partField},
+		}
+	}
+	return zerolog.New(w).Level(level).With().Timestamp().Logger()
+}
+
+// For returns l with the prefix of a part.
+func For(l zerolog.Logger, p Part) zerolog.Logger {
+	return l.With().Str(partField, string(p)).Logger()
+}
