hall: a unit's owner places, commits, starts and ends tasks

Cause: this is the heart of the product: where tasks run, and the proof that none runs twice.

Change: the owner holds queue and ledgers in memory, commits marked ledgers in groups under its epoch, starts after the commit, renews leases in one call a worker that also carries news, and releases a grant only with a proof that the attempt is over. A worker is told to forget an attempt only after its end is in the table: otherwise a successor would take it for one that never ran.

--- /dev/null
+++ b/hall/load.go
@@ -0,0 +1,258 @@
+package hall
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"chutereach/control"
+	"chutereach/job"
+	"chutereach/ledger"
+	"chutereach/platform"
+	"chutereach/timeline"
+)
+
+const (
+	firstPause = 50 * time.Millisecond
+	lastPause  = 2 * time.Second
+)
+
+// rows is what the table holds of a unit.
+type rows struct {
+	jobs, tasks, ledgers []platform.Row
+	fleet                []platform.Worker
+}
+
+// load rebuilds the unit from the table. It tries until it succeeds or the unit
+// ends: without the table there is nothing that could be decided.
+func (u *Unit) load() error {
+	for pause := firstPause; ; pause = min(2*pause, lastPause) {
+		r, err := u.read()
+		if err == nil {
+			return u.rebuild(r)
+		}
+		u.log.Warn().Err(err).Msg("Unit cannot be loaded yet.")
+		if !u.pause(pause) {
+			return u.ctx.Err()
+		}
+	}
+}
+
+func (u *Unit) read() (rows, error) {
+	var r rows
+	g, ctx := errgroup.WithContext(u.ctx)
+	get := func(into *[]platform.Row, prefix string) func() error {
+		return func() (err error) {
+			*into, err = platform.ReadAll(ctx, u.deps.Sender.Table(), prefix)
+			return err
+		}
+	}
+	g.Go(get(&r.jobs, job.Prefix(u.hold.Unit)))
+	g.Go(get(&r.tasks, job.TaskPrefix(u.hold.Unit)))
+	g.Go(get(&r.ledgers, ledger.Prefix(u.hold.Unit)))
+	g.Go(func() (err error) {
+		r.fleet, err = u.fleet(ctx)
+		return err
+	})
+	return r, g.Wait()
+}
+
+// fleet returns the unit's workers. The list may be down for long; then the
+// ledgers alone tell of the workers.
+func (u *Unit) fleet(ctx context.Context) ([]platform.Worker, error) {
+	all, err := u.deps.Workers.Fleet(ctx)
+	if err != nil {
+		u.log.Warn().Err(err).Msg("List of workers cannot be read.")
+		return nil, nil
+	}
+	var own []platform.Worker
+	for _, w := range all {
+		if u.mine(w) {
+			own = append(own, w)
+		}
+	}
+	return own, nil
+}
+
+func (u *Unit) rebuild(r rows) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if err := u.rebuildJobs(r.jobs, r.tasks); err != nil {
+		return err
+	}
+	for _, row := range r.ledgers {
+		l, err := ledger.Decode(row.Value)
+		if err != nil {
+			return &control.RowError{Key: row.Key, Cause: err}
+		}
+		u.inherit(u.addWorker(l, row.Version))
+	}
+	u.mergeFleet(r.fleet)
+	for _, j := range u.jobs {
+		u.enqueueIdle(j)
+	}
+	u.ready = true
+	signal(u.decideWake)
+	signal(u.inboxWake)
+	return nil
+}
+
+func (u *Unit) rebuildJobs(jobs, tasks []platform.Row) error {
+	for _, row := range jobs {
+		j, err := job.Decode(row.Value)
+		if err != nil {
+			return &control.RowError{Key: row.Key, Cause: err}
+		}
+		u.addJob(j, row.Version)
+	}
+	for _, row := range tasks {
+		t, err := job.DecodeTask(row.Value)
+		if err != nil {
+			return &control.RowError{Key: row.Key, Cause: err}
+		}
+		j := u.jobs[t.Job]
+		if j == nil || t.Index >= len(j.tasks) {
+			continue // of a job that is being purged
+		}
+		s := j.tasks[t.Index]
+		s.task, s.version = t, row.Version
+		if t.State.Final() {
+			u.countFinal(j)
+		}
+	}
+	return nil
+}
+
+// addJob takes a job in without queueing it. The caller holds u.mu.
+func (u *Unit) addJob(j job.Job, version uint64) *jobState {
+	s := &jobState{job: j, version: version, tasks: make([]*taskState, j.Tasks), crowd: map[string]int{}}
+	all := make([]taskState, j.Tasks)
+	for i := range s.tasks {
+		all[i] = taskState{job: s, task: job.NewTask(j, i), ready: j.Created}
+		s.tasks[i] = &all[i]
+	}
+	u.jobs[j.ID] = s
+	return s
+}
+
+// addWorker takes a worker in and begins to talk to it. The caller holds u.mu.
+func (u *Unit) addWorker(l ledger.Ledger, version uint64) *workerState {
+	w := &workerState{
+		ledger: l, version: version, tasks: map[string]*taskState{},
+		silent: time.Now(), wake: make(chan struct{}, 1),
+	}
+	u.workers[w.name()] = w
+	u.reindex(w)
+	u.whole = u.whole.Plus(l.Worker().Capacity)
+	u.queue.SetWhole(u.whole)
+	u.group.Go(func() { u.watchLoop(w) })
+	u.group.Go(func() { u.orderLoop(w) })
+	return w
+}
+
+// inherit takes over what an earlier owner granted on a worker. How far it got
+// is for the worker to say; until then it counts as started, under the longest
+// lease that the earlier owner can have given. The caller holds u.mu.
+func (u *Unit) inherit(w *workerState) {
+	for _, g := range w.ledger.Grants() {
+		a, err := job.ParseAttempt(g.Attempt)
+		j := u.jobs[a.Job]
+		if err != nil || j == nil || a.Task >= len(j.tasks) {
+			u.log.Error().Str("attempt", g.Attempt).Str("worker", w.name()).Msg("Grant belongs to no job.")
+			continue
+		}
+		t := j.tasks[a.Task]
+		t.phase, t.attempt, t.worker = starting, g.Attempt, w
+		t.startBy, t.until = u.hold.Before, u.hold.Before.Add(g.Lease)
+		t.task = t.task.WithStart(a.N, w.name(), time.Now())
+		w.tasks[g.Attempt] = t
+		u.queue.Take(j.job.Account, g.Need)
+		u.crowd(t, 1)
+	}
+}
+
+// mergeFleet takes in what the platform says of the workers. The caller holds
+// u.mu.
+func (u *Unit) mergeFleet(fleet []platform.Worker) {
+	if len(fleet) == 0 {
+		return // an empty list is more likely a fault than the truth
+	}
+	listed := map[string]bool{}
+	for _, info := range fleet {
+		listed[info.Name] = true
+		w := u.workers[info.Name]
+		if w == nil {
+			u.addWorker(ledger.New(info), 0)
+			continue
+		}
+		u.whole = u.whole.Minus(w.ledger.Worker().Capacity).Plus(info.Capacity)
+		w.ledger, w.gone = w.ledger.WithWorker(info), false
+		u.reindex(w)
+	}
+	for name, w := range u.workers {
+		w.gone = !listed[name]
+		u.reindex(w)
+	}
+	u.queue.SetWhole(u.whole)
+	signal(u.decideWake)
+}
+
+// reindex puts what a worker has free into the index. The caller holds u.mu.
+func (u *Unit) reindex(w *workerState) {
+	info := w.ledger.Worker()
+	closed := !w.silent.IsZero() || w.gone || u.deps.Config().Set.Drained(info.Name, info.Rack, info.Hall)
+	u.index.Set(info, w.ledger.Free(), closed)
+}
+
+// enqueueIdle queues every task of a job that waits. The caller holds u.mu.
+func (u *Unit) enqueueIdle(j *jobState) {
+	for i, t := range j.tasks {
+		if t.phase == idle && t.task.State == job.Waiting {
+			u.enqueue(j, i)
+		}
+	}
+	u.note(timeline.Event{Kind: timeline.JobQueued, Job: string(j.job.ID), Account: j.job.Account})
+}
+
+// enqueue puts a task behind its job's others. A job that is stopped or whose
+// moment has not come is not queued. The caller holds u.mu.
+func (u *Unit) enqueue(j *jobState, task int) {
+	if j.job.Stopped {
+		u.finalize(j.tasks[task], j.tasks[task].task.WithStopped(time.Now()))
+		return
+	}
+	j.waiting = append(j.waiting, task)
+	if j.queued {
+		return
+	}
+	j.queued = true
+	if early := time.Until(j.job.Start); early > 0 {
+		time.AfterFunc(early, func() { u.addToQueue(j) })
+		return
+	}
+	u.queue.Add(j)
+	signal(u.decideWake)
+}
+
+func (u *Unit) addToQueue(j *jobState) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ctx.Err() == nil {
+		u.queue.Add(j)
+		signal(u.decideWake)
+	}
+}
+
+// finalize gives a task a final state in memory only. The caller holds u.mu.
+func (u *Unit) finalize(t *taskState, final job.Task) {
+	t.task = final
+	u.countFinal(t.job)
+}
+
+func (u *Unit) countFinal(j *jobState) {
+	j.final++
+	if j.final == len(j.tasks) {
+		j.ended = time.Now()
+	}
+}
--- /dev/null
+++ b/hall/orders.go
@@ -0,0 +1,181 @@
+package hall
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chutereach/platform"
+	"chutereach/timeline"
+)
+
+// orderKind is what a worker is told to do with an attempt.
+type orderKind int
+
+const (
+	orderStart orderKind = iota
+	orderStop
+	orderCheckpoint
+)
+
+// order is one call to make to a worker.
+type order struct {
+	kind    orderKind
+	attempt string
+}
+
+// order adds to a worker's orders. The caller holds u.mu.
+func (u *Unit) order(w *workerState, o order) {
+	w.orders = append(w.orders, o)
+	signal(w.wake)
+}
+
+// orderLoop carries out a worker's orders, one after the other.
+func (u *Unit) orderLoop(w *workerState) {
+	for {
+		select {
+		case <-u.ctx.Done():
+			return
+		case <-w.wake:
+		}
+		for {
+			o, more := u.nextOrder(w)
+			if !more || u.ctx.Err() != nil {
+				break
+			}
+			u.carryOut(w, o)
+		}
+	}
+}
+
+func (u *Unit) nextOrder(w *workerState) (order, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(w.orders) == 0 {
+		return order{}, false
+	}
+	o := w.orders[0]
+	w.orders = w.orders[1:]
+	return o, true
+}
+
+func (u *Unit) carryOut(w *workerState, o order) {
+	switch o.kind {
+	case orderStart:
+		u.start(w, o.attempt)
+	case orderStop:
+		u.halt(w, o.attempt, u.deps.Workers.Stop)
+	case orderCheckpoint:
+		u.halt(w, o.attempt, u.deps.Workers.Checkpoint)
+	}
+}
+
+// start makes the start call of an attempt. Whatever the worker's answer leaves
+// open, its next report settles.
+func (u *Unit) start(w *workerState, attempt string) {
+	call, ok := u.startCall(w, attempt)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(u.ctx, u.set.Call)
+	defer cancel()
+	state, err := u.deps.Workers.Start(ctx, w.name(), call)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	t := w.tasks[attempt]
+	if t == nil || t.phase != starting {
+		return // a report was faster
+	}
+	var refused *platform.RefusedError
+	switch {
+	case err == nil:
+		u.heardOf(w, t, state)
+	case errors.As(err, &refused):
+		if refused.Reason == platform.RefusedBoot {
+			u.silence(w) // place nothing there until its next report
+		}
+		u.notRun(t, string(refused.Reason))
+	case platform.NotApplied(err):
+		u.notRun(t, err.Error())
+	}
+}
+
+// startCall makes the call, or says that this is not the time for one: an owner
+// that is not sure of its ownership starts nothing. The attempt is then put
+// back as not run, since no call for it was ever made.
+func (u *Unit) startCall(w *workerState, attempt string) (platform.StartCall, bool) {
+	sure := u.deps.Sure()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	t := w.tasks[attempt]
+	if t == nil || t.phase != starting {
+		return platform.StartCall{}, false
+	}
+	now := time.Now()
+	if !now.Before(sure) {
+		u.notRun(t, "ownership is not sure")
+		return platform.StartCall{}, false
+	}
+	t.startBy = earlier(now.Add(u.set.Call), sure)
+	t.until = now.Add(t.job.job.Template.Lease)
+	return platform.StartCall{
+		Attempt: attempt, Boot: w.boot, Expires: t.startBy, Until: t.until,
+		Need: t.job.job.Template.Need, Command: t.job.job.Template.Command,
+		Params: t.job.job.Params, Checkpoint: t.task.Checkpoint,
+	}, true
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// haltRetry is the pause before a stop that had no answer is ordered again.
+const haltRetry = time.Second
+
+// halt stops an attempt by call and takes in the answer, which confirms that it
+// runs no more. A stop without an answer is ordered again, until a report or
+// the lapse of the lease settles the matter.
+func (u *Unit) halt(w *workerState, attempt string, call haltCall) {
+	u.mu.Lock()
+	boot := w.boot
+	_, there := w.tasks[attempt]
+	u.mu.Unlock()
+	c := platform.AttemptCall{Attempt: attempt, Boot: boot, Expires: time.Now().Add(u.set.Call)}
+	ctx, cancel := context.WithTimeout(u.ctx, u.set.Call)
+	defer cancel()
+	state, err := call(ctx, w.name(), c)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	t := w.tasks[attempt]
+	if err == nil && t != nil {
+		u.heardOf(w, t, state)
+		return
+	}
+	if err != nil && there && t != nil && t.phase == stopping {
+		time.AfterFunc(haltRetry, func() { u.haltAgain(w, attempt) })
+	}
+}
+
+func (u *Unit) haltAgain(w *workerState, attempt string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if t := w.tasks[attempt]; t != nil && t.phase == stopping && u.ctx.Err() == nil {
+		u.order(w, order{kind: orderStop, attempt: attempt})
+	}
+}
+
+// notRun puts back a task whose attempt surely never ran. The caller holds
+// u.mu.
+func (u *Unit) notRun(t *taskState, why string) {
+	u.Stats.NotRun++
+	t.refusals++
+	u.note(timeline.Event{Kind: timeline.TaskNotRun, Job: string(t.job.job.ID), Attempt: t.attempt, Worker: t.worker.name(), Detail: why})
+	next := t.task.WithoutStart(time.Now())
+	if t.job.job.Stopped {
+		next = t.task.WithStopped(time.Now())
+	}
+	u.release(t, next, false)
+}
--- /dev/null
+++ b/hall/report.go
@@ -0,0 +1,320 @@
+package hall
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"chutereach/config"
+	"chutereach/job"
+	"chutereach/resource"
+	"chutereach/timeline"
+)
+
+const (
+	longestWait = int64(24 * time.Hour / time.Microsecond)
+	waitDigits  = 3
+)
+
+// Waits keeps how long tasks waited from the moment they were due until they
+// ran, by class, in microseconds.
+type Waits map[config.Class]*hdrhistogram.Histogram
+
+func (w *Waits) record(c config.Class, d time.Duration) {
+	if *w == nil {
+		*w = Waits{}
+	}
+	h := (*w)[c]
+	if h == nil {
+		h = hdrhistogram.New(1, longestWait, waitDigits)
+		(*w)[c] = h
+	}
+	h.RecordValue(min(max(d.Microseconds(), 1), longestWait))
+}
+
+// WaitSummary is the waits of one class.
+type WaitSummary struct {
+	Class config.Class  `json:"class" cbor:"1,keyasint"`
+	Count int64         `json:"count" cbor:"2,keyasint"`
+	P50   time.Duration `json:"p50" cbor:"3,keyasint"`
+	P99   time.Duration `json:"p99" cbor:"4,keyasint"`
+	Max   time.Duration `json:"max" cbor:"5,keyasint"`
+}
+
+func (w Waits) summary() []WaitSummary {
+	var all []WaitSummary
+	for _, c := range config.Classes {
+		h := w[c]
+		if h == nil {
+			continue
+		}
+		all = append(all, WaitSummary{
+			Class: c, Count: h.TotalCount(),
+			P50: time.Duration(h.ValueAtPercentile(50)) * time.Microsecond,
+			P99: time.Duration(h.ValueAtPercentile(99)) * time.Microsecond,
+			Max: time.Duration(h.Max()) * time.Microsecond,
+		})
+	}
+	return all
+}
+
+// Summary is what other boxes and people are told of a unit.
+type Summary struct {
+	Unit     string          `json:"unit" cbor:"1,keyasint"`
+	Epoch    uint64          `json:"epoch" cbor:"2,keyasint"`
+	Ready    bool            `json:"ready" cbor:"3,keyasint"`
+	Workers  int             `json:"workers" cbor:"4,keyasint"`
+	Capacity resource.Amount `json:"capacity" cbor:"5,keyasint"`
+	Used     resource.Amount `json:"used" cbor:"6,keyasint"`
+	// Largest is the most of each kind that one worker has.
+	Largest resource.Amount `json:"largest" cbor:"7,keyasint"`
+	Jobs    int             `json:"jobs" cbor:"8,keyasint"`
+	Waiting int             `json:"waiting" cbor:"9,keyasint"` // tasks
+	Running int             `json:"running" cbor:"10,keyasint"`
+	Unknown int             `json:"unknown" cbor:"11,keyasint"`
+	Placed  int64           `json:"placed" cbor:"12,keyasint"`
+	Commits int64           `json:"commits" cbor:"13,keyasint"`
+	Rows    int64           `json:"rows" cbor:"14,keyasint"`
+	Waits   []WaitSummary   `json:"waits" cbor:"15,keyasint"`
+}
+
+// Summary returns what there is to say of the unit.
+func (u *Unit) Summary() Summary {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := Summary{
+		Unit: u.hold.Unit, Epoch: u.hold.Epoch, Ready: u.ready, Workers: len(u.workers), Capacity: u.whole,
+		Jobs: len(u.jobs), Placed: u.Stats.Placed, Commits: u.Stats.Commits, Rows: u.Stats.Rows,
+		Waits: u.Stats.Waits.summary(),
+	}
+	for _, w := range u.workers {
+		s.Used = s.Used.Plus(w.ledger.Used())
+		c := w.ledger.Worker().Capacity
+		s.Largest.CPU = max(s.Largest.CPU, c.CPU)
+		s.Largest.Memory = max(s.Largest.Memory, c.Memory)
+		s.Largest.Accelerators = max(s.Largest.Accelerators, c.Accelerators)
+	}
+	for _, j := range u.jobs {
+		s.Waiting += len(j.waiting)
+		for _, t := range j.tasks {
+			if t.phase == running {
+				s.Running++
+			}
+			if t.task.State == job.Unknown {
+				s.Unknown++
+			}
+		}
+	}
+	return s
+}
+
+// JobStatus is a job and what its tasks do.
+type JobStatus struct {
+	Job     job.Job           `json:"job" cbor:"1,keyasint"`
+	Counts  map[job.State]int `json:"counts" cbor:"2,keyasint"`
+	Tasks   []job.Task        `json:"tasks,omitempty" cbor:"3,keyasint,omitempty"`
+	Ended   time.Time         `json:"ended,omitzero" cbor:"4,keyasint,omitempty"`
+	Account string            `json:"-" cbor:"-"`
+}
+
+// Final reports whether no task of the job will run any more.
+func (s JobStatus) Final() bool { return !s.Ended.IsZero() }
+
+func statusOf(j *jobState, tasks bool) JobStatus {
+	s := JobStatus{Job: j.job, Counts: map[job.State]int{}, Ended: j.ended, Account: j.job.Account}
+	for _, t := range j.tasks {
+		shown := t.task
+		if t.phase == running || t.phase == stopping {
+			shown.State = job.Running
+		}
+		s.Counts[shown.State]++
+		if tasks {
+			s.Tasks = append(s.Tasks, shown)
+		}
+	}
+	return s
+}
+
+// Job returns the status of one job, with its tasks.
+func (u *Unit) Job(id job.ID) (JobStatus, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	j := u.jobs[id]
+	if j == nil {
+		return JobStatus{}, false
+	}
+	return statusOf(j, true), true
+}
+
+// Jobs returns the statuses of an account's jobs, or of all for "", the oldest
+// first.
+func (u *Unit) Jobs(account string) []JobStatus {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var all []JobStatus
+	for _, j := range u.jobs {
+		if account == "" || account == j.job.Account {
+			all = append(all, statusOf(j, false))
+		}
+	}
+	slices.SortFunc(all, func(a, b JobStatus) int { return cmp.Compare(a.Job.ID, b.Job.ID) })
+	return all
+}
+
+// WorkerStatus is a worker as its unit's owner sees it.
+type WorkerStatus struct {
+	Name     string          `json:"name" cbor:"1,keyasint"`
+	Hall     string          `json:"hall" cbor:"2,keyasint"`
+	Rack     string          `json:"rack" cbor:"3,keyasint"`
+	Unit     string          `json:"unit" cbor:"4,keyasint"`
+	Capacity resource.Amount `json:"capacity" cbor:"5,keyasint"`
+	Granted  resource.Amount `json:"granted" cbor:"6,keyasint"`
+	Usage    resource.Amount `json:"usage" cbor:"7,keyasint"` // as reported, late
+	Tasks    int             `json:"tasks" cbor:"8,keyasint"`
+	State    WorkerState     `json:"state" cbor:"9,keyasint"`
+}
+
+// WorkerState says whether a worker takes tasks.
+type WorkerState string
+
+// The states of a worker.
+const (
+	WorkerOpen    WorkerState = "open"
+	WorkerSilent  WorkerState = "silent"
+	WorkerDrained WorkerState = "drained"
+	WorkerGone    WorkerState = "gone"
+)
+
+// Workers returns the unit's workers by name.
+func (u *Unit) Workers() []WorkerStatus {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var all []WorkerStatus
+	for _, w := range u.workers {
+		info := w.ledger.Worker()
+		all = append(all, WorkerStatus{
+			Name: info.Name, Hall: info.Hall, Rack: info.Rack, Unit: u.hold.Unit, Capacity: info.Capacity,
+			Granted: w.ledger.Used(), Usage: w.usage, Tasks: len(w.tasks), State: u.stateOf(w),
+		})
+	}
+	slices.SortFunc(all, func(a, b WorkerStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+func (u *Unit) stateOf(w *workerState) WorkerState {
+	info := w.ledger.Worker()
+	switch {
+	case w.gone:
+		return WorkerGone
+	case !w.silent.IsZero():
+		return WorkerSilent
+	case u.deps.Config().Set.Drained(info.Name, info.Rack, info.Hall):
+		return WorkerDrained
+	}
+	return WorkerOpen
+}
+
+// Endpoint is a running replica of a service that takes requests.
+type Endpoint struct {
+	Service  string `json:"service" cbor:"1,keyasint"` // template
+	Attempt  string `json:"attempt" cbor:"2,keyasint"`
+	Worker   string `json:"worker" cbor:"3,keyasint"`
+	Hall     string `json:"hall" cbor:"4,keyasint"`
+	Address  string `json:"address" cbor:"5,keyasint"`
+	Slots    int    `json:"slots" cbor:"6,keyasint"`
+	Conns    int    `json:"connections" cbor:"7,keyasint"`
+	Draining bool   `json:"draining,omitempty" cbor:"8,keyasint,omitempty"`
+}
+
+// Endpoints returns the unit's replicas that take requests.
+func (u *Unit) Endpoints() []Endpoint {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	set := u.deps.Config().Set
+	var all []Endpoint
+	for _, w := range u.workers {
+		info := w.ledger.Worker()
+		for _, t := range w.tasks {
+			if t.phase != running && t.phase != stopping || t.endpoint == "" {
+				continue
+			}
+			tm := t.job.job.Template
+			all = append(all, Endpoint{
+				Service: tm.Name, Attempt: t.attempt, Worker: info.Name, Hall: info.Hall, Address: t.endpoint,
+				Slots: tm.Slots, Conns: tm.Connections,
+				Draining: t.phase == stopping || set.Drained(info.Name, info.Rack, info.Hall),
+			})
+		}
+	}
+	slices.SortFunc(all, func(a, b Endpoint) int { return cmp.Compare(a.Attempt, b.Attempt) })
+	return all
+}
+
+// NoJobError says that a unit has no such job.
+type NoJobError struct{ ID job.ID }
+
+func (e *NoJobError) Error() string { return fmt.Sprintf("there is no job %q", string(e.ID)) }
+
+// StopJob makes a job run no more: what waits is not started, and what runs is
+// stopped. It returns once that is on its way.
+func (u *Unit) StopJob(id job.ID) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	j := u.jobs[id]
+	if j == nil || j.version == 0 {
+		return &NoJobError{id}
+	}
+	if j.job.Stopped {
+		return nil
+	}
+	j.job = j.job.WithStopped()
+	u.write(change{
+		writes: []rowWrite{{key: j.job.Key(), version: j.version, value: j.job.Encode()}},
+		then: func(version uint64) {
+			j.version = version
+			u.stopTasks(j)
+			u.note(timeline.Event{Kind: timeline.JobStopped, Job: string(id), Account: j.job.Account})
+		},
+	})
+	return nil
+}
+
+func (u *Unit) stopTasks(j *jobState) {
+	for _, i := range j.waiting {
+		u.finalize(j.tasks[i], j.tasks[i].task.WithStopped(time.Now()))
+	}
+	j.waiting = nil
+	for _, t := range j.tasks {
+		if t.phase == running {
+			t.phase = stopping
+			u.order(t.worker, order{kind: orderStop, attempt: t.attempt})
+		}
+	}
+}
+
+// Settle gives an unknown task the state that an operator found it in.
+func (u *Unit) Settle(id job.ID, task int, s job.State) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	j := u.jobs[id]
+	if j == nil || task < 0 || task >= len(j.tasks) {
+		return &NoJobError{id}
+	}
+	t := j.tasks[task]
+	next, err := t.task.WithSettled(s, time.Now())
+	if err != nil {
+		return err
+	}
+	u.write(change{
+		writes: []rowWrite{{key: next.Key(), version: t.version, value: next.Encode()}},
+		then: func(version uint64) {
+			t.version = version
+			u.note(timeline.Event{Kind: timeline.TaskSettled, Job: string(id), Detail: string(s)})
+			u.released(t, next)
+		},
+	})
+	return nil
+}
--- /dev/null
+++ b/hall/unit.go
@@ -0,0 +1,262 @@
+package hall
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chutereach/commit"
+	"chutereach/config"
+	"chutereach/control"
+	"chutereach/job"
+	"chutereach/ledger"
+	"chutereach/ownership"
+	"chutereach/placement"
+	"chutereach/platform"
+	"chutereach/queue"
+	"chutereach/resource"
+	"chutereach/timeline"
+)
+
+// Settings are the times and sizes by which a unit is run.
+type Settings struct {
+	ClockError time.Duration // by which a worker's clock may differ from this box's
+	Call       time.Duration // for which a call to a worker may be under way
+	Watch      time.Duration // for which a worker may hold back a report without news
+	Inbox      time.Duration // between reads of the inbox
+	Fleet      time.Duration // between reads of the list of workers
+	Lanes      int           // transactions on their way at once
+	BatchRows  int           // rows of a transaction
+	Ageing     time.Duration // after which waiting work goes a class up
+	Keep       time.Duration // for which ended jobs are kept
+}
+
+// Defaults are the settings in use unless an operator says otherwise.
+var Defaults = Settings{
+	ClockError: 500 * time.Millisecond,
+	Call:       2 * time.Second,
+	Watch:      10 * time.Second,
+	Inbox:      time.Second,
+	Fleet:      10 * time.Second,
+	Lanes:      4,
+	BatchRows:  400,
+	Ageing:     time.Hour,
+	Keep:       24 * time.Hour,
+}
+
+// Deps are what a unit works with.
+type Deps struct {
+	Workers platform.Workers
+	Sender  *commit.Sender
+	// Sure returns until when no other box can have taken the unit over.
+	Sure func() time.Time
+	// Config returns the revision in force.
+	Config func() config.Revision
+	Events *timeline.Ring
+	Log    zerolog.Logger
+}
+
+// Unit is a unit while this box owns it.
+type Unit struct {
+	hold ownership.Hold
+	set  Settings
+	deps Deps
+	log  zerolog.Logger
+
+	decideWake chan struct{}
+	flushWake  chan struct{}
+	inboxWake  chan struct{}
+	group      sync.WaitGroup // every goroutine that may send something
+	done       chan struct{}  // closed when nothing more will be sent
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+
+	mu      sync.Mutex
+	ready   bool
+	jobs    map[job.ID]*jobState
+	queue   *queue.Queue[*jobState]
+	workers map[string]*workerState
+	index   *placement.Index
+	whole   resource.Amount
+	dirty   []*workerState // ledgers to commit, in the order of their marking
+	loose   []change       // changes that touch no ledger
+	granted int            // grants not yet committed
+	Stats   Stats
+}
+
+// Stats counts what a unit did. They are read under the unit's lock.
+type Stats struct {
+	Decisions, Commits, Rows int64
+	Placed, Started, Ended   int64
+	NotRun, Lost             int64
+	Waits                    Waits
+}
+
+// jobState is a job and what is known of its tasks.
+type jobState struct {
+	job     job.Job
+	version uint64 // of the job's row
+	tasks   []*taskState
+	waiting []int // tasks to place, the next first
+	queued  bool
+	final   int // tasks that run no more
+	ended   time.Time
+	crowd   map[string]int // granted tasks by worker and by rack, of services
+}
+
+// Class implements queue.Item.
+func (j *jobState) Class() config.Class { return j.job.Template.Class }
+
+// Account implements queue.Item.
+func (j *jobState) Account() string { return j.job.Account }
+
+// Since implements queue.Item.
+func (j *jobState) Since() time.Time { return j.job.Created }
+
+// phase is where a task stands between its owner and its worker.
+type phase int
+
+const (
+	idle      phase = iota // waits, or is final
+	granting               // its grant is being committed
+	starting               // a start call may be under way
+	running                // its worker says so
+	stopping               // a stop is ordered
+	releasing              // its end is being committed
+)
+
+// taskState is a task and its attempt under way, if it has one.
+type taskState struct {
+	job     *jobState
+	task    job.Task
+	version uint64 // of the task's row; 0 while it has none
+	phase   phase
+
+	// Of the attempt under way:
+	attempt  string
+	worker   *workerState
+	until    time.Time // the longest lease that may have been given
+	startBy  time.Time // until when a start call may take effect
+	endpoint string
+	ready    time.Time // when the task began to wait, for measuring
+	refusals int       // starts in a row that surely did not happen
+}
+
+// workerState is a worker of the unit.
+type workerState struct {
+	ledger  ledger.Ledger
+	version uint64 // of the ledger's row
+	tasks   map[string]*taskState
+	changes []change // to commit with the ledger
+	marked  bool     // is among the unit's dirty
+	flying  bool     // its ledger is on its way
+
+	boot   string // "" until heard of
+	seq    uint64
+	silent time.Time // since when it has not answered; zero while it does
+	gone   bool      // the platform lists it no more
+	orders []order
+	wake   chan struct{}
+	forget []string
+	usage  resource.Amount
+}
+
+func (w *workerState) name() string { return w.ledger.Worker().Name }
+
+// LostError says that a unit can no longer be run by this box.
+type LostError struct {
+	Unit  string
+	Cause error
+}
+
+func (e *LostError) Error() string { return "unit " + e.Unit + " is lost: " + e.Cause.Error() }
+
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// errDisowned ends a unit that this box gives up.
+var errDisowned = errors.New("the box gave the unit up")
+
+// New returns a unit that Run will run.
+func New(h ownership.Hold, set Settings, deps Deps) *Unit {
+	u := &Unit{
+		hold: h, set: set, deps: deps, log: deps.Log.With().Str("unit", h.Unit).Logger(),
+		decideWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1), inboxWake: make(chan struct{}, 1),
+		done: make(chan struct{}),
+		jobs: map[job.ID]*jobState{}, workers: map[string]*workerState{},
+		queue: queue.New[*jobState](set.Ageing), index: placement.NewIndex(),
+	}
+	u.ctx, u.cancel = context.WithCancelCause(context.Background())
+	return u
+}
+
+// Run loads the unit and runs it until Stop or until it is lost. It returns a
+// LostError, or nil after Stop, when nothing more will be sent for the unit.
+func (u *Unit) Run() error {
+	defer close(u.done)
+	defer u.group.Wait()
+	if err := u.load(); err != nil {
+		return u.why(err)
+	}
+	u.note(timeline.Event{Kind: timeline.UnitReady})
+	for range u.set.Lanes {
+		u.group.Go(u.flushLoop)
+	}
+	u.group.Go(u.decideLoop)
+	u.group.Go(u.inboxLoop)
+	u.group.Go(u.sweepLoop)
+	<-u.ctx.Done()
+	return u.why(context.Cause(u.ctx))
+}
+
+// Stop ends the unit, which Run must have been called for, and waits until
+// nothing more will be sent for it. It returns until when leases were counted
+// from.
+func (u *Unit) Stop() time.Time {
+	u.cancel(errDisowned)
+	<-u.done
+	return time.Now()
+}
+
+func (u *Unit) lose(cause error) { u.cancel(cause) }
+
+func (u *Unit) why(err error) error {
+	if errors.Is(context.Cause(u.ctx), errDisowned) {
+		return nil
+	}
+	return &LostError{u.hold.Unit, err}
+}
+
+// note records an event of the unit.
+func (u *Unit) note(e timeline.Event) {
+	e.Unit = u.hold.Unit
+	u.deps.Events.Add(e)
+}
+
+// signal wakes whoever waits on c, once.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits for d or until the unit ends, and reports whether it goes on.
+func (u *Unit) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-u.ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// mine reports whether a worker belongs to the unit.
+func (u *Unit) mine(w platform.Worker) bool {
+	h, declared := u.deps.Config().Set.Halls[w.Hall]
+	return declared && control.UnitOf(h, w.Rack) == u.hold.Unit
+}
--- /dev/null
+++ b/hall/watch.go
@@ -0,0 +1,340 @@
+package hall
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chutereach/config"
+	"chutereach/job"
+	"chutereach/platform"
+	"chutereach/timeline"
+)
+
+// haltCall is a worker's Stop or Checkpoint.
+type haltCall func(context.Context, string, platform.AttemptCall) (platform.AttemptState, error)
+
+const (
+	firstWatchPause = 100 * time.Millisecond
+	lastWatchPause  = 2 * time.Second
+	// renewalsPerLease is how often a lease is renewed before it lapses.
+	renewalsPerLease = 3
+)
+
+// watchLoop renews the leases of a worker's tasks and takes in its reports. The
+// first call asks what it runs; each one after holds until there is news.
+func (u *Unit) watchLoop(w *workerState) {
+	pause := firstWatchPause
+	for u.ctx.Err() == nil {
+		asked := time.Now()
+		report, err := u.ask(w)
+		if err != nil {
+			u.unheard(w)
+			u.pause(pause)
+			pause = min(2*pause, lastWatchPause)
+			continue
+		}
+		pause = firstWatchPause
+		u.heard(w, report, asked)
+	}
+}
+
+// ask makes one call: List to a worker that is not known yet, else Renew.
+func (u *Unit) ask(w *workerState) (platform.Report, error) {
+	call, forget, known := u.renewCall(w)
+	if !known {
+		ctx, cancel := context.WithTimeout(u.ctx, u.set.Call)
+		defer cancel()
+		return u.deps.Workers.List(ctx, w.name())
+	}
+	ctx, cancel := context.WithTimeout(u.ctx, call.Wait+u.set.Call)
+	defer cancel()
+	report, err := u.deps.Workers.Renew(ctx, w.name(), call)
+	if err != nil {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		w.forget = append(w.forget, forget...)
+		var refused *platform.RefusedError
+		if errors.As(err, &refused) && refused.Reason == platform.RefusedBoot {
+			w.boot = "" // ask anew what it runs
+		}
+	}
+	return report, err
+}
+
+// renewCall makes the call that renews every lease on a worker. No lease goes
+// beyond Sure plus the template's lease, so that it goes on through an outage of
+// the table for as long as that bound allows.
+func (u *Unit) renewCall(w *workerState) (call platform.RenewCall, forget []string, known bool) {
+	sure := u.deps.Sure()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if w.boot == "" {
+		return call, nil, false
+	}
+	now := time.Now()
+	from := earlier(now, sure)
+	call = platform.RenewCall{
+		Boot: w.boot, Expires: now.Add(u.set.Call), Seen: w.seq,
+		Wait: u.set.Watch, Forget: w.forget,
+	}
+	for attempt, t := range w.tasks {
+		if t.phase != running {
+			continue
+		}
+		lease := t.job.job.Template.Lease
+		if until := from.Add(lease); until.Sub(t.until) > lease/(2*renewalsPerLease) {
+			t.until = until
+			call.Leases = append(call.Leases, platform.Lease{Attempt: attempt, Until: until})
+		}
+		call.Wait = min(call.Wait, lease/renewalsPerLease)
+	}
+	forget, w.forget = w.forget, nil
+	return call, forget, true
+}
+
+// unheard notes that a worker did not answer.
+func (u *Unit) unheard(w *workerState) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ctx.Err() == nil {
+		u.silence(w)
+	}
+}
+
+// silence closes a worker until its next report. The caller holds u.mu.
+func (u *Unit) silence(w *workerState) {
+	if !w.silent.IsZero() {
+		return
+	}
+	w.silent = time.Now()
+	u.reindex(w)
+	u.note(timeline.Event{Kind: timeline.WorkerSilent, Worker: w.name()})
+}
+
+// heard takes in a worker's report, which was asked for at a time.
+func (u *Unit) heard(w *workerState, r platform.Report, asked time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ctx.Err() != nil {
+		return
+	}
+	first := w.boot == ""
+	if !first && r.Boot != w.boot {
+		u.note(timeline.Event{Kind: timeline.WorkerRebooted, Worker: w.name()})
+	}
+	w.boot, w.seq, w.usage = r.Boot, r.Seq, r.Usage
+	if !w.silent.IsZero() {
+		w.silent = time.Time{}
+		u.reindex(w)
+		u.note(timeline.Event{Kind: timeline.WorkerBack, Worker: w.name()})
+		signal(u.decideWake)
+	}
+	seen := make(map[string]bool, len(r.Attempts))
+	for _, state := range r.Attempts {
+		seen[state.Attempt] = true
+		u.reported(w, state)
+	}
+	u.missing(w, seen, asked)
+}
+
+// reported takes in one attempt of a report.
+func (u *Unit) reported(w *workerState, state platform.AttemptState) {
+	if t := w.tasks[state.Attempt]; t != nil {
+		u.heardOf(w, t, state)
+		return
+	}
+	a, err := job.ParseAttempt(state.Attempt)
+	if err != nil || a.Job.Unit() != u.hold.Unit {
+		return // another unit's, or not ours at all
+	}
+	if state.Phase != platform.PhaseRunning {
+		// Its end is on record, or it would have a grant.
+		w.forget = append(w.forget, state.Attempt)
+		return
+	}
+	u.order(w, order{kind: orderStop, attempt: state.Attempt})
+}
+
+// heardOf goes on with a task of whose attempt the worker spoke.
+func (u *Unit) heardOf(w *workerState, t *taskState, state platform.AttemptState) {
+	if t.phase == granting || t.phase == releasing {
+		return
+	}
+	switch state.Phase {
+	case platform.PhaseRunning:
+		u.runs(t, state)
+	case platform.PhaseEnded:
+		u.ended(t, state)
+	case platform.PhaseStopped:
+		u.gone(t, state.Checkpoint, "stopped")
+	}
+}
+
+func (u *Unit) runs(t *taskState, state platform.AttemptState) {
+	if state.Until.After(t.until) {
+		t.until = state.Until
+	}
+	if t.phase != starting {
+		return
+	}
+	t.phase, t.endpoint, t.refusals = running, state.Endpoint, 0
+	u.Stats.Started++
+	u.Stats.Waits.record(t.job.job.Template.Class, time.Since(due(t)))
+	u.note(timeline.Event{Kind: timeline.TaskStarted, Job: string(t.job.job.ID), Attempt: t.attempt, Worker: t.worker.name(), Account: t.job.job.Account})
+	if t.job.job.Stopped {
+		t.phase = stopping
+		u.order(t.worker, order{kind: orderStop, attempt: t.attempt})
+	}
+}
+
+// due returns since when a task could have run: a job's intended start, so that
+// no wait is hidden, or the end of the attempt before.
+func due(t *taskState) time.Time {
+	if t.job.job.Start.After(t.ready) {
+		return t.job.job.Start
+	}
+	return t.ready
+}
+
+// ended records an attempt that ran to its end.
+func (u *Unit) ended(t *taskState, state platform.AttemptState) {
+	u.Stats.Ended++
+	next := t.task.WithEnd(t.job.job.Template, state.OK, state.Result, time.Now())
+	if t.job.job.Stopped && next.State == job.Waiting {
+		next = t.task.WithStopped(time.Now())
+	}
+	u.note(timeline.Event{Kind: timeline.TaskEnded, Job: string(t.job.job.ID), Attempt: t.attempt, Worker: t.worker.name(), Detail: string(next.State)})
+	u.release(t, next, true)
+}
+
+// gone records an attempt that surely runs no more and did not reach its end.
+func (u *Unit) gone(t *taskState, checkpoint, why string) {
+	u.Stats.Lost++
+	now := time.Now()
+	next := t.task.WithLoss(t.job.job.Template, checkpoint, now)
+	if t.job.job.Stopped {
+		next = next.WithStopped(now)
+	}
+	kind := timeline.TaskLost
+	if next.State == job.Unknown {
+		kind = timeline.TaskUnknown
+	}
+	u.note(timeline.Event{Kind: kind, Job: string(t.job.job.ID), Attempt: t.attempt, Worker: t.worker.name(), Detail: why})
+	u.release(t, next, true)
+}
+
+// missing goes on with the attempts that a report does not speak of.
+func (u *Unit) missing(w *workerState, seen map[string]bool, asked time.Time) {
+	for _, g := range w.ledger.Grants() {
+		t := w.tasks[g.Attempt]
+		if t == nil || seen[g.Attempt] || t.phase == granting || t.phase == releasing {
+			continue
+		}
+		switch {
+		case g.Boot != w.boot:
+			u.gone(t, "", "the worker rebooted")
+		case t.phase == starting && t.startBy.IsZero():
+			// Its start is ordered and not made yet.
+		case asked.After(t.startBy.Add(u.set.ClockError)):
+			// The worker remembers every attempt until told to forget, and a
+			// start call that is still on its way would come too late.
+			u.notRunOrForgotten(t)
+		}
+	}
+}
+
+// notRunOrForgotten settles an attempt of which its worker knows nothing. One
+// that was seen running and is unknown now breaks the worker's promise to
+// remember; it counts as lost.
+func (u *Unit) notRunOrForgotten(t *taskState) {
+	if t.phase == starting {
+		u.notRun(t, "the worker never heard of it")
+		return
+	}
+	u.gone(t, "", "the worker has forgotten it")
+}
+
+// sweepLoop ends what silent workers ran once its leases have surely lapsed, and
+// keeps the list of workers fresh.
+func (u *Unit) sweepLoop() {
+	fleet := time.Now()
+	for u.pause(time.Second) {
+		u.lapse()
+		u.purge()
+		if time.Since(fleet) < u.set.Fleet {
+			continue
+		}
+		fleet = time.Now()
+		workers, err := u.fleet(u.ctx)
+		if err == nil {
+			u.mu.Lock()
+			u.mergeFleet(workers)
+			u.mu.Unlock()
+		}
+		u.moveDrained()
+	}
+}
+
+// lapse releases the attempts on silent workers that surely run no more.
+func (u *Unit) lapse() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	for _, w := range u.workers {
+		if w.silent.IsZero() {
+			continue
+		}
+		for _, t := range w.tasks {
+			if t.phase == granting || t.phase == releasing || t.phase == starting && t.startBy.IsZero() {
+				continue
+			}
+			if now.After(t.until.Add(u.set.ClockError)) && now.After(t.startBy.Add(u.set.ClockError)) {
+				u.gone(t, "", "the worker is out of reach and the lease has lapsed")
+			}
+		}
+	}
+}
+
+// moveDrained takes services and checkpointable tasks off drained workers. What
+// cannot be moved runs to its end.
+func (u *Unit) moveDrained() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	set := u.deps.Config().Set
+	for _, w := range u.workers {
+		info := w.ledger.Worker()
+		if !set.Drained(info.Name, info.Rack, info.Hall) {
+			continue
+		}
+		for _, t := range w.tasks {
+			u.moveAway(t)
+		}
+	}
+}
+
+func (u *Unit) moveAway(t *taskState) {
+	tm := t.job.job.Template
+	if t.phase != running {
+		return
+	}
+	switch {
+	case tm.Repeat == config.RepeatCheckpoint:
+		t.phase = stopping
+		u.order(t.worker, order{kind: orderCheckpoint, attempt: t.attempt})
+	case tm.Form == config.FormService && u.mayStopReplica(t.job):
+		t.phase = stopping
+		u.order(t.worker, order{kind: orderStop, attempt: t.attempt})
+	}
+}
+
+// mayStopReplica allows one replica of a service to be down for a planned stop
+// at a time.
+func (u *Unit) mayStopReplica(j *jobState) bool {
+	for _, t := range j.tasks {
+		if t.phase != running && !t.task.State.Final() {
+			return false
+		}
+	}
+	return true
+}
