--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,268 @@
+// Package member knows which boxes answer, and what they say of themselves.
+//
+// The table says which boxes there are; each box asks each of the others for
+// its state, in one goroutine a peer. Membership by the table decides ownership;
+// membership by answers decides only where requests go, so it may be wrong for
+// a moment without harm.
+package member
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"chutereach/control"
+	"chutereach/hall"
+	"chutereach/peer"
+	"chutereach/timeline"
+)
+
+// Load is what a box has to give for a service.
+type Load struct {
+	Slots  int `cbor:"1,keyasint"` // of the upstreams whose home it is
+	Busy   int `cbor:"2,keyasint"` // of them in use
+	Queued int `cbor:"3,keyasint"` // requests that wait at it
+}
+
+// Version orders what is said of a unit.
+type Version struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+	Seq   uint64 `cbor:"2,keyasint"`
+}
+
+// After reports whether v is newer than o.
+func (v Version) After(o Version) bool {
+	return v.Epoch > o.Epoch || v.Epoch == o.Epoch && v.Seq > o.Seq
+}
+
+// Endpoints is where a unit's replicas take requests.
+type Endpoints struct {
+	Unit    string          `cbor:"1,keyasint"`
+	Version Version         `cbor:"2,keyasint"`
+	List    []hall.Endpoint `cbor:"3,keyasint"`
+}
+
+// Ask is what a box sends when it asks a peer for its state.
+type Ask struct {
+	From  control.Incarnation `cbor:"1,keyasint"`
+	Stamp timeline.Stamp      `cbor:"2,keyasint"`
+	// Have is the versions of endpoints that the asker knows; the answer leaves
+	// out what is no newer.
+	Have map[string]Version `cbor:"3,keyasint"`
+}
+
+// State is what a box says of itself.
+type State struct {
+	Incarnation control.Incarnation `cbor:"1,keyasint"`
+	Stamp       timeline.Stamp      `cbor:"2,keyasint"`
+	Revision    uint64              `cbor:"3,keyasint"`
+	InForce     time.Time           `cbor:"4,keyasint"` // since when
+	Leaving     bool                `cbor:"5,keyasint,omitempty"`
+	Ready       bool                `cbor:"6,keyasint,omitempty"`
+	Units       []hall.Summary      `cbor:"7,keyasint,omitempty"`
+	Loads       map[string]Load     `cbor:"8,keyasint,omitempty"` // by service
+	Endpoints   []Endpoints         `cbor:"9,keyasint,omitempty"`
+}
+
+// Peer is another box and its newest state.
+type Peer struct {
+	Row   control.BoxRow
+	State State
+	Heard time.Time // zero if never
+}
+
+// Alive reports whether the peer answered of late.
+func (p Peer) Alive() bool { return !p.Heard.IsZero() && time.Since(p.Heard) < silentAfter }
+
+const (
+	// interval is between two questions to a peer.
+	interval = time.Second
+	// askTimeout bounds one question.
+	askTimeout = time.Second
+	// silentAfter is when a peer that does not answer counts as gone.
+	silentAfter = 3 * time.Second
+	statePath   = "/peer/state"
+)
+
+// Members is the boxes that this one knows.
+type Members struct {
+	self   control.BoxRow
+	client *peer.Client
+	clock  *timeline.Clock
+	state  func() State // this box's own, endpoints of every unit it knows included
+
+	mu        sync.Mutex
+	peers     map[control.Incarnation]*member
+	endpoints map[string]Endpoints // by unit, also of units whose owner is gone
+	changed   []func()
+}
+
+type member struct {
+	Peer
+	cancel context.CancelFunc
+}
+
+// New returns the Members that self knows: none yet.
+func New(self control.BoxRow, client *peer.Client, clock *timeline.Clock, state func() State) *Members {
+	return &Members{
+		self: self, client: client, clock: clock, state: state,
+		peers: map[control.Incarnation]*member{}, endpoints: map[string]Endpoints{},
+	}
+}
+
+// OnChange calls f when the alive peers or the endpoints change. It must be
+// called before the first SetView.
+func (m *Members) OnChange(f func()) { m.changed = append(m.changed, f) }
+
+// SetView takes in which boxes the table has. A goroutine is begun for each new
+// one, and ended for each that is gone.
+func (m *Members) SetView(ctx context.Context, v control.View) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, b := range v.Boxes {
+		if i == m.self.Incarnation || m.peers[i] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		p := &member{Peer: Peer{Row: b.Row}, cancel: cancel}
+		m.peers[i] = p
+		go m.follow(ctx, p)
+	}
+	for i, p := range m.peers {
+		if _, there := v.Boxes[i]; !there {
+			p.cancel()
+			delete(m.peers, i)
+		}
+	}
+}
+
+// follow asks a peer for its state until ctx ends.
+func (m *Members) follow(ctx context.Context, p *member) {
+	for ctx.Err() == nil {
+		m.ask(ctx, p)
+		t := time.NewTimer(interval)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	m.notify()
+}
+
+func (m *Members) ask(ctx context.Context, p *member) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a := Ask{From: m.self.Incarnation, Stamp: m.clock.Now(), Have: m.have()}
+	s, err := peer.Call[State](ctx, m.client, p.Row.Peer, statePath, a)
+	m.mu.Lock()
+	was := p.Alive()
+	// An address may have passed to another incarnation: it does not speak for
+	// this one.
+	if err == nil && s.Incarnation == p.Row.Incarnation {
+		m.clock.Seen(s.Stamp)
+		p.State, p.Heard = s, time.Now()
+	}
+	changed := p.Alive() != was || m.merge(s.Endpoints)
+	m.mu.Unlock()
+	if changed {
+		m.notify()
+	}
+}
+
+func (m *Members) notify() {
+	for _, f := range m.changed {
+		f()
+	}
+}
+
+func (m *Members) have() map[string]Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	have := make(map[string]Version, len(m.endpoints))
+	for unit, e := range m.endpoints {
+		have[unit] = e.Version
+	}
+	return have
+}
+
+// merge takes in endpoints that are newer. The caller holds m.mu.
+func (m *Members) merge(news []Endpoints) (changed bool) {
+	for _, e := range news {
+		if e.Version.After(m.endpoints[e.Unit].Version) {
+			m.endpoints[e.Unit] = e
+			changed = true
+		}
+	}
+	return changed
+}
+
+// SetOwn takes in the endpoints of a unit that this box owns.
+func (m *Members) SetOwn(unit string, epoch uint64, list []hall.Endpoint) {
+	m.mu.Lock()
+	old := m.endpoints[unit]
+	if old.Version.Epoch == epoch && slices.Equal(old.List, list) {
+		m.mu.Unlock()
+		return
+	}
+	v := Version{Epoch: epoch, Seq: 1}
+	if old.Version.Epoch == epoch {
+		v.Seq = old.Version.Seq + 1
+	}
+	m.endpoints[unit] = Endpoints{unit, v, list}
+	m.mu.Unlock()
+	m.notify()
+}
+
+// Answer is what this box tells a peer that asks.
+func (m *Members) Answer(_ context.Context, a Ask) (State, error) {
+	m.clock.Seen(a.Stamp)
+	s := m.state()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for unit, e := range m.endpoints {
+		if e.Version.After(a.Have[unit]) {
+			s.Endpoints = append(s.Endpoints, e)
+		}
+	}
+	return s, nil
+}
+
+// Path is where Answer must be served.
+func (m *Members) Path() string { return statePath }
+
+// Peers returns the other boxes, by name.
+func (m *Members) Peers() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]Peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		all = append(all, p.Peer)
+	}
+	slices.SortFunc(all, func(a, b Peer) int {
+		return strings.Compare(string(a.Row.Incarnation), string(b.Row.Incarnation))
+	})
+	return all
+}
+
+// SetLoad takes in a peer's load for a service, which came with an answer.
+func (m *Members) SetLoad(i control.Incarnation, service string, l Load) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[i]; p != nil && p.State.Loads != nil {
+		p.State.Loads[service] = l
+	}
+}
+
+// Endpoints returns every known endpoint of every unit.
+func (m *Members) Endpoints() []hall.Endpoint {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []hall.Endpoint
+	for _, e := range m.endpoints {
+		all = append(all, e.List...)
+	}
+	return all
+}
--- /dev/null
+++ b/platformhttp/client.go
@@ -0,0 +1,163 @@
+package platformhttp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"chutereach/platform"
+)
+
+const (
+	contentType  = "application/cbor"
+	connsPerHost = 512 // a held-back report takes one for each worker
+	idleTimeout  = 90 * time.Second
+	dialTimeout  = 2 * time.Second
+)
+
+// Client reaches the platform at a base URL.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// Dial returns the platform at base, as in "http://127.0.0.1:7000". Nothing is
+// sent yet.
+func Dial(base, token string) platform.Platform {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: connsPerHost,
+		IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}
+	c := &Client{base: base, token: token, http: &http.Client{Transport: transport}}
+	return platform.Platform{Table: table{c}, Objects: objects{c}, Boxes: boxes{c}, Workers: workers{c}}
+}
+
+// call makes one request. An error that is none of the platform's own becomes
+// an UnavailableError if the request never left, and an UnknownError otherwise.
+func call[A, R any](ctx context.Context, c *Client, s platform.Service, path string, request R) (A, error) {
+	var answer A
+	body, err := cbor.Marshal(request)
+	if err != nil {
+		return answer, &platform.UnavailableError{Service: s, Reason: err.Error()}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return answer, &platform.UnavailableError{Service: s, Reason: err.Error()}
+	}
+	req.Header.Set("Content-Type", contentType)
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return answer, classify(s, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return answer, &platform.UnknownError{Service: s, Cause: err}
+	}
+	return decode[A](s, resp.StatusCode, data)
+}
+
+func decode[A any](s platform.Service, status int, data []byte) (A, error) {
+	var answer A
+	if status == http.StatusOK {
+		if err := cbor.Unmarshal(data, &answer); err != nil {
+			return answer, &platform.UnknownError{Service: s, Cause: err}
+		}
+		return answer, nil
+	}
+	var f failure
+	if err := cbor.Unmarshal(data, &f); err != nil {
+		return answer, &platform.UnknownError{Service: s, Cause: &FailureError{"status " + strconv.Itoa(status)}}
+	}
+	return answer, f.unpack(s)
+}
+
+func classify(s platform.Service, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &platform.UnavailableError{Service: s, Reason: op.Error()}
+	}
+	return &platform.UnknownError{Service: s, Cause: err}
+}
+
+type table struct{ c *Client }
+
+func (t table) Get(ctx context.Context, key string) (platform.Row, error) {
+	return call[platform.Row](ctx, t.c, platform.TableService, pathGet, key)
+}
+
+func (t table) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	return call[[]platform.Row](ctx, t.c, platform.TableService, pathRange, rangeRequest{prefix, after, limit})
+}
+
+func (t table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	return call[uint64](ctx, t.c, platform.TableService, pathCommit, txn)
+}
+
+type objects struct{ c *Client }
+
+func (o objects) Put(ctx context.Context, name string, data []byte) error {
+	_, err := call[none](ctx, o.c, platform.ObjectService, pathObjectPut, object{name, data})
+	return err
+}
+
+func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
+	return call[[]byte](ctx, o.c, platform.ObjectService, pathObjectGet, name)
+}
+
+func (o objects) Delete(ctx context.Context, name string) error {
+	_, err := call[none](ctx, o.c, platform.ObjectService, pathObjectDel, name)
+	return err
+}
+
+type boxes struct{ c *Client }
+
+func (b boxes) List(ctx context.Context) ([]platform.Box, error) {
+	return call[[]platform.Box](ctx, b.c, platform.BoxListService, pathBoxes, none{})
+}
+
+type workers struct{ c *Client }
+
+func (w workers) Fleet(ctx context.Context) ([]platform.Worker, error) {
+	return call[[]platform.Worker](ctx, w.c, platform.WorkerService, pathFleet, none{})
+}
+
+func (w workers) List(ctx context.Context, worker string) (platform.Report, error) {
+	return onWorker[platform.Report](ctx, w, pathList, worker, none{})
+}
+
+func (w workers) Start(ctx context.Context, worker string, c platform.StartCall) (platform.AttemptState, error) {
+	return onWorker[platform.AttemptState](ctx, w, pathStart, worker, c)
+}
+
+func (w workers) Renew(ctx context.Context, worker string, c platform.RenewCall) (platform.Report, error) {
+	return onWorker[platform.Report](ctx, w, pathRenew, worker, c)
+}
+
+func (w workers) Stop(ctx context.Context, worker string, c platform.AttemptCall) (platform.AttemptState, error) {
+	return onWorker[platform.AttemptState](ctx, w, pathStop, worker, c)
+}
+
+func (w workers) Checkpoint(ctx context.Context, worker string, c platform.AttemptCall) (platform.AttemptState, error) {
+	return onWorker[platform.AttemptState](ctx, w, pathCheckpoint, worker, c)
+}
+
+func (w workers) Throttle(ctx context.Context, worker string, c platform.AttemptCall) (platform.AttemptState, error) {
+	return onWorker[platform.AttemptState](ctx, w, pathThrottle, worker, c)
+}
+
+func onWorker[A, C any](ctx context.Context, w workers, path, worker string, c C) (A, error) {
+	return call[A](ctx, w.c, platform.WorkerService, path, workerRequest[C]{worker, c})
+}
