route: homes, slots, classes, three outcomes, claims

Cause: interactive requests need exact slots over all boxes and an outcome that callers can rely on.

Change: upstreams have home boxes by rendezvous hashing; a request goes to the box with the least in hand; classes, then accounts in turn; bounded queues and early refusal; not run only if no byte was written to an upstream, which a counting connection proves; claims by group commit for keyed requests.

--- a/commit/group.go
+++ b/commit/group.go
@@ -24,6 +24,13 @@
 	return p
 }
 
+// Remove returns p with one more row that must be at version, and goes.
+func (p Part) Remove(key string, version uint64) Part {
+	p.Conds = append(p.Conds, platform.Cond{Key: key, Version: version})
+	p.Writes = append(p.Writes, platform.Write{Key: key, Delete: true})
+	return p
+}
+
 // Put returns p with one more row that must be at version.
 func (p Part) Put(key string, version uint64, value []byte) Part {
 	p.Conds = append(p.Conds, platform.Cond{Key: key, Version: version})
@@ -45,7 +52,13 @@
 
 type waiting struct {
 	part Part
-	done chan error // has room for the one answer
+	done chan fate // has room for the one answer
+}
+
+// fate is what became of a part.
+type fate struct {
+	version uint64
+	err     error
 }
 
 // NewGroup returns a Group that sends by s. Run must be called.
@@ -53,11 +66,11 @@
 	return &Group{sender: s, wake: make(chan struct{}, 1)}
 }
 
-// Do adds p to the next transaction and waits for its fate: nil, a
-// ConflictError for one of p's own conditions, an AbandonedError or an
+// Do adds p to the next transaction and waits for its fate: the version of its
+// rows, a ConflictError for one of p's own conditions, an AbandonedError or an
 // UndecidedError. A caller whose ctx ends does not know the fate.
-func (g *Group) Do(ctx context.Context, p Part) error {
-	w := &waiting{p, make(chan error, 1)}
+func (g *Group) Do(ctx context.Context, p Part) (uint64, error) {
+	w := &waiting{p, make(chan fate, 1)}
 	g.mu.Lock()
 	g.parts = append(g.parts, w)
 	g.mu.Unlock()
@@ -66,10 +79,10 @@
 	default:
 	}
 	select {
-	case err := <-w.done:
-		return err
+	case f := <-w.done:
+		return f.version, f.err
 	case <-ctx.Done():
-		return &UndecidedError{"of a group", ctx.Err()}
+		return 0, &UndecidedError{"of a group", ctx.Err()}
 	}
 }
 
@@ -81,7 +94,7 @@
 	}
 	wg.Wait()
 	for parts := g.take(); len(parts) > 0; parts = g.take() {
-		g.answer(parts, &AbandonedError{"of a group", context.Cause(ctx)})
+		g.answer(parts, fate{0, &AbandonedError{"of a group", context.Cause(ctx)}})
 	}
 }
 
@@ -129,15 +142,15 @@
 			t.Conds = append(t.Conds, w.part.Conds...)
 			t.Writes = append(t.Writes, w.part.Writes...)
 		}
-		_, err := g.sender.DoNow(ctx, t)
+		version, err := g.sender.DoNow(ctx, t)
 		var conflict *platform.ConflictError
 		if !errors.As(err, &conflict) {
-			g.answer(parts, err)
+			g.answer(parts, fate{version, err})
 			return
 		}
 		rest := g.reject(parts, conflict)
 		if len(rest) == len(parts) {
-			g.answer(parts, conflict) // a conflict of none of them: do not spin
+			g.answer(parts, fate{0, conflict}) // a conflict of none of them: do not spin
 			return
 		}
 		parts = rest
@@ -148,7 +161,7 @@
 	var rest []*waiting
 	for _, w := range parts {
 		if hasCond(w.part, conflict.Key) {
-			w.done <- conflict
+			w.done <- fate{0, conflict}
 			continue
 		}
 		rest = append(rest, w)
@@ -165,8 +178,8 @@
 	return false
 }
 
-func (g *Group) answer(parts []*waiting, err error) {
+func (g *Group) answer(parts []*waiting, f fate) {
 	for _, w := range parts {
-		w.done <- err
+		w.done <- f
 	}
 }
--- /dev/null
+++ b/route/router.go
@@ -0,0 +1,322 @@
+package route
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chutereach/commit"
+	"chutereach/control"
+	"chutereach/hall"
+	"chutereach/member"
+	"chutereach/peer"
+	"chutereach/platform"
+)
+
+const (
+	forwardPath = "/peer/forward"
+	// DefaultMaxAnswer bounds an upstream's answer, in bytes.
+	DefaultMaxAnswer = 4 << 20
+	// tries bounds how often a request is tried in all.
+	tries = 3
+	// retryShare is how many retries each request adds to the budget, and
+	// retryBank is how many may be saved up.
+	retryShare = 0.1
+	retryBank  = 100
+)
+
+// Stats counts what a router did.
+type Stats struct {
+	Answered, NotRun, Unknown atomic.Int64
+	Forwarded, Retried        atomic.Int64
+	Replayed                  atomic.Int64
+}
+
+// Router is the requests' way through one box.
+type Router struct {
+	self      control.Incarnation
+	members   *member.Members
+	client    *peer.Client
+	table     platform.Table
+	claims    *commit.Group
+	log       zerolog.Logger
+	maxAnswer int64
+	Stats     Stats
+
+	mu    sync.Mutex
+	pools map[string]*pool // by service
+	bank  float64          // retries saved up
+}
+
+// Deps are what a Router works with.
+type Deps struct {
+	Self    control.Incarnation
+	Members *member.Members
+	Client  *peer.Client
+	Table   platform.Table
+	Claims  *commit.Group
+	Log     zerolog.Logger
+}
+
+// New returns a Router.
+func New(d Deps) *Router {
+	return &Router{
+		self: d.Self, members: d.Members, client: d.Client, table: d.Table, claims: d.Claims,
+		log: d.Log, maxAnswer: DefaultMaxAnswer, pools: map[string]*pool{}, bank: retryBank,
+	}
+}
+
+// Refresh works out anew which upstreams have their home here.
+func (r *Router) Refresh() {
+	boxes := []control.Incarnation{r.self}
+	for _, p := range r.members.Peers() {
+		if p.Alive() && !p.State.Leaving {
+			boxes = append(boxes, p.Row.Incarnation)
+		}
+	}
+	own := map[string][]hall.Endpoint{}
+	for _, e := range r.members.Endpoints() {
+		list := own[e.Service] // present even if none is at home here
+		if home(e.Attempt, boxes) == r.self {
+			list = append(list, e)
+		}
+		own[e.Service] = list
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, list := range own {
+		if r.pools[service] == nil {
+			r.pools[service] = newPool()
+		}
+		r.pools[service].set(list)
+	}
+	for service, p := range r.pools {
+		if _, listed := own[service]; !listed {
+			p.set(nil)
+		}
+	}
+}
+
+// home returns the box that counts an upstream's slots, by rendezvous hashing.
+func home(upstream string, boxes []control.Incarnation) control.Incarnation {
+	return slices.MaxFunc(boxes, func(a, b control.Incarnation) int {
+		return cmp.Or(cmp.Compare(weight(upstream, a), weight(upstream, b)), cmp.Compare(a, b))
+	})
+}
+
+func weight(upstream string, box control.Incarnation) uint64 {
+	sum := fnv.New64a()
+	sum.Write([]byte(upstream))
+	sum.Write([]byte(box))
+	// FNV alone leaves names that differ in their last letter close together.
+	x := sum.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+// Loads returns what this box has in hand, by service.
+func (r *Router) Loads() map[string]member.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loads := make(map[string]member.Load, len(r.pools))
+	for service, p := range r.pools {
+		loads[service] = p.load()
+	}
+	return loads
+}
+
+func (r *Router) pool(service string) *pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[service]
+	if p == nil {
+		p = newPool()
+		r.pools[service] = p
+	}
+	return p
+}
+
+// Do brings a request to its outcome: an answer, a NotRunError or an
+// UnknownError.
+func (r *Router) Do(ctx context.Context, req *Request) (*Answer, error) {
+	a, err := r.try(ctx, req)
+	r.count(err)
+	return a, err
+}
+
+func (r *Router) count(err error) {
+	var notRun *NotRunError
+	switch {
+	case err == nil:
+		r.Stats.Answered.Add(1)
+	case errors.As(err, &notRun):
+		r.Stats.NotRun.Add(1)
+	default:
+		r.Stats.Unknown.Add(1)
+	}
+}
+
+// try sends a request, again where that is safe and may help.
+func (r *Router) try(ctx context.Context, req *Request) (*Answer, error) {
+	r.earn()
+	var avoid avoided
+	for n := 1; ; n++ {
+		a, err := r.once(ctx, req, &avoid)
+		if err == nil || n == tries || !mayRepeat(req, err) || ctx.Err() != nil || !r.spend() {
+			return a, err
+		}
+		r.Stats.Retried.Add(1)
+	}
+}
+
+// mayRepeat reports whether a request that failed with err can be sent again
+// and may fare better.
+func mayRepeat(req *Request, err error) bool {
+	var notRun *NotRunError
+	if errors.As(err, &notRun) {
+		return notRun.Cause == CauseRefused || notRun.Cause == CausePeers
+	}
+	return req.Route.Safety == "repeat" && time.Now().Before(req.Deadline)
+}
+
+func (r *Router) earn() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bank = min(r.bank+retryShare, retryBank)
+}
+
+func (r *Router) spend() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.bank < 1 {
+		return false
+	}
+	r.bank--
+	return true
+}
+
+// avoided is where a request has failed already.
+type avoided struct {
+	upstream string
+	boxes    []control.Incarnation
+}
+
+// once sends a request to the box with the least in hand, this one included.
+func (r *Router) once(ctx context.Context, req *Request, avoid *avoided) (*Answer, error) {
+	to, found := r.choose(req.Route.Service, avoid.boxes)
+	if !found {
+		return nil, &NotRunError{CauseNoReplica, spread(time.Second)}
+	}
+	if to.Row.Incarnation == r.self {
+		return r.Here(ctx, req, avoid)
+	}
+	a, err := r.forward(ctx, to, req)
+	if err != nil {
+		avoid.boxes = append(avoid.boxes, to.Row.Incarnation)
+	}
+	return a, err
+}
+
+// Here sends a request to an upstream whose home is this box.
+func (r *Router) Here(ctx context.Context, req *Request, avoid *avoided) (*Answer, error) {
+	p := r.pool(req.Route.Service)
+	u, err := p.acquire(ctx, req, avoid.upstream)
+	if err != nil {
+		return nil, err
+	}
+	avoid.upstream = u.Attempt
+	return p.run(ctx, u, req, r.maxAnswer)
+}
+
+// choose returns the box whose upstreams have the least in hand for their
+// slots. On a tie this box wins: it saves the hop.
+func (r *Router) choose(service string, avoid []control.Incarnation) (member.Peer, bool) {
+	best := member.Peer{Row: control.BoxRow{Incarnation: r.self}}
+	own := r.pool(service).load()
+	least, found := crowding(own), own.Slots > 0
+	for _, p := range r.members.Peers() {
+		l := p.State.Loads[service]
+		if l.Slots == 0 || !p.Alive() || p.State.Leaving || slices.Contains(avoid, p.Row.Incarnation) {
+			continue
+		}
+		if c := crowding(l); !found || c < least {
+			best, least, found = p, c, true
+		}
+	}
+	return best, found
+}
+
+// crowding returns how much a box has in hand for each of its slots.
+func crowding(l member.Load) float64 {
+	return float64(l.Busy+l.Queued) / float64(max(l.Slots, 1))
+}
+
+// reply is what a box answers to a forwarded request.
+type reply struct {
+	Outcome    Outcome       `cbor:"1,keyasint"`
+	Answer     *Answer       `cbor:"2,keyasint,omitempty"`
+	Cause      Cause         `cbor:"3,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	Load       member.Load   `cbor:"5,keyasint"`
+}
+
+// forward hands a request to another box, which does not hand it on.
+func (r *Router) forward(ctx context.Context, to member.Peer, req *Request) (*Answer, error) {
+	r.Stats.Forwarded.Add(1)
+	r.foresee(to, req.Route.Service)
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	got, err := peer.Call[reply](ctx, r.client, to.Row.Peer, forwardPath, req)
+	var unreachable *peer.UnreachableError
+	switch {
+	case errors.As(err, &unreachable):
+		return nil, &NotRunError{CausePeers, spread(time.Second)}
+	case err != nil:
+		return nil, &UnknownError{CausePeerLost}
+	}
+	r.members.SetLoad(to.Row.Incarnation, req.Route.Service, got.Load)
+	switch got.Outcome {
+	case Answered:
+		return got.Answer, nil
+	case NotRun:
+		return nil, &NotRunError{got.Cause, got.RetryAfter}
+	}
+	return nil, &UnknownError{got.Cause}
+}
+
+// foresee counts a forwarded request into the peer's load until the peer says
+// better, so that a burst is not sent to one box that was idle a moment ago.
+func (r *Router) foresee(to member.Peer, service string) {
+	l := to.State.Loads[service]
+	l.Queued++
+	r.members.SetLoad(to.Row.Incarnation, service, l)
+}
+
+// Forwarded serves a request that another box handed on.
+func (r *Router) Forwarded(ctx context.Context, req *Request) (reply, error) {
+	a, err := r.Here(ctx, req, &avoided{})
+	r.count(err)
+	got := reply{Outcome: Answered, Answer: a, Load: r.pool(req.Route.Service).load()}
+	var (
+		notRun  *NotRunError
+		unknown *UnknownError
+	)
+	switch {
+	case errors.As(err, &notRun):
+		got.Outcome, got.Cause, got.RetryAfter = NotRun, notRun.Cause, notRun.RetryAfter
+	case errors.As(err, &unknown):
+		got.Outcome, got.Cause = Unknown, unknown.Cause
+	}
+	return got, nil
+}
+
+// ForwardPath is where Forwarded must be served.
+func (r *Router) ForwardPath() string { return forwardPath }
