box, api, cell, settings: the daemon

Cause: the parts must run as one process that operators can set, check, stop.

Change: settings by flag, environment, file, default, strictly; a box that lives as one incarnation after the other; the HTTP API with one table from error types to statuses; operations carried out here, at the owner, or from the table; metrics at /debug/vars; an orderly stop.

--- /dev/null
+++ b/box/metrics.go
@@ -0,0 +1,100 @@
+package box
+
+import (
+	"expvar"
+	"runtime/metrics"
+	"sync"
+	"syscall"
+	"time"
+
+	"chutereach/hall"
+)
+
+// published guards the one name that expvar allows to be published once.
+var (
+	published sync.Once
+	latest    struct {
+		sync.Mutex
+		life *life
+	}
+)
+
+// publishMetrics makes expvar show this incarnation.
+func (l *life) publishMetrics() {
+	latest.Lock()
+	latest.life = l
+	latest.Unlock()
+	published.Do(func() {
+		expvar.Publish("chutereach", expvar.Func(func() any {
+			latest.Lock()
+			defer latest.Unlock()
+			return latest.life.metrics()
+		}))
+	})
+}
+
+// Metrics is what /debug/vars shows under "chutereach".
+type Metrics struct {
+	Box         string         `json:"box"`
+	Incarnation string         `json:"incarnation"`
+	Revision    uint64         `json:"revision"`
+	CPU         time.Duration  `json:"cpu_ns"`
+	Heap        uint64         `json:"heap_bytes"`
+	Units       []hall.Summary `json:"units"`
+	Table       TableMetrics   `json:"table"`
+	Requests    RequestMetrics `json:"requests"`
+}
+
+// TableMetrics counts what was sent to the table.
+type TableMetrics struct {
+	Sent      int64 `json:"sent"`
+	Resent    int64 `json:"resent"`
+	ReadBack  int64 `json:"read_back"`
+	Conflicts int64 `json:"conflicts"`
+}
+
+// RequestMetrics counts interactive requests by what became of them.
+type RequestMetrics struct {
+	Answered  int64 `json:"answered"`
+	NotRun    int64 `json:"not_run"`
+	Unknown   int64 `json:"unknown"`
+	Forwarded int64 `json:"forwarded"`
+	Retried   int64 `json:"retried"`
+	Replayed  int64 `json:"replayed"`
+}
+
+func (l *life) metrics() Metrics {
+	m := Metrics{
+		Box: l.box.set.Box.Name, Incarnation: string(l.self.Incarnation), Revision: l.publisher.Current().Number,
+		CPU: processCPU(), Heap: heap(),
+		Table: TableMetrics{
+			l.sender.Stats.Sent.Load(), l.sender.Stats.Resent.Load(),
+			l.sender.Stats.ReadBack.Load(), l.sender.Stats.Conflicts.Load(),
+		},
+		Requests: RequestMetrics{
+			l.router.Stats.Answered.Load(), l.router.Stats.NotRun.Load(), l.router.Stats.Unknown.Load(),
+			l.router.Stats.Forwarded.Load(), l.router.Stats.Retried.Load(), l.router.Stats.Replayed.Load(),
+		},
+	}
+	for _, u := range l.units.All() {
+		m.Units = append(m.Units, u.Summary())
+	}
+	return m
+}
+
+// processCPU returns the processor time that this process has used.
+func processCPU() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+const heapMetric = "/memory/classes/heap/objects:bytes"
+
+func heap() uint64 {
+	s := []metrics.Sample{{Name: heapMetric}}
+	metrics.Read(s)
+	return s[0].Value.Uint64()
+}
--- /dev/null
+++ b/cmd/chutereachd/main.go
@@ -0,0 +1,51 @@
+// Chutereachd runs one entry box of a chutereach cell.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"chutereach/box"
+	"chutereach/logs"
+	"chutereach/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	set, err := settings.Load(args)
+	var help *settings.HelpError
+	switch {
+	case errors.As(err, &help):
+		fmt.Println(help.Text)
+		return 0
+	case err != nil:
+		fmt.Fprintf(os.Stderr, "chutereachd: %v\n", err)
+		return exitSettings
+	case set.Check:
+		fmt.Print(set.Print())
+		return 0
+	}
+	b, err := box.New(set, logs.New(os.Stderr, set.Log.JSON, set.Level()))
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "chutereachd: %v\n", err)
+		return exitSettings
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	if err := b.Run(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "chutereachd: %v\n", err)
+		return exitFailed
+	}
+	return 0
+}
--- a/hall/load.go
+++ b/hall/load.go
@@ -256,3 +256,13 @@
 		j.ended = time.Now()
 	}
 }
+
+// Configured takes in a new revision: drains, and halls that were split anew.
+func (u *Unit) Configured() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, w := range u.workers {
+		u.reindex(w)
+	}
+	signal(u.decideWake)
+}
--- a/hall/report.go
+++ b/hall/report.go
@@ -81,10 +81,20 @@
 	Waits   []WaitSummary   `json:"waits" cbor:"15,keyasint"`
 }
 
-// Summary returns what there is to say of the unit.
+// summaryAge is how old a summary may be: working one out looks at every task.
+const summaryAge = 250 * time.Millisecond
+
+// Summary returns what there is to say of the unit, at most summaryAge old.
 func (u *Unit) Summary() Summary {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if time.Since(u.summed) > summaryAge {
+		u.summary, u.summed = u.sum(), time.Now()
+	}
+	return u.summary
+}
+
+func (u *Unit) sum() Summary {
 	s := Summary{
 		Unit: u.hold.Unit, Epoch: u.hold.Epoch, Ready: u.ready, Workers: len(u.workers), Capacity: u.whole,
 		Jobs: len(u.jobs), Placed: u.Stats.Placed, Commits: u.Stats.Commits, Rows: u.Stats.Rows,
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -84,6 +84,8 @@
 	dirty   []*workerState // ledgers to commit, in the order of their marking
 	loose   []change       // changes that touch no ledger
 	granted int            // grants not yet committed
+	summary Summary
+	summed  time.Time // when summary was worked out
 	Stats   Stats
 }
 
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -129,6 +129,23 @@
 	return nil
 }
 
+// Ephemeral returns the TLS configuration of a box that knows no other: keys of
+// its own that are never written down.
+func Ephemeral(name string) (*tls.Config, error) {
+	dir, err := os.MkdirTemp("", "chutereach-keys-")
+	if err != nil {
+		return nil, &FileError{"temporary keys", err}
+	}
+	defer os.RemoveAll(dir)
+	if err := NewAuthority(dir); err != nil {
+		return nil, err
+	}
+	if err := NewBox(dir, name); err != nil {
+		return nil, err
+	}
+	return Config(Files{filepath.Join(dir, AuthorityCert), filepath.Join(dir, name+".pem"), filepath.Join(dir, name+"-key.pem")})
+}
+
 // Files names the files of a box's keys.
 type Files struct {
 	Authority, Cert, Key string
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -250,6 +250,10 @@
 	k.sender.Do(ctx, gone)
 }
 
+// GiveUp releases a unit that cannot be run here any more, so that a box takes
+// it over afresh.
+func (k *Keeper) GiveUp(ctx context.Context, unit string) { k.release(ctx, unit) }
+
 func (k *Keeper) disownAll() {
 	for unit := range k.Held() {
 		k.drop(unit)
