--- a/cell/cell.go
+++ b/cell/cell.go
@@ -193,7 +193,7 @@
 // was there already.
 func (c *Cell) Submit(ctx context.Context, account config.Account, s Submission) (id job.ID, created bool, err error) {
 	rev := c.Publisher.Current()
-	unit, err := c.chooseUnit(rev, s)
+	unit, err := c.reserveUnit(rev, s)
 	if err != nil {
 		return "", false, err
 	}
@@ -218,7 +218,6 @@
 	if err != nil {
 		return "", false, err
 	}
-	c.countSent(unit, j.Tasks)
 	go c.notify(unit)
 	return j.ID, true, nil
 }
@@ -279,10 +278,29 @@
 	return fmt.Sprintf("no hall has a worker that is large enough for template %s", e.Template)
 }
 
+// reserveUnit chooses the unit of a job and counts the job in at once, so that a
+// burst does not go to one unit that was empty a moment ago.
+func (c *Cell) reserveUnit(rev config.Revision, s Submission) (string, error) {
+	summaries := c.summaries()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unit, err := c.chooseUnit(rev, s, summaries)
+	if err != nil {
+		return "", err
+	}
+	tasks := s.Request.Tasks
+	if tasks == 0 {
+		tasks = rev.Set.Templates[s.Request.Template].Tasks
+	}
+	c.countSent(unit, tasks)
+	return unit, nil
+}
+
 // chooseUnit returns the unit with the least work for its size among those in
 // which the job may run and that have a worker for it. What is known of units
-// is up to a second old; work sent since then is counted in.
-func (c *Cell) chooseUnit(rev config.Revision, s Submission) (string, error) {
+// is up to a second old; work sent since then is counted in. The caller holds
+// c.mu.
+func (c *Cell) chooseUnit(rev config.Revision, s Submission, summaries map[string]hall.Summary) (string, error) {
 	t, known := rev.Set.Templates[s.Request.Template]
 	if !known {
 		return "", &job.InvalidError{Reason: fmt.Sprintf("there is no template %q", s.Request.Template)}
@@ -290,7 +308,6 @@
 	if s.Hall != "" && !t.AllowsHall(s.Hall) {
 		return "", &NoUnitError{t.Name, s.Hall}
 	}
-	summaries := c.summaries()
 	best, least, unheard := "", 0.0, []string{}
 	for _, h := range rev.Set.Halls {
 		if !t.AllowsHall(h.Name) || s.Hall != "" && s.Hall != h.Name {
@@ -321,15 +338,11 @@
 
 // fullness returns how much of a unit is taken or spoken for, in shares of it.
 func (c *Cell) fullness(s hall.Summary, t config.Template) float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	waiting := int64(s.Waiting + c.sent[s.Unit].tasks)
 	return s.Used.Plus(t.Need.Times(waiting)).Dominant(s.Capacity)
 }
 
 func (c *Cell) countSent(unit string, tasks int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	n := c.sent[unit]
 	if time.Since(n.heard) > time.Second {
 		n = sentTo{heard: time.Now()}
--- a/config/template.go
+++ b/config/template.go
@@ -55,7 +55,8 @@
 	Repeat      Repeat            `json:"repeat"`
 	Attempts    int               `json:"attempts"` // starts allowed to a task that keeps failing
 	Halls       []string          `json:"halls,omitempty"`
-	Params      []string          `json:"params,omitempty"` // which the account must give
+	Params      []string          `json:"params,omitempty"` // which the account gives
+	Inputs      []string          `json:"inputs,omitempty"` // which each request gives
 	Policy      string            `json:"policy"`
 	Tolerates   []string          `json:"tolerates,omitempty"` // taints
 	Affinity    map[string]string `json:"affinity,omitempty"`  // labels that a worker must have
--- a/declare/declare.go
+++ b/declare/declare.go
@@ -31,6 +31,7 @@
 	Attempts     int               `long:"attempts" default:"3"`
 	Halls        list              `long:"halls"`
 	Params       list              `long:"params"`
+	Inputs       list              `long:"inputs"`
 	Policy       string            `long:"policy"`
 	Tolerates    list              `long:"tolerates"`
 	Affinity     pairs             `long:"affinity"`
@@ -44,7 +45,7 @@
 		Name: name, Form: config.Form(t.Form), Class: config.Class(t.Class),
 		Command: t.Command, Need: resource.Amount{CPU: t.CPU, Memory: t.Memory, Accelerators: t.Accelerators},
 		Tasks: t.Tasks, Lease: t.Lease, Repeat: config.Repeat(t.Repeat), Attempts: t.Attempts,
-		Halls: t.Halls, Params: t.Params, Policy: t.Policy, Tolerates: t.Tolerates,
+		Halls: t.Halls, Params: t.Params, Inputs: t.Inputs, Policy: t.Policy, Tolerates: t.Tolerates,
 		Affinity: t.Affinity, Avoid: t.Avoid, Slots: t.Slots, Connections: t.Connections,
 	}
 }
@@ -117,20 +118,29 @@
 
 // Dir reads every declaration below dir into one Set and checks it whole.
 func Dir(dir string) (config.Set, error) {
+	files, err := Open(dir)
+	if err != nil {
+		return config.Set{}, err
+	}
+	return Files(files...)
+}
+
+// Open reads the files of declarations in dir, without what they declare.
+func Open(dir string) ([]*ini.File, error) {
 	names, err := filepath.Glob(filepath.Join(dir, Pattern))
 	if err != nil || len(names) == 0 {
-		return config.Set{}, &NoFilesError{dir}
+		return nil, &NoFilesError{dir}
 	}
 	slices.Sort(names)
 	var files []*ini.File
 	for _, name := range names {
 		f, err := ini.Read(name)
 		if err != nil {
-			return config.Set{}, err
+			return nil, err
 		}
 		files = append(files, f)
 	}
-	return Files(files...)
+	return files, nil
 }
 
 // Files reads the declarations of files into one Set and checks it whole.
--- a/job/job.go
+++ b/job/job.go
@@ -95,9 +95,10 @@
 	return len(a.Templates) == 0
 }
 
-// merge lays the request's parameters over the account's. A parameter that the
-// template does not know is an error: it is more often a misspelling than a
-// wish to be ignored.
+// merge takes the template's parameters from the account, and its inputs from
+// the request, which may also overlay parameters. A name that the template does
+// not know is an error: it is more often a misspelling than a wish to be
+// ignored.
 func merge(t config.Template, account, request map[string]string) (map[string]string, error) {
 	params := map[string]string{}
 	for _, p := range t.Params {
@@ -110,6 +111,13 @@
 		}
 		params[p] = v
 	}
+	for _, p := range t.Inputs {
+		v, given := request[p]
+		if !given {
+			return nil, &InvalidError{fmt.Sprintf("template %s needs the input %q with each job", t.Name, p)}
+		}
+		params[p] = v
+	}
 	for p := range request {
 		if _, known := params[p]; !known {
 			return nil, &InvalidError{fmt.Sprintf("template %s has no parameter %q", t.Name, p)}
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/mattn/go-isatty"
 	"github.com/rs/zerolog"
 )
 
@@ -29,7 +30,7 @@
 func New(w io.Writer, json bool, level zerolog.Level) zerolog.Logger {
 	if !json {
 		w = zerolog.ConsoleWriter{
-			Out: w, TimeFormat: time.TimeOnly, NoColor: w != os.Stderr || os.Getenv("NO_COLOR") != "",
+			Out: w, TimeFormat: time.TimeOnly, NoColor: !colourful(w),
 			PartsOrder:    []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, partField, zerolog.MessageFieldName},
 			FieldsExclude: []string{partField},
 		}
@@ -37,6 +38,13 @@
 	return zerolog.New(w).Level(level).With().Timestamp().Logger()
 }
 
+// colourful reports whether w is a terminal whose user has nothing against
+// colours.
+func colourful(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	return ok && isatty.IsTerminal(f.Fd()) && os.Getenv("NO_COLOR") == ""
+}
+
 // For returns l with the prefix of a part.
 func For(l zerolog.Logger, p Part) zerolog.Logger {
 	return l.With().Str(partField, string(p)).Logger()
--- a/member/member.go
+++ b/member/member.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -239,7 +240,9 @@
 	defer m.mu.Unlock()
 	all := make([]Peer, 0, len(m.peers))
 	for _, p := range m.peers {
-		all = append(all, p.Peer)
+		shown := p.Peer
+		shown.State.Loads = maps.Clone(p.State.Loads) // the peer's own goes on changing
+		all = append(all, shown)
 	}
 	slices.SortFunc(all, func(a, b Peer) int {
 		return strings.Compare(string(a.Row.Incarnation), string(b.Row.Incarnation))
@@ -247,6 +250,38 @@
 	return all
 }
 
+// PeerLoad is a peer and what it has in hand for one service.
+type PeerLoad struct {
+	Row  control.BoxRow
+	Load Load
+}
+
+// LoadsOf returns the peers that take requests for a service.
+func (m *Members) LoadsOf(service string) []PeerLoad {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]PeerLoad, 0, len(m.peers))
+	for _, p := range m.peers {
+		if l := p.State.Loads[service]; l.Slots > 0 && p.Alive() && !p.State.Leaving {
+			all = append(all, PeerLoad{p.Row, l})
+		}
+	}
+	return all
+}
+
+// AddQueued counts a request that is being sent to a peer into the peer's load
+// until the peer says better, so that a burst is not sent to one box that was
+// idle a moment ago.
+func (m *Members) AddQueued(i control.Incarnation, service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[i]; p != nil && p.State.Loads != nil {
+		l := p.State.Loads[service]
+		l.Queued++
+		p.State.Loads[service] = l
+	}
+}
+
 // SetLoad takes in a peer's load for a service, which came with an answer.
 func (m *Members) SetLoad(i control.Incarnation, service string, l Load) {
 	m.mu.Lock()
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,70 @@
+package member
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"chutereach/control"
+	"chutereach/hall"
+	"chutereach/timeline"
+)
+
+// known returns Members with one peer that has just answered.
+func known(id control.Incarnation) *Members {
+	m := New(control.BoxRow{Incarnation: "me.1"}, nil, &timeline.Clock{}, func() State { return State{} })
+	p := &member{Peer: Peer{Row: control.BoxRow{Incarnation: id}, Heard: time.Now()}}
+	p.State.Loads = map[string]Load{"s": {Slots: 8}}
+	m.peers[id] = p
+	return m
+}
+
+// A router reads loads while answers bring new ones; a map shared between the
+// two once ended the whole process.
+func TestLoadsAreReadWhileTheyChange(t *testing.T) {
+	m := known("other.1")
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 500 {
+				m.AddQueued("other.1", "s")
+				m.SetLoad("other.1", "s", Load{Slots: 8})
+			}
+		})
+		wg.Go(func() {
+			for range 500 {
+				m.LoadsOf("s")
+				for _, p := range m.Peers() {
+					p.State.Loads["s"] = Load{} // a copy, ours to change
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if got := m.LoadsOf("s"); len(got) != 1 || got[0].Load.Slots != 8 {
+		t.Errorf("loads = %v", got)
+	}
+}
+
+func TestOnlyNewerEndpointsAreTaken(t *testing.T) {
+	list := []hall.Endpoint{{Service: "s", Attempt: "a"}}
+	for _, c := range []struct {
+		name    string
+		version Version
+		want    bool
+	}{
+		{"same", Version{2, 2}, false},
+		{"older seq", Version{2, 1}, false},
+		{"older epoch, higher seq", Version{1, 9}, false},
+		{"newer seq", Version{2, 3}, true},
+		{"newer epoch, lower seq", Version{3, 1}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := known("other.1")
+			m.merge([]Endpoints{{"u", Version{2, 2}, nil}})
+			if got := m.merge([]Endpoints{{"u", c.version, list}}); got != c.want {
+				t.Errorf("merge = %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/ownership/spread.go
+++ b/ownership/spread.go
@@ -16,7 +16,7 @@
 
 const (
 	// joinTicks is for how many reads a new box must have been seen before
-	// units move to it.
+	// units move to it, and before it takes any itself.
 	joinTicks = 3
 	// turnTicks is for how many reads a free unit is left to each box that
 	// comes before this one in the unit's order.
@@ -58,7 +58,10 @@
 // plan works out what to do. The caller holds k.mu.
 func (k *Keeper) plan(v control.View) plan {
 	alive := k.alive(v)
-	if k.leaving || len(alive) == 0 {
+	// A box that has just begun waits until it would see others that began with
+	// it, or it would take everything and give most of it back.
+	settled := k.seen[k.self.Incarnation].ticks >= joinTicks
+	if k.leaving || !settled {
 		return plan{}
 	}
 	count, free := k.count(v, alive)
--- a/route/router.go
+++ b/route/router.go
@@ -215,12 +215,12 @@
 	if !found {
 		return nil, &NotRunError{CauseNoReplica, spread(time.Second)}
 	}
-	if to.Row.Incarnation == r.self {
+	if to.Incarnation == r.self {
 		return r.Here(ctx, req, avoid)
 	}
 	a, err := r.forward(ctx, to, req)
 	if err != nil {
-		avoid.boxes = append(avoid.boxes, to.Row.Incarnation)
+		avoid.boxes = append(avoid.boxes, to.Incarnation)
 	}
 	return a, err
 }
@@ -238,17 +238,16 @@
 
 // choose returns the box whose upstreams have the least in hand for their
 // slots. On a tie this box wins: it saves the hop.
-func (r *Router) choose(service string, avoid []control.Incarnation) (member.Peer, bool) {
-	best := member.Peer{Row: control.BoxRow{Incarnation: r.self}}
+func (r *Router) choose(service string, avoid []control.Incarnation) (control.BoxRow, bool) {
+	best := control.BoxRow{Incarnation: r.self}
 	own := r.pool(service).load()
 	least, found := crowding(own), own.Slots > 0
-	for _, p := range r.members.Peers() {
-		l := p.State.Loads[service]
-		if l.Slots == 0 || !p.Alive() || p.State.Leaving || slices.Contains(avoid, p.Row.Incarnation) {
+	for _, p := range r.members.LoadsOf(service) {
+		if slices.Contains(avoid, p.Row.Incarnation) {
 			continue
 		}
-		if c := crowding(l); !found || c < least {
-			best, least, found = p, c, true
+		if c := crowding(p.Load); !found || c < least {
+			best, least, found = p.Row, c, true
 		}
 	}
 	return best, found
@@ -269,12 +268,12 @@
 }
 
 // forward hands a request to another box, which does not hand it on.
-func (r *Router) forward(ctx context.Context, to member.Peer, req *Request) (*Answer, error) {
+func (r *Router) forward(ctx context.Context, to control.BoxRow, req *Request) (*Answer, error) {
 	r.Stats.Forwarded.Add(1)
-	r.foresee(to, req.Route.Service)
+	r.members.AddQueued(to.Incarnation, req.Route.Service)
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	got, err := peer.Call[reply](ctx, r.client, to.Row.Peer, forwardPath, req)
+	got, err := peer.Call[reply](ctx, r.client, to.Peer, forwardPath, req)
 	var unreachable *peer.UnreachableError
 	switch {
 	case errors.As(err, &unreachable):
@@ -282,7 +281,7 @@
 	case err != nil:
 		return nil, &UnknownError{CausePeerLost}
 	}
-	r.members.SetLoad(to.Row.Incarnation, req.Route.Service, got.Load)
+	r.members.SetLoad(to.Incarnation, req.Route.Service, got.Load)
 	switch got.Outcome {
 	case Answered:
 		return got.Answer, nil
@@ -292,14 +291,6 @@
 	return nil, &UnknownError{got.Cause}
 }
 
-// foresee counts a forwarded request into the peer's load until the peer says
-// better, so that a burst is not sent to one box that was idle a moment ago.
-func (r *Router) foresee(to member.Peer, service string) {
-	l := to.State.Loads[service]
-	l.Queued++
-	r.members.SetLoad(to.Row.Incarnation, service, l)
-}
-
 // Forwarded serves a request that another box handed on.
 func (r *Router) Forwarded(ctx context.Context, req *Request) (reply, error) {
 	a, err := r.Here(ctx, req, &avoided{})
