--- a/commit/commit.go
+++ b/commit/commit.go
@@ -105,7 +105,7 @@
 				s.Stats.Conflicts.Add(1)
 				return 0, conflict
 			}
-			version, applied, backErr := s.readBack(ctx, t)
+			version, applied, backErr := s.readBack(ctx, t, conflict)
 			if backErr == nil {
 				return s.settle(version, applied, conflict)
 			}
@@ -139,11 +139,14 @@
 // readBack tells whether t took effect: whether a row that it wrote still names
 // it. A transaction whose every row was written over since looks as if it had
 // not; callers whose rows others may write must have a way of their own to tell.
-func (s *Sender) readBack(ctx context.Context, t platform.Txn) (version uint64, applied bool, err error) {
+// One that only removes rows leaves no trace: it counts as applied if they are
+// all gone, which is what it was for.
+func (s *Sender) readBack(ctx context.Context, t platform.Txn, c *platform.ConflictError) (version uint64, applied bool, err error) {
+	if c.Have.Txn == t.ID {
+		return c.Have.Version, true, nil // the conflict is with itself
+	}
+	puts, gone := 0, true
 	for _, w := range t.Writes {
-		if w.Delete {
-			continue
-		}
 		row, err := s.table.Get(ctx, w.Key)
 		if err != nil {
 			return 0, false, err
@@ -151,8 +154,13 @@
 		if row.Txn == t.ID {
 			return row.Version, true, nil
 		}
+		if w.Delete {
+			gone = gone && !row.Exists()
+		} else {
+			puts++
+		}
 	}
-	return 0, false, nil
+	return 0, puts == 0 && gone, nil
 }
 
 func wait(ctx context.Context, d time.Duration) error {
--- a/hall/inbox.go
+++ b/hall/inbox.go
@@ -61,10 +61,12 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.jobs[j.ID] != nil {
+	if known := u.jobs[j.ID]; known != nil {
+		u.dropCopy(known, row)
 		return false
 	}
 	s := u.addJob(j, 0)
+	s.inbox = row.Version
 	u.write(change{
 		writes: []rowWrite{
 			{key: j.Key(), value: row.Value},
@@ -79,6 +81,16 @@
 	return true
 }
 
+// dropCopy removes a row of a job that was moved already: a box whose insert had
+// no answer has sent it again after the move. The caller holds u.mu.
+func (u *Unit) dropCopy(j *jobState, row platform.Row) {
+	if j.inbox == row.Version {
+		return // on its way out, or gone since the inbox was read
+	}
+	j.inbox = row.Version
+	u.write(change{writes: []rowWrite{{key: row.Key, version: row.Version, remove: true}}})
+}
+
 // purgeRows bounds what one sweep removes.
 const purgeRows = 200
 
--- a/hall/load.go
+++ b/hall/load.go
@@ -139,7 +139,7 @@
 // addWorker takes a worker in and begins to talk to it. The caller holds u.mu.
 func (u *Unit) addWorker(l ledger.Ledger, version uint64) *workerState {
 	w := &workerState{
-		ledger: l, version: version, tasks: map[string]*taskState{},
+		id: l.Worker().Name, ledger: l, version: version, tasks: map[string]*taskState{},
 		silent: time.Now(), wake: make(chan struct{}, 1),
 	}
 	u.workers[w.name()] = w
--- a/hall/orders.go
+++ b/hall/orders.go
@@ -97,6 +97,9 @@
 		u.notRun(t, string(refused.Reason))
 	case platform.NotApplied(err):
 		u.notRun(t, err.Error())
+	default:
+		known := t.startBy.Add(u.set.ClockError + time.Millisecond)
+		time.AfterFunc(time.Until(known), func() { u.nudge(w) })
 	}
 }
 
@@ -132,6 +135,15 @@
 	return b
 }
 
+// surely returns the expiry for a call that only a unit's owner may make, and
+// whether this box is one for certain. An owner that was deposed while it was
+// paused, and does not know yet, must not stop what its successor has started,
+// nor have a worker forget what its successor has yet to hear.
+func (u *Unit) surely(now time.Time) (expires time.Time, sure bool) {
+	end := u.deps.Sure().Add(-u.set.ClockError)
+	return earlier(now.Add(u.set.Call), end), now.Before(end)
+}
+
 // haltRetry is the pause before a stop that had no answer is ordered again.
 const haltRetry = time.Second
 
@@ -143,7 +155,14 @@
 	boot := w.boot
 	_, there := w.tasks[attempt]
 	u.mu.Unlock()
-	c := platform.AttemptCall{Attempt: attempt, Boot: boot, Expires: time.Now().Add(u.set.Call)}
+	expires, sure := u.surely(time.Now())
+	if !sure {
+		if there {
+			time.AfterFunc(haltRetry, func() { u.haltAgain(w, attempt) })
+		}
+		return
+	}
+	c := platform.AttemptCall{Attempt: attempt, Boot: boot, Expires: expires}
 	ctx, cancel := context.WithTimeout(u.ctx, u.set.Call)
 	defer cancel()
 	state, err := call(ctx, w.name(), c)
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -101,6 +101,7 @@
 type jobState struct {
 	job     job.Job
 	version uint64 // of the job's row
+	inbox   uint64 // version of the last inbox row that was removed, or is being so
 	tasks   []*taskState
 	waiting []int // tasks to place, the next first
 	queued  bool
@@ -149,6 +150,7 @@
 
 // workerState is a worker of the unit.
 type workerState struct {
+	id      string // does not change, and so may be read without the lock
 	ledger  ledger.Ledger
 	version uint64 // of the ledger's row
 	tasks   map[string]*taskState
@@ -161,12 +163,15 @@
 	silent time.Time // since when it has not answered; zero while it does
 	gone   bool      // the platform lists it no more
 	orders []order
-	wake   chan struct{}
-	forget []string
-	usage  resource.Amount
+
+	stopAsk context.CancelFunc // breaks off the question under way
+	nudged  bool               // it was broken off on purpose
+	wake    chan struct{}
+	forget  []string
+	usage   resource.Amount
 }
 
-func (w *workerState) name() string { return w.ledger.Worker().Name }
+func (w *workerState) name() string { return w.id }
 
 // LostError says that a unit can no longer be run by this box.
 type LostError struct {
--- a/hall/unit_test.go
+++ b/hall/unit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,11 +31,13 @@
 // bench is a unit of one hall, its platform, and what owners it has had.
 type bench struct {
 	t     *testing.T
+	mu    sync.Mutex
 	table *standin.Table
 	fleet *standin.Fleet
 	rev   config.Revision
 	epoch uint64
 	units []*Unit
+	over  []time.Time // when each owner was taken over from; zero while it was not
 }
 
 func newBench(t *testing.T, workers int) *bench {
@@ -78,6 +81,7 @@
 	}
 	b.epoch++
 	now := time.Now()
+	b.fence(now)
 	row := control.UnitRow{Owner: control.NewIncarnation("box"), Epoch: b.epoch, Sure: now}
 	sender := commit.NewSender(b.table, rate.NewLimiter(rate.Inf, 1))
 	txn := platform.Txn{ID: fmt.Sprint("own-", b.epoch)}.Put(control.UnitKey("h"), was.Version, control.Encode(row))
@@ -85,9 +89,13 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
+	b.mu.Lock()
+	me := len(b.over)
+	b.over = append(b.over, time.Time{})
+	b.mu.Unlock()
 	u := New(ownership.Hold{Unit: "h", Epoch: b.epoch, Version: version, Before: now}, Defaults, Deps{
 		Workers: b.fleet, Sender: sender,
-		Sure:   func() time.Time { return time.Now().Add(testSure) },
+		Sure:   func() time.Time { return b.sure(me) },
 		Config: func() config.Revision { return b.rev },
 		Events: timeline.NewRing("box", &timeline.Clock{}, 100), Log: zerolog.Nop(),
 	})
@@ -96,6 +104,32 @@
 	return u
 }
 
+// fence notes when the owners so far were taken over from. An owner is never
+// sure for longer: its successor waited until its heartbeat had lapsed.
+func (b *bench) fence(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range b.over {
+		if b.over[i].IsZero() {
+			b.over[i] = now
+		}
+	}
+}
+
+func (b *bench) sure(owner int) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sure := time.Now().Add(testSure)
+	if over := b.over[owner]; !over.IsZero() && over.Before(sure) {
+		return over
+	}
+	return sure
+}
+
+// kill ends an owner as a killed process ends: what it has sent goes on, and
+// nothing more is sent.
+func (b *bench) kill(u *Unit) { u.cancel(errDisowned) }
+
 // submit puts a job into the inbox, as any box does.
 func (b *bench) submit(template string, tasks int) job.ID {
 	b.t.Helper()
--- a/hall/watch.go
+++ b/hall/watch.go
@@ -29,6 +29,9 @@
 		asked := time.Now()
 		report, err := u.ask(w)
 		if err != nil {
+			if u.wasNudged(w) {
+				continue
+			}
 			u.unheard(w)
 			u.pause(pause)
 			pause = min(2*pause, lastWatchPause)
@@ -49,6 +52,9 @@
 	}
 	ctx, cancel := context.WithTimeout(u.ctx, call.Wait+u.set.Call)
 	defer cancel()
+	u.mu.Lock()
+	w.stopAsk = cancel
+	u.mu.Unlock()
 	report, err := u.deps.Workers.Renew(ctx, w.name(), call)
 	if err != nil {
 		u.mu.Lock()
@@ -74,9 +80,14 @@
 	}
 	now := time.Now()
 	from := earlier(now, sure)
-	call = platform.RenewCall{
-		Boot: w.boot, Expires: now.Add(u.set.Call), Seen: w.seq,
-		Wait: u.set.Watch, Forget: w.forget,
+	call = platform.RenewCall{Boot: w.boot, Expires: now.Add(u.set.Call), Seen: w.seq, Wait: u.set.Watch}
+	if !w.silent.IsZero() || w.nudged {
+		call.Wait = 0 // ask for an answer at once
+	}
+	w.nudged = false
+	if expires, sure := u.surely(now); sure && len(w.forget) > 0 {
+		call.Forget, call.Expires = w.forget, expires
+		forget, w.forget = w.forget, nil
 	}
 	for attempt, t := range w.tasks {
 		if t.phase != running {
@@ -89,10 +100,28 @@
 		}
 		call.Wait = min(call.Wait, lease/renewalsPerLease)
 	}
-	forget, w.forget = w.forget, nil
 	return call, forget, true
 }
 
+// nudge makes the watch ask a worker at once instead of waiting for news: a
+// start had no answer, and it has become possible to tell if it took effect.
+func (u *Unit) nudge(w *workerState) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	w.nudged = true
+	if w.stopAsk != nil {
+		w.stopAsk()
+	}
+}
+
+// wasNudged reports whether a question was broken off by nudge. Then its failure
+// says nothing of the worker.
+func (u *Unit) wasNudged(w *workerState) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return w.nudged
+}
+
 // unheard notes that a worker did not answer.
 func (u *Unit) unheard(w *workerState) {
 	u.mu.Lock()
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -75,9 +75,11 @@
 	if fault.Refuse != nil {
 		return none, fault.Refuse
 	}
+	due := time.Now().Add(fault.Delay)
 	if pause(ctx, fault.Delay) != nil {
 		if !fault.Vanish {
-			do() // the caller has gone; the request takes effect late
+			// The caller has gone; the request takes effect all the same, late.
+			time.AfterFunc(time.Until(due), func() { do() })
 		}
 		return none, &platform.UnknownError{Service: s, Cause: ctx.Err()}
 	}
