commit, codec: parts of one transaction share no row; times to the nanosecond

Cause: the contract tests found that the codec's default cut times to whole seconds, so every lease, expiry and forwarded deadline lost up to a second. A property over groups of inserts found that two callers who claimed one key at once went into one transaction, in which both conditions held: both were told that they had it, and a redemption would have run twice.

Change: one package for the codec; a group puts parts with a row in common into different transactions.

Conclusion: claims rest on the table again.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -12,9 +13,9 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"chutereach/codec"
 	"chutereach/commit"
 	"chutereach/config"
 	"chutereach/control"
@@ -203,7 +204,7 @@
 	}
 	part := commit.Part{}.Insert(job.InboxKey(j.ID), j.Encode())
 	if s.Key != "" {
-		row, err := cbor.Marshal(keyRow{j.ID, digest(s)})
+		row, err := codec.Marshal(keyRow{j.ID, digest(s)})
 		if err != nil {
 			return "", false, err
 		}
@@ -223,13 +224,9 @@
 }
 
 func digest(s Submission) [sha256.Size]byte {
-	data, err := cbor.CoreDetEncOptions().EncMode()
+	text, err := json.Marshal(s) // which writes maps in the order of their keys
 	if err != nil {
-		panic(err) // the options are constant
-	}
-	text, err := data.Marshal(s)
-	if err != nil {
-		panic(err) // the type holds nothing that cbor refuses
+		panic(err) // the type holds nothing that JSON refuses
 	}
 	return sha256.Sum256(text)
 }
@@ -237,7 +234,7 @@
 // known returns the job that a key created before.
 func known(s Submission, row platform.Row) (job.ID, error) {
 	var k keyRow
-	if err := cbor.Unmarshal(row.Value, &k); err != nil {
+	if err := codec.Unmarshal(row.Value, &k); err != nil {
 		return "", &control.RowError{Key: row.Key, Cause: err}
 	}
 	if k.Digest != digest(s) {
--- /dev/null
+++ b/codec/codec.go
@@ -0,0 +1,32 @@
+// Package codec is how the project writes what it keeps and sends: CBOR, with
+// times to the nanosecond. The library's default cuts times to whole seconds,
+// which once cost requests up to a second of their deadlines.
+package codec
+
+import "github.com/fxamacker/cbor/v2"
+
+var mode = newMode()
+
+func newMode() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano, TimeTag: cbor.EncTagRequired}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return m
+}
+
+// Marshal returns v as CBOR.
+func Marshal(v any) ([]byte, error) { return mode.Marshal(v) }
+
+// MustMarshal is Marshal for types that hold nothing that CBOR refuses, as the
+// project's rows are.
+func MustMarshal(v any) []byte {
+	data, err := Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// Unmarshal reads what Marshal wrote.
+func Unmarshal(data []byte, v any) error { return cbor.Unmarshal(data, v) }
--- a/commit/group.go
+++ b/commit/group.go
@@ -10,8 +10,7 @@
 	"chutereach/platform"
 )
 
-// Part is one caller's share of a group's transaction. Its conditions must not
-// overlap with those of other parts.
+// Part is one caller's share of a group's transaction.
 type Part struct {
 	Conds  []platform.Cond
 	Writes []platform.Write
@@ -112,18 +111,29 @@
 	}
 }
 
-// take removes as many waiting parts as fit one transaction. If more wait it
-// wakes another lane.
+// take removes as many waiting parts as fit one transaction. Parts with a row in
+// common go into different ones: in one, each would find its conditions true,
+// and two callers would claim one key. If more wait it wakes another lane.
 func (g *Group) take() []*waiting {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n, rows := 0, 0
-	for n < len(g.parts) && (n == 0 || rows+len(g.parts[n].part.Conds) <= maxGroupRows) {
-		rows += len(g.parts[n].part.Conds)
-		n++
+	var taken, rest []*waiting
+	keys := map[string]bool{}
+	for i, w := range g.parts {
+		if len(taken) > 0 && len(keys)+len(w.part.Conds) > maxGroupRows {
+			rest = append(rest, g.parts[i:]...)
+			break
+		}
+		if overlaps(w.part, keys) {
+			rest = append(rest, w)
+			continue
+		}
+		for _, c := range w.part.Conds {
+			keys[c.Key] = true
+		}
+		taken = append(taken, w)
 	}
-	taken := g.parts[:n:n]
-	g.parts = g.parts[n:]
+	g.parts = rest
 	if len(g.parts) > 0 {
 		select {
 		case g.wake <- struct{}{}:
@@ -169,6 +179,15 @@
 	return rest
 }
 
+func overlaps(p Part, keys map[string]bool) bool {
+	for _, c := range p.Conds {
+		if keys[c.Key] {
+			return true
+		}
+	}
+	return false
+}
+
 func hasCond(p Part, key string) bool {
 	for _, c := range p.Conds {
 		if c.Key == key {
--- a/control/control.go
+++ b/control/control.go
@@ -12,9 +12,9 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/xid"
 
+	"chutereach/codec"
 	"chutereach/config"
 	"chutereach/platform"
 )
@@ -72,13 +72,7 @@
 }
 
 // Encode returns a row of this package as the table keeps it.
-func Encode[R BoxRow | UnitRow | HeadRow](r R) []byte {
-	data, err := cbor.Marshal(r)
-	if err != nil {
-		panic(err) // the types hold nothing that cbor refuses
-	}
-	return data
-}
+func Encode[R BoxRow | UnitRow | HeadRow](r R) []byte { return codec.MustMarshal(r) }
 
 // UnitKey returns the key of a unit's row.
 func UnitKey(unit string) string { return unitPrefix + unit }
@@ -137,7 +131,7 @@
 
 func decode[R any](r platform.Row) (Versioned[R], error) {
 	v := Versioned[R]{Version: r.Version}
-	return v, cbor.Unmarshal(r.Value, &v.Row)
+	return v, codec.Unmarshal(r.Value, &v.Row)
 }
 
 // RowError says that a row could not be read.
--- a/job/job.go
+++ b/job/job.go
@@ -5,9 +5,9 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/xid"
 
+	"chutereach/codec"
 	"chutereach/config"
 )
 
@@ -149,20 +149,11 @@
 func InboxKey(id ID) string { return InboxPrefix(id.Unit()) + string(id) }
 
 // Encode returns j as the table keeps it.
-func (j Job) Encode() []byte { return encode(j) }
+func (j Job) Encode() []byte { return codec.MustMarshal(j) }
 
 // Decode reads a job's row.
 func Decode(row []byte) (Job, error) {
 	var j Job
-	err := cbor.Unmarshal(row, &j)
+	err := codec.Unmarshal(row, &j)
 	return j, err
 }
-
-// encode cannot fail: the types of this package hold nothing that cbor refuses.
-func encode(v any) []byte {
-	data, err := cbor.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
--- a/job/task.go
+++ b/job/task.go
@@ -6,8 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"chutereach/codec"
 	"chutereach/config"
 )
 
@@ -165,11 +164,11 @@
 func TasksOf(id ID) string { return TaskPrefix(id.Unit()) + string(id) + "/" }
 
 // Encode returns t as the table keeps it.
-func (t Task) Encode() []byte { return encode(t) }
+func (t Task) Encode() []byte { return codec.MustMarshal(t) }
 
 // DecodeTask reads a task's row.
 func DecodeTask(row []byte) (Task, error) {
 	var t Task
-	err := cbor.Unmarshal(row, &t)
+	err := codec.Unmarshal(row, &t)
 	return t, err
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -9,8 +9,7 @@
 	"fmt"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"chutereach/codec"
 	"chutereach/platform"
 	"chutereach/resource"
 )
@@ -135,18 +134,12 @@
 }
 
 // Encode returns l as the table keeps it.
-func (l Ledger) Encode() []byte {
-	data, err := cbor.Marshal(row{l.worker, l.grants})
-	if err != nil {
-		panic(err) // the types hold nothing that cbor refuses
-	}
-	return data
-}
+func (l Ledger) Encode() []byte { return codec.MustMarshal(row{l.worker, l.grants}) }
 
 // Decode reads a ledger's row.
 func Decode(data []byte) (Ledger, error) {
 	var r row
-	if err := cbor.Unmarshal(data, &r); err != nil {
+	if err := codec.Unmarshal(data, &r); err != nil {
 		return Ledger{}, err
 	}
 	l := Ledger{worker: r.Worker, grants: r.Grants}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -14,9 +14,10 @@
 	"net/http"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
+
+	"chutereach/codec"
 )
 
 const (
@@ -129,7 +130,7 @@
 // Call makes one call to the peer at address.
 func Call[A, R any](ctx context.Context, c *Client, address, path string, request R) (A, error) {
 	var answer A
-	body, err := cbor.Marshal(request)
+	body, err := codec.Marshal(request)
 	if err != nil {
 		return answer, &UnreachableError{address, err}
 	}
@@ -149,12 +150,12 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		f := &Failure{}
-		if cbor.Unmarshal(data, f) != nil {
+		if codec.Unmarshal(data, f) != nil {
 			f.Message = resp.Status
 		}
 		return answer, f
 	}
-	if err := cbor.Unmarshal(data, &answer); err != nil {
+	if err := codec.Unmarshal(data, &answer); err != nil {
 		return answer, &LostError{address, err}
 	}
 	return answer, nil
@@ -179,7 +180,7 @@
 		var request R
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 		if err == nil {
-			err = cbor.Unmarshal(data, &request)
+			err = codec.Unmarshal(data, &request)
 		}
 		if err != nil {
 			reply(w, http.StatusBadRequest, Failure{Message: err.Error()})
@@ -213,7 +214,7 @@
 }
 
 func reply[A any](w http.ResponseWriter, status int, answer A) {
-	data, err := cbor.Marshal(answer)
+	data, err := codec.Marshal(answer)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -10,8 +10,7 @@
 	"strconv"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"chutereach/codec"
 	"chutereach/platform"
 )
 
@@ -45,7 +44,7 @@
 // an UnavailableError if the request never left, and an UnknownError otherwise.
 func call[A, R any](ctx context.Context, c *Client, s platform.Service, path string, request R) (A, error) {
 	var answer A
-	body, err := cbor.Marshal(request)
+	body, err := codec.Marshal(request)
 	if err != nil {
 		return answer, &platform.UnavailableError{Service: s, Reason: err.Error()}
 	}
@@ -72,13 +71,13 @@
 func decode[A any](s platform.Service, status int, data []byte) (A, error) {
 	var answer A
 	if status == http.StatusOK {
-		if err := cbor.Unmarshal(data, &answer); err != nil {
+		if err := codec.Unmarshal(data, &answer); err != nil {
 			return answer, &platform.UnknownError{Service: s, Cause: err}
 		}
 		return answer, nil
 	}
 	var f failure
-	if err := cbor.Unmarshal(data, &f); err != nil {
+	if err := codec.Unmarshal(data, &f); err != nil {
 		return answer, &platform.UnknownError{Service: s, Cause: &FailureError{"status " + strconv.Itoa(status)}}
 	}
 	return answer, f.unpack(s)
--- a/platformhttp/handler.go
+++ b/platformhttp/handler.go
@@ -5,8 +5,7 @@
 	"io"
 	"net/http"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"chutereach/codec"
 	"chutereach/platform"
 )
 
@@ -49,7 +48,7 @@
 		var request R
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 		if err == nil {
-			err = cbor.Unmarshal(data, &request)
+			err = codec.Unmarshal(data, &request)
 		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -83,7 +82,7 @@
 }
 
 func reply[A any](w http.ResponseWriter, status int, answer A) {
-	data, err := cbor.Marshal(answer)
+	data, err := codec.Marshal(answer)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -13,10 +13,10 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/xid"
 	"github.com/rs/zerolog"
 
+	"chutereach/codec"
 	"chutereach/commit"
 	"chutereach/config"
 	"chutereach/control"
@@ -124,7 +124,7 @@
 		return config.Revision{}, &NoRevisionError{n}
 	}
 	var r config.Revision
-	if err := cbor.Unmarshal(row.Value, &r); err != nil {
+	if err := codec.Unmarshal(row.Value, &r); err != nil {
 		return config.Revision{}, &control.RowError{Key: row.Key, Cause: err}
 	}
 	return r, nil
@@ -169,7 +169,7 @@
 		return config.Revision{}, p.conflict(ctx, c, head.Row.Revision)
 	}
 	r := config.Revision{Number: c.Base + 1, Set: c.Set, Author: c.Author, Message: c.Message, At: time.Now().UTC()}
-	data, err := cbor.Marshal(r)
+	data, err := codec.Marshal(r)
 	if err != nil {
 		return config.Revision{}, &control.RowError{Key: revisionKey(r.Number), Cause: err}
 	}
@@ -196,7 +196,7 @@
 		return head, err
 	}
 	head.Version = row.Version
-	return head, cbor.Unmarshal(row.Value, &head.Row)
+	return head, codec.Unmarshal(row.Value, &head.Row)
 }
 
 // conflict names the revision that came first.
@@ -221,7 +221,7 @@
 	var all []config.Revision
 	for i := len(rows) - 1; i >= 0; i-- {
 		var r config.Revision
-		if err := cbor.Unmarshal(rows[i].Value, &r); err != nil {
+		if err := codec.Unmarshal(rows[i].Value, &r); err != nil {
 			return nil, &control.RowError{Key: rows[i].Key, Cause: err}
 		}
 		r.Set = config.Set{}
--- a/route/claim.go
+++ b/route/claim.go
@@ -6,8 +6,7 @@
 	"errors"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"chutereach/codec"
 	"chutereach/commit"
 	"chutereach/control"
 	"chutereach/platform"
@@ -37,13 +36,7 @@
 	recordTimeout = 10 * time.Minute
 )
 
-func (c claim) encode() []byte {
-	data, err := cbor.Marshal(c)
-	if err != nil {
-		panic(err) // the type holds nothing that cbor refuses
-	}
-	return data
-}
+func (c claim) encode() []byte { return codec.MustMarshal(c) }
 
 func claimKey(r *Request) string { return "claim/" + r.Account + "/" + r.Route.Name + "/" + r.Key }
 
@@ -82,7 +75,7 @@
 // replay answers an attempt whose key was claimed before.
 func (r *Router) replay(req *Request, mine claim, row platform.Row) (*Answer, error) {
 	var earlier claim
-	if err := cbor.Unmarshal(row.Value, &earlier); err != nil {
+	if err := codec.Unmarshal(row.Value, &earlier); err != nil {
 		return nil, &UnknownError{CauseEarlier}
 	}
 	switch {
