hall: services roll under a new template, drains move what they may

Cause: a change of template must reach running services without taking more of them down than allowed, and a drained worker must empty.

Change: a service's job follows its template; each grant names the revision of the attempt; replicas that are out of date or on a drained worker are stopped as many at once as the template's new key down allows; tasks that can be resumed are checkpointed away. Quotas and leases go by the grant, not by a template that may have changed since.

--- a/config/template.go
+++ b/config/template.go
@@ -63,6 +63,7 @@
 	Avoid       map[string]string `json:"avoid,omitempty"`     // labels that a worker must not have
 	Slots       int               `json:"slots,omitempty"`     // requests that a replica serves at once
 	Connections int               `json:"connections,omitempty"`
+	Down        int               `json:"down,omitempty"` // replicas that a planned stop may take down at once
 }
 
 const (
@@ -106,6 +107,7 @@
 	c.want(t.Repeat == RepeatAlways, "repeat", "a service's replicas are always started again")
 	c.want(t.Slots >= 1 && t.Slots <= maxSlots, "slots", "must be 1 to %d", maxSlots)
 	c.want(t.Connections >= t.Slots, "connections", "must be at least the %d slots", t.Slots)
+	c.want(t.Down >= 1 && t.Down <= MaxTasks, "down", "must be 1 to %d", MaxTasks)
 }
 
 // AllowsHall reports whether tasks of t may run in hall.
--- a/declare/declare.go
+++ b/declare/declare.go
@@ -38,6 +38,7 @@
 	Avoid        pairs             `long:"avoid"`
 	Slots        int               `long:"slots"`
 	Connections  int               `long:"connections"`
+	Down         int               `long:"down" default:"1"`
 }
 
 func (t *template) build(name string) config.Template {
@@ -46,7 +47,7 @@
 		Command: t.Command, Need: resource.Amount{CPU: t.CPU, Memory: t.Memory, Accelerators: t.Accelerators},
 		Tasks: t.Tasks, Lease: t.Lease, Repeat: config.Repeat(t.Repeat), Attempts: t.Attempts,
 		Halls: t.Halls, Params: t.Params, Inputs: t.Inputs, Policy: t.Policy, Tolerates: t.Tolerates,
-		Affinity: t.Affinity, Avoid: t.Avoid, Slots: t.Slots, Connections: t.Connections,
+		Affinity: t.Affinity, Avoid: t.Avoid, Slots: t.Slots, Connections: t.Connections, Down: t.Down,
 	}
 }
 
--- a/hall/decide.go
+++ b/hall/decide.go
@@ -124,7 +124,7 @@
 func (u *Unit) grant(t *taskState, w *workerState) error {
 	tm := t.job.job.Template
 	id := t.task.Next()
-	g := ledger.Grant{Attempt: id.String(), Need: tm.Need, Lease: tm.Lease, Boot: w.boot}
+	g := ledger.Grant{Attempt: id.String(), Need: tm.Need, Lease: tm.Lease, Boot: w.boot, Revision: t.job.job.Revision}
 	next, err := w.ledger.WithGrant(g)
 	if err != nil {
 		return err
@@ -132,7 +132,7 @@
 	w.ledger = next
 	u.reindex(w)
 	now := time.Now()
-	t.phase, t.attempt, t.worker, t.endpoint = granting, g.Attempt, w, ""
+	t.phase, t.attempt, t.grant, t.worker, t.endpoint = granting, g.Attempt, g, w, ""
 	t.until, t.startBy = time.Time{}, time.Time{}
 	t.task = t.task.WithStart(id.N, w.name(), now)
 	w.tasks[g.Attempt] = t
@@ -168,7 +168,7 @@
 	}
 	w.ledger = next
 	u.crowd(t, -1)
-	u.queue.Give(t.job.job.Account, t.job.job.Template.Need)
+	u.queue.Give(t.job.job.Account, t.grant.Need)
 	u.reindex(w)
 }
 
--- a/hall/load.go
+++ b/hall/load.go
@@ -163,7 +163,7 @@
 			continue
 		}
 		t := j.tasks[a.Task]
-		t.phase, t.attempt, t.worker = starting, g.Attempt, w
+		t.phase, t.attempt, t.grant, t.worker = starting, g.Attempt, g, w
 		t.startBy, t.until = u.hold.Before, u.hold.Before.Add(g.Lease)
 		t.task = t.task.WithStart(a.N, w.name(), time.Now())
 		w.tasks[g.Attempt] = t
@@ -256,13 +256,3 @@
 		j.ended = time.Now()
 	}
 }
-
-// Configured takes in a new revision: drains, and halls that were split anew.
-func (u *Unit) Configured() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for _, w := range u.workers {
-		u.reindex(w)
-	}
-	signal(u.decideWake)
-}
--- a/hall/orders.go
+++ b/hall/orders.go
@@ -120,10 +120,10 @@
 		return platform.StartCall{}, false
 	}
 	t.startBy = earlier(now.Add(u.set.Call), sure)
-	t.until = now.Add(t.job.job.Template.Lease)
+	t.until = now.Add(t.grant.Lease)
 	return platform.StartCall{
 		Attempt: attempt, Boot: w.boot, Expires: t.startBy, Until: t.until,
-		Need: t.job.job.Template.Need, Command: t.job.job.Template.Command,
+		Need: t.grant.Need, Command: t.job.job.Template.Command,
 		Params: t.job.job.Params, Checkpoint: t.task.Checkpoint,
 	}, true
 }
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -99,15 +99,16 @@
 
 // jobState is a job and what is known of its tasks.
 type jobState struct {
-	job     job.Job
-	version uint64 // of the job's row
-	inbox   uint64 // version of the last inbox row that was removed, or is being so
-	tasks   []*taskState
-	waiting []int // tasks to place, the next first
-	queued  bool
-	final   int // tasks that run no more
-	ended   time.Time
-	crowd   map[string]int // granted tasks by worker and by rack, of services
+	job      job.Job
+	version  uint64 // of the job's row
+	inbox    uint64 // version of the last inbox row that was removed, or is being so
+	tasks    []*taskState
+	waiting  []int // tasks to place, the next first
+	queued   bool
+	changing bool // another form of its template is being committed
+	final    int  // tasks that run no more
+	ended    time.Time
+	crowd    map[string]int // granted tasks by worker and by rack, of services
 }
 
 // Class implements queue.Item.
@@ -140,6 +141,7 @@
 
 	// Of the attempt under way:
 	attempt  string
+	grant    ledger.Grant
 	worker   *workerState
 	until    time.Time // the longest lease that may have been given
 	startBy  time.Time // until when a start call may take effect
--- a/hall/unit_test.go
+++ b/hall/unit_test.go
@@ -57,7 +57,7 @@
 	b.template("resume", "sleep 10s", config.RepeatCheckpoint)
 	b.template("bad", "fail 1s", config.RepeatAlways)
 	s := b.template("replica", "serve 5ms", config.RepeatAlways)
-	s.Form, s.Class, s.Slots, s.Connections = config.FormService, config.Service, 8, 60
+	s.Form, s.Class, s.Slots, s.Connections, s.Down = config.FormService, config.Service, 8, 60, 1
 	set.Templates["replica"] = s
 	return b
 }
@@ -96,7 +96,7 @@
 	u := New(ownership.Hold{Unit: "h", Epoch: b.epoch, Version: version, Before: now}, Defaults, Deps{
 		Workers: b.fleet, Sender: sender,
 		Sure:   func() time.Time { return b.sure(me) },
-		Config: func() config.Revision { return b.rev },
+		Config: b.config,
 		Events: timeline.NewRing("box", &timeline.Clock{}, 100), Log: zerolog.Nop(),
 	})
 	b.units = append(b.units, u)
@@ -126,6 +126,12 @@
 	return sure
 }
 
+func (b *bench) config() config.Revision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rev
+}
+
 // kill ends an owner as a killed process ends: what it has sent goes on, and
 // nothing more is sent.
 func (b *bench) kill(u *Unit) { u.cancel(errDisowned) }
--- a/hall/watch.go
+++ b/hall/watch.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"chutereach/config"
 	"chutereach/job"
 	"chutereach/platform"
 	"chutereach/timeline"
@@ -93,7 +92,7 @@
 		if t.phase != running {
 			continue
 		}
-		lease := t.job.job.Template.Lease
+		lease := t.grant.Lease
 		if until := from.Add(lease); until.Sub(t.until) > lease/(2*renewalsPerLease) {
 			t.until = until
 			call.Leases = append(call.Leases, platform.Lease{Attempt: attempt, Until: until})
@@ -291,6 +290,7 @@
 	for u.pause(time.Second) {
 		u.lapse()
 		u.purge()
+		u.planned()
 		if time.Since(fleet) < u.set.Fleet {
 			continue
 		}
@@ -301,7 +301,6 @@
 			u.mergeFleet(workers)
 			u.mu.Unlock()
 		}
-		u.moveDrained()
 	}
 }
 
@@ -324,46 +323,3 @@
 		}
 	}
 }
-
-// moveDrained takes services and checkpointable tasks off drained workers. What
-// cannot be moved runs to its end.
-func (u *Unit) moveDrained() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	set := u.deps.Config().Set
-	for _, w := range u.workers {
-		info := w.ledger.Worker()
-		if !set.Drained(info.Name, info.Rack, info.Hall) {
-			continue
-		}
-		for _, t := range w.tasks {
-			u.moveAway(t)
-		}
-	}
-}
-
-func (u *Unit) moveAway(t *taskState) {
-	tm := t.job.job.Template
-	if t.phase != running {
-		return
-	}
-	switch {
-	case tm.Repeat == config.RepeatCheckpoint:
-		t.phase = stopping
-		u.order(t.worker, order{kind: orderCheckpoint, attempt: t.attempt})
-	case tm.Form == config.FormService && u.mayStopReplica(t.job):
-		t.phase = stopping
-		u.order(t.worker, order{kind: orderStop, attempt: t.attempt})
-	}
-}
-
-// mayStopReplica allows one replica of a service to be down for a planned stop
-// at a time.
-func (u *Unit) mayStopReplica(j *jobState) bool {
-	for _, t := range j.tasks {
-		if t.phase != running && !t.task.State.Final() {
-			return false
-		}
-	}
-	return true
-}
--- a/job/job.go
+++ b/job/job.go
@@ -132,6 +132,17 @@
 	return j
 }
 
+// WithTemplate returns a service's job under another form of its template. Its
+// replicas are replaced by and by.
+func (j Job) WithTemplate(t config.Template, scoring config.Scoring, account config.Account, revision uint64) (Job, error) {
+	params, err := merge(t, account.Params, nil)
+	if err != nil {
+		return j, err
+	}
+	j.Template, j.Scoring, j.Params, j.Revision = t, scoring, params, revision
+	return j, nil
+}
+
 // Key returns the key of j's row.
 func (j Job) Key() string { return Key(j.ID) }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -22,6 +22,8 @@
 	// Boot is the worker's boot when the grant was made. A worker that has
 	// booted since runs the attempt no more.
 	Boot string `cbor:"4,keyasint"`
+	// Revision is that of the template under which the attempt was started.
+	Revision uint64 `cbor:"5,keyasint"`
 }
 
 // Ledger is a worker and what it has granted.
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -68,6 +68,7 @@
 	JobAccepted    Kind = "job-accepted"
 	JobQueued      Kind = "job-queued"
 	JobStopped     Kind = "job-stopped"
+	JobChanged     Kind = "job-changed"
 	TaskPlaced     Kind = "task-placed"
 	TaskStarted    Kind = "task-started"
 	TaskNotRun     Kind = "task-not-run"
