route: the outcome is true over all tries

Cause: the fault table of upstreams found that a request whose first try may have run was reported as not run when its second try found no slot. It also found that a lone upstream was left alone for longer than a request's deadline after one failure.

Change: an unknown try outweighs a later one that was not run; ejections count only while some upstream is not ejected. Tests: seven ways in which an upstream misbehaves, for requests that may be repeated and for keyed ones; racing attempts with one key at two boxes; the table down; bounded and ordered queues; the budget of retries.

--- a/route/pool.go
+++ b/route/pool.go
@@ -149,11 +149,14 @@
 }
 
 // pick returns the upstream with the most room, other than avoid if there is
-// another. The caller holds p.mu.
+// another. Ejections count only while some upstream is not ejected: one that
+// fails may serve again at any moment, and none certainly serves nobody. The
+// caller holds p.mu.
 func (p *pool) pick(now time.Time, avoid string) *upstream {
+	all := p.allEjected(now)
 	var best *upstream
 	for id, u := range p.upstreams {
-		if !u.free(now) {
+		if !u.free() || !all && u.ejected.After(now) {
 			continue
 		}
 		if best == nil || better(u, best, id == avoid, best.Attempt == avoid) {
@@ -163,6 +166,15 @@
 	return best
 }
 
+func (p *pool) allEjected(now time.Time) bool {
+	for _, u := range p.upstreams {
+		if !u.leaving && !u.ejected.After(now) {
+			return false
+		}
+	}
+	return true
+}
+
 func better(u, than *upstream, avoided, thanAvoided bool) bool {
 	if avoided != thanAvoided {
 		return thanAvoided
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,435 @@
+package route
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"chutereach/commit"
+	"chutereach/config"
+	"chutereach/control"
+	"chutereach/hall"
+	"chutereach/member"
+	"chutereach/platform"
+	"chutereach/standin"
+	"chutereach/timeline"
+)
+
+// upstreamFake serves requests badly, and counts the runs.
+type upstreamFake struct {
+	net.Listener
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// behave is what a fake does with one request on a connection.
+type behave func(u *upstreamFake, c net.Conn, id, body string)
+
+// fake starts an upstream that behaves one way for the first requests, each in
+// turn, and well after that.
+func fake(t *testing.T, first ...behave) *upstreamFake {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstreamFake{Listener: l, runs: map[string]int{}}
+	t.Cleanup(func() { l.Close() })
+	var mu sync.Mutex
+	next := func() behave {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(first) == 0 {
+			return well
+		}
+		b := first[0]
+		first = first[1:]
+		return b
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c, next)
+		}
+	}()
+	return u
+}
+
+func (u *upstreamFake) serve(c net.Conn, next func() behave) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		next()(u, c, r.Header.Get("Request-Id"), string(body))
+	}
+}
+
+func (u *upstreamFake) ran(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs[id]++
+}
+
+func (u *upstreamFake) count(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[id]
+}
+
+func well(u *upstreamFake, c net.Conn, id, body string) {
+	u.ran(id)
+	answer := "for " + id + ": " + body
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+}
+
+func resetBefore(_ *upstreamFake, c net.Conn, _, _ string) { c.Close() }
+
+func resetAfter(u *upstreamFake, c net.Conn, id, _ string) {
+	u.ran(id)
+	c.Close()
+}
+
+func half(u *upstreamFake, c net.Conn, id, _ string) {
+	u.ran(id)
+	fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+	c.Close()
+}
+
+func halfChunk(u *upstreamFake, c net.Conn, id, _ string) {
+	u.ran(id)
+	fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+	c.Close()
+}
+
+func tooLate(u *upstreamFake, c net.Conn, id, body string) {
+	time.Sleep(2 * testDeadline)
+	well(u, c, id, body)
+}
+
+func twice(u *upstreamFake, c net.Conn, id, body string) {
+	well(u, c, id, body)
+	fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\na stranger")
+}
+
+const testDeadline = 2 * time.Second
+
+// bench is one box's router and the table behind it.
+type bench struct {
+	*Router
+	table *standin.Table
+}
+
+// newBench returns a router whose service s has the upstreams at addresses.
+func newBench(t *testing.T, addresses ...string) *bench {
+	b := &bench{table: standin.NewTable()}
+	self := control.BoxRow{Incarnation: "me.1"}
+	m := member.New(self, nil, &timeline.Clock{}, func() member.State { return member.State{} })
+	group := commit.NewGroup(commit.NewSender(b.table, rate.NewLimiter(rate.Inf, 1)))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go group.Run(ctx, 2)
+	b.Router = New(Deps{Self: self.Incarnation, Members: m, Table: b.table, Claims: group, Log: zerolog.Nop()})
+	var list []hall.Endpoint
+	for i, a := range addresses {
+		list = append(list, hall.Endpoint{Service: "s", Attempt: fmt.Sprint("a", i), Address: a, Slots: 1, Conns: 1})
+	}
+	m.SetOwn("u", 1, list)
+	b.Refresh()
+	return b
+}
+
+func request(id string, s config.Safety) *Request {
+	r := &Request{
+		ID: id, Account: "acc", Method: http.MethodPost, Body: []byte("body of " + id), Header: http.Header{},
+		Route:    config.Route{Name: "r", Service: "s", Path: "/", Class: config.Urgent, Safety: s, Queue: 100, Deadline: testDeadline},
+		Deadline: time.Now().Add(testDeadline),
+	}
+	if s != config.SafeRepeat {
+		r.Key = "key-" + id
+	}
+	return r
+}
+
+// send sends a request as the API does.
+func (b *bench) send(r *Request) (*Answer, error) {
+	if r.Route.Safety == config.SafeRepeat {
+		return b.Do(context.Background(), r)
+	}
+	return b.DoOnce(context.Background(), r)
+}
+
+func outcomeOf(err error) Outcome {
+	switch {
+	case err == nil:
+		return Answered
+	case errors.As(err, new(*NotRunError)):
+		return NotRun
+	}
+	return Unknown
+}
+
+// Whatever an upstream does, a caller is told the truth and gets its own whole
+// answer or none.
+func TestOutcomeIsTrue(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		first        behave
+		repeat, once Outcome
+	}{
+		{"answers", well, Answered, Answered},
+		{"resets before it runs the request", resetBefore, Answered, Unknown},
+		{"resets after it ran the request", resetAfter, Answered, Unknown},
+		{"cuts its answer off", half, Answered, Unknown},
+		{"cuts its answer off between chunks", halfChunk, Answered, Unknown},
+		{"answers after the deadline", tooLate, Unknown, Unknown},
+		{"answers twice", twice, Answered, Answered},
+	} {
+		for _, s := range []config.Safety{config.SafeRepeat, config.SafeKeyed} {
+			t.Run(c.name+"/"+string(s), func(t *testing.T) {
+				t.Parallel()
+				u := fake(t, c.first)
+				b := newBench(t, u.Addr().String())
+				want := c.once
+				if s == config.SafeRepeat {
+					want = c.repeat
+				}
+				r := request("x", s)
+				a, err := b.send(r)
+				if got := outcomeOf(err); got != want {
+					t.Errorf("outcome = %s (%v), want %s", got, err, want)
+				}
+				if err == nil && string(a.Body) != "for x: body of x" {
+					t.Errorf("answer = %q", a.Body)
+				}
+				if n := u.count("x"); s == config.SafeKeyed && n > 1 {
+					t.Errorf("the request ran %d times", n)
+				}
+			})
+		}
+	}
+}
+
+// An upstream that nobody listens at is passed over; with no other, the request
+// was truly not run.
+func TestUnreachableUpstream(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := l.Addr().String()
+	l.Close()
+	for _, s := range []config.Safety{config.SafeRepeat, config.SafeKeyed} {
+		t.Run("alone/"+string(s), func(t *testing.T) {
+			b := newBench(t, dead)
+			_, err := b.send(request("x", s))
+			if got := outcomeOf(err); got != NotRun {
+				t.Errorf("outcome = %s (%v)", got, err)
+			}
+		})
+		t.Run("beside a good one/"+string(s), func(t *testing.T) {
+			u := fake(t)
+			b := newBench(t, dead, u.Addr().String())
+			for i := range 4 {
+				id := fmt.Sprint("x", i)
+				if _, err := b.send(request(id, s)); err != nil {
+					t.Errorf("%s: %v", id, err)
+				}
+				if n := u.count(id); n != 1 {
+					t.Errorf("%s ran %d times", id, n)
+				}
+			}
+		})
+	}
+}
+
+// Attempts with one key: the answer is replayed whole, another body is refused,
+// and what went on while the first was under way runs nothing.
+func TestKeyRunsOnce(t *testing.T) {
+	u := fake(t)
+	b := newBench(t, u.Addr().String())
+	first := request("x", config.SafeKeyed)
+	a, err := b.send(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	await(t, func() bool { return b.recorded(first) })
+	again := request("y", config.SafeKeyed)
+	again.Key, again.Body = first.Key, first.Body
+	replay, err := b.send(again)
+	if err != nil || string(replay.Body) != string(a.Body) || replay.Status != a.Status {
+		t.Errorf("replay = %+v, %v", replay, err)
+	}
+	other := request("z", config.SafeKeyed)
+	other.Key = first.Key
+	if _, err := b.send(other); !errors.As(err, new(*KeyReusedError)) {
+		t.Errorf("another body under the key: %v", err)
+	}
+	if n := u.count("x") + u.count("y") + u.count("z"); n != 1 {
+		t.Errorf("%d requests ran", n)
+	}
+}
+
+// recorded reports whether a request's answer is in the table.
+func (b *bench) recorded(r *Request) bool {
+	_, err := b.replayOf(r)
+	return err == nil
+}
+
+func (b *bench) replayOf(r *Request) (*Answer, error) {
+	row, err := b.table.Get(context.Background(), claimKey(r))
+	if err != nil {
+		return nil, err
+	}
+	return b.replay(r, claim{Digest: digest(r)}, row)
+}
+
+func await(t *testing.T, done func() bool) {
+	t.Helper()
+	for range 2000 {
+		if done() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("it did not happen")
+}
+
+// Many attempts with one key at once, at two boxes: one runs.
+func TestRacingAttemptsRunOnce(t *testing.T) {
+	u := fake(t)
+	one, two := newBench(t, u.Addr().String()), newBench(t, u.Addr().String())
+	two.table = one.table
+	two.claims = one.claims
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	answered := 0
+	for i := range 20 {
+		b := []*bench{one, two}[i%2]
+		wg.Go(func() {
+			r := request("x", config.SafeKeyed)
+			a, err := b.send(r)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && strings.HasPrefix(string(a.Body), "for x") {
+				answered++
+			}
+			if outcomeOf(err) == NotRun {
+				t.Errorf("told not run: %v", err)
+			}
+		})
+	}
+	wg.Wait()
+	if n := u.count("x"); n != 1 || answered < 1 {
+		t.Errorf("the request ran %d times, %d were answered", n, answered)
+	}
+}
+
+// Without the table a keyed request is not run; a lookup goes on.
+func TestTableDown(t *testing.T) {
+	u := fake(t)
+	b := newBench(t, u.Addr().String())
+	b.table.Faults.Always(standin.Fault{Refuse: standin.Down(platform.TableService)})
+	if _, err := b.send(request("x", config.SafeRepeat)); err != nil {
+		t.Errorf("lookup: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
+	defer cancel()
+	_, err := b.DoOnce(ctx, request("y", config.SafeKeyed))
+	if outcomeOf(err) != NotRun || u.count("y") != 0 {
+		t.Errorf("keyed: %v, ran %d times", err, u.count("y"))
+	}
+}
+
+// A burst on few slots: nothing exceeds the slots, the queue is bounded, who is
+// refused is refused at once with a time to come back, and urgent work goes
+// first.
+func TestQueueIsBoundedAndOrdered(t *testing.T) {
+	p := newPool()
+	p.set([]hall.Endpoint{{Attempt: "a", Slots: 1, Conns: 1}})
+	p.service = 10 * time.Millisecond
+	class := func(c config.Class) *Request {
+		r := request("x", config.SafeRepeat)
+		r.Route.Class, r.Route.Queue, r.Deadline = c, 3, time.Now().Add(time.Minute)
+		return r
+	}
+	ctx := context.Background()
+	u, err := p.acquire(ctx, class(config.Batch), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan config.Class, 3)
+	for n, c := range []config.Class{config.Batch, config.Service, config.Urgent} {
+		go func() {
+			if _, err := p.acquire(ctx, class(c), ""); err != nil {
+				t.Error(err)
+			}
+			got <- c
+		}()
+		await(t, func() bool { return p.load().Queued == n+1 })
+	}
+	var notRun *NotRunError
+	if _, err := p.acquire(ctx, class(config.Urgent), ""); !errors.As(err, &notRun) || notRun.Cause != CauseQueueFull || notRun.RetryAfter <= 0 {
+		t.Errorf("the fifth got %v", err)
+	}
+	for _, want := range []config.Class{config.Urgent, config.Service, config.Batch} {
+		p.mu.Lock()
+		p.put(u, time.Now())
+		p.mu.Unlock()
+		if c := <-got; c != want {
+			t.Errorf("%s went before %s", c, want)
+		}
+	}
+}
+
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	p := newPool()
+	p.set([]hall.Endpoint{{Attempt: "a", Slots: 1, Conns: 1}})
+	p.service = time.Hour
+	r := request("x", config.SafeRepeat)
+	if _, err := p.acquire(context.Background(), r, ""); err != nil {
+		t.Fatal(err)
+	}
+	var notRun *NotRunError
+	if _, err := p.acquire(context.Background(), r, ""); !errors.As(err, &notRun) || notRun.Cause != CauseTooLate {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Retries stay within their budget, so that a storm of failures does not
+// multiply the load.
+func TestRetryBudget(t *testing.T) {
+	r := &Router{bank: 2}
+	retries := 0
+	const requests = 1000
+	for range requests {
+		r.earn()
+		for range tries - 1 {
+			if r.spend() {
+				retries++
+			}
+		}
+	}
+	if factor := float64(requests+retries) / requests; factor > 1.2 {
+		t.Errorf("load is %.2f times what came", factor)
+	}
+}
--- a/route/router.go
+++ b/route/router.go
@@ -167,16 +167,32 @@
 // try sends a request, again where that is safe and may help.
 func (r *Router) try(ctx context.Context, req *Request) (*Answer, error) {
 	r.earn()
-	var avoid avoided
+	var (
+		avoid avoided
+		ran   *UnknownError // an earlier try, which may have run
+	)
 	for n := 1; ; n++ {
 		a, err := r.once(ctx, req, &avoid)
-		if err == nil || n == tries || !mayRepeat(req, err) || ctx.Err() != nil || !r.spend() {
-			return a, err
+		if err == nil {
+			return a, nil
+		}
+		errors.As(err, &ran)
+		if n == tries || !mayRepeat(req, err) || ctx.Err() != nil || !r.spend() {
+			return nil, whole(err, ran)
 		}
 		r.Stats.Retried.Add(1)
 	}
 }
 
+// whole returns the error that is true of all tries together: that the last one
+// was not run says nothing of one before it that may have run.
+func whole(last error, ran *UnknownError) error {
+	if ran != nil {
+		return ran
+	}
+	return last
+}
+
 // mayRepeat reports whether a request that failed with err can be sent again
 // and may fare better.
 func mayRepeat(req *Request, err error) bool {
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -57,10 +57,8 @@
 	}}
 }
 
-// free reports whether u can take one more request.
-func (u *upstream) free(now time.Time) bool {
-	return !u.leaving && u.busy < u.Slots && now.After(u.ejected)
-}
+// free reports whether u has a slot for one more request.
+func (u *upstream) free() bool { return !u.leaving && u.busy < u.Slots }
 
 // strike ejects an upstream that could not be reached, for longer each time.
 func (u *upstream) strike(now time.Time) {
