box: three boxes in one test, on real sockets

Cause: the parts were proved one by one; the path over several boxes only by hand.

Change: a test cell of boxes on ephemeral ports with a platform over HTTP: jobs and requests while a box leaves, six racing operators, fifteen kinds of wrong request, a port in use.

--- /dev/null
+++ b/box/box_test.go
@@ -0,0 +1,368 @@
+package box
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chutereach/api"
+	"chutereach/cell"
+	"chutereach/client"
+	"chutereach/config"
+	"chutereach/declare"
+	"chutereach/hall"
+	"chutereach/ini"
+	"chutereach/job"
+	"chutereach/keys"
+	"chutereach/platformhttp"
+	"chutereach/publish"
+	"chutereach/settings"
+	"chutereach/standin"
+)
+
+const operatorToken = "operator"
+
+// testCell is some boxes on loopback and the platform behind them.
+type testCell struct {
+	t        *testing.T
+	platform *standin.Platform
+	url      string
+	dir      string
+	boxes    []*Box
+	stops    []func()
+}
+
+func newTestCell(t *testing.T, boxes int) *testCell {
+	c := &testCell{t: t, platform: standin.New(standin.Manizales()), dir: t.TempDir()}
+	server := httptest.NewUnstartedServer(platformhttp.Handler(c.platform.Interfaces()))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Start()
+	c.url = server.URL
+	t.Cleanup(func() {
+		for _, stop := range c.stops {
+			stop()
+		}
+		c.platform.Fleet.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	if err := keys.NewAuthority(c.dir); err != nil {
+		t.Fatal(err)
+	}
+	for range boxes {
+		c.start()
+	}
+	c.await("all boxes know each other", func() bool {
+		for _, b := range c.boxes {
+			s, err := client.Get[cell.Status](t.Context(), c.operator(b), "/v1/status", nil)
+			if err != nil || len(s.Boxes) != boxes {
+				return false
+			}
+		}
+		return true
+	})
+	return c
+}
+
+func (c *testCell) start() {
+	c.t.Helper()
+	name := fmt.Sprintf("box-%d", len(c.boxes)+1)
+	if err := keys.NewBox(c.dir, name); err != nil {
+		c.t.Fatal(err)
+	}
+	set, err := settings.Load([]string{
+		"--box.name", name, "--box.hall", "chipre", "--box.http", "127.0.0.1:0", "--box.peer", "127.0.0.1:0",
+		"--platform.url", c.url, "--operator.token", operatorToken, "--times.drain", "300ms",
+		"--keys.authority", filepath.Join(c.dir, keys.AuthorityCert),
+		"--keys.cert", filepath.Join(c.dir, name+".pem"), "--keys.key", filepath.Join(c.dir, name+"-key.pem"),
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	b, err := New(set, zerolog.Nop())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		b.Run(ctx)
+	}()
+	c.boxes = append(c.boxes, b)
+	c.stops = append(c.stops, func() {
+		cancel()
+		<-ended
+	})
+}
+
+const patience = time.Minute
+
+func (c *testCell) await(what string, done func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func (c *testCell) client(b *Box, token string) *client.Client {
+	return client.New([]string{"http://" + b.HTTP()}, token, patience)
+}
+
+func (c *testCell) operator(b *Box) *client.Client { return c.client(b, operatorToken) }
+
+const declarations = `
+[hall chipre]
+[hall palermo]
+[policy p]
+[template points]
+form = service
+class = service
+command = serve 1ms
+cpu = 2
+memory = 1GiB
+tasks = 6
+slots = 4
+connections = 8
+lease = 1h
+halls = chipre
+policy = p
+[template work]
+command = sleep 300ms
+cpu = 1
+memory = 1GiB
+repeat = never
+policy = p
+[route balance]
+service = points
+path = /balance
+class = urgent
+deadline = 30s
+[route redeem]
+service = points
+path = /redeem
+class = urgent
+safety = keyed
+deadline = 30s
+[account a]
+token-sha256 = ca978112ca1bbdcafac231b39a23dc4da786eff8147c4e72b9807785afee48bb
+[account b]
+token-sha256 = 3e23e8160039594a33894f6564e1b1348bbd7a0088d42c4acb73eeaed59c009d
+`
+
+func (c *testCell) propose(b *Box, base uint64, change func(*config.Set)) (config.Revision, error) {
+	f, err := ini.Parse("cell.ini", []byte(declarations))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	set, err := declare.Files(f)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if change != nil {
+		change(&set)
+	}
+	call := client.Call{Method: http.MethodPost, Path: "/v1/config"}
+	return client.Do[config.Revision](c.t.Context(), c.operator(b), call, publish.Proposal{Base: base, Set: set, Author: b.set.Box.Name})
+}
+
+func (c *testCell) submit(b *Box, key string, r api.JobRequest) (api.JobCreated, error) {
+	call := client.Call{Method: http.MethodPost, Path: "/v1/jobs", Header: http.Header{api.HeaderKey: {key}}}
+	return client.Do[api.JobCreated](c.t.Context(), c.client(b, "a"), call, r)
+}
+
+// serve publishes the declarations and starts the service.
+func (c *testCell) serve() {
+	c.t.Helper()
+	if _, err := c.propose(c.boxes[0], 0, nil); err != nil {
+		c.t.Fatal(err)
+	}
+	c.await("the revision is in force everywhere", func() bool {
+		for _, b := range c.boxes {
+			if b.life.Load().publisher.Current().Number != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	if _, err := c.submit(c.boxes[0], "points", api.JobRequest{Template: "points"}); err != nil {
+		c.t.Fatal(err)
+	}
+	c.await("every box knows the upstreams", func() bool {
+		for _, b := range c.boxes {
+			if len(b.life.Load().members.Endpoints()) != 6 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// call sends one request and checks that the answer is its own.
+func (c *testCell) call(b *Box, id, route string) error {
+	call := client.Call{Method: http.MethodPost, Path: "/v1/call/" + route + "/x", Body: []byte("body " + id), Header: http.Header{
+		api.HeaderRequest: {id}, api.HeaderKey: {id},
+	}}
+	resp, err := c.client(b, "a").Send(c.t.Context(), call)
+	if err != nil {
+		return err
+	}
+	if want := "POST /" + route + "/x answered " + id + "\nbody " + id; string(resp.Body) != want {
+		c.t.Errorf("%s got %q, want %q", id, resp.Body, want)
+	}
+	return nil
+}
+
+// The whole path, with one box leaving in the middle: every job ends once, every
+// request gets its own answer, and none is cut off.
+func TestCellServesWhileABoxLeaves(t *testing.T) {
+	c := newTestCell(t, 3)
+	c.serve()
+	var wg sync.WaitGroup
+	var jobs sync.Map
+	for i, b := range c.boxes[:2] {
+		for n := range 60 {
+			wg.Go(func() {
+				for _, route := range []string{"balance", "redeem"} {
+					id := fmt.Sprintf("r%d-%d-%s", i, n, route)
+					if err := c.call(b, id, route); err != nil {
+						t.Errorf("%s: %v", id, err)
+					}
+				}
+			})
+		}
+		for n := range 5 {
+			wg.Go(func() {
+				got, err := c.submit(b, fmt.Sprintf("job-%d-%d", i, n), api.JobRequest{Template: "work", Tasks: 10})
+				if err != nil {
+					t.Errorf("job: %v", err)
+				}
+				jobs.Store(got.ID, true)
+			})
+		}
+	}
+	wg.Go(c.stops[2])
+	wg.Wait()
+	jobs.Range(func(id, _ any) bool {
+		c.await(fmt.Sprint(id, " ends"), func() bool {
+			s, err := client.Get[hall.JobStatus](t.Context(), c.client(c.boxes[0], "a"), fmt.Sprint("/v1/jobs/", id), nil)
+			return err == nil && s.Counts[job.Done] == 10
+		})
+		return true
+	})
+	for task, n := range c.platform.Fleet.Witness.Starts() {
+		if n != 1 && !strings.HasPrefix(task, "chipre") {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+	for _, broken := range c.platform.Fleet.Witness.Broken() {
+		t.Error(broken)
+	}
+}
+
+// Operators race from different boxes: one wins, the others are told by whom.
+func TestRacingOperators(t *testing.T) {
+	c := newTestCell(t, 3)
+	var wg sync.WaitGroup
+	won := make(chan config.Revision, 6)
+	for i := range 6 {
+		wg.Go(func() {
+			r, err := c.propose(c.boxes[i%3], 0, func(s *config.Set) {
+				h := s.Halls["palermo"]
+				h.Units = i + 1
+				s.Halls["palermo"] = h
+			})
+			var ce *client.Error
+			switch {
+			case err == nil:
+				won <- r
+			case !errors.As(err, &ce) || ce.Failure.Code != api.CodeConflict || !strings.Contains(ce.Failure.Message, "by box-"):
+				t.Errorf("operator %d: %v", i, err)
+			}
+		})
+	}
+	wg.Wait()
+	if len(won) != 1 {
+		t.Fatalf("%d operators won", len(won))
+	}
+	want := <-won
+	for _, b := range c.boxes {
+		c.await("the winner's revision is in force", func() bool {
+			r := b.life.Load().publisher.Current()
+			return r.Number == 1 && r.Set.Halls["palermo"] == want.Set.Halls["palermo"]
+		})
+	}
+}
+
+// Who may do what, and what a wrong request is told.
+func TestAnswersToWrongRequests(t *testing.T) {
+	c := newTestCell(t, 1)
+	c.serve()
+	b := c.boxes[0]
+	mine, err := c.submit(b, "k", api.JobRequest{Template: "work"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	post := func(path, body, key string) client.Call {
+		return client.Call{Method: http.MethodPost, Path: path, Body: []byte(body), Header: http.Header{api.HeaderKey: {key}}}
+	}
+	get := func(path string) client.Call { return client.Call{Method: http.MethodGet, Path: path} }
+	for _, x := range []struct {
+		name, token string
+		call        client.Call
+		status      int
+		says        string
+	}{
+		{"no token", "", get("/v1/jobs"), 401, "account's token"},
+		{"account as operator", "a", get("/v1/status"), 401, "operator's token"},
+		{"operator as account", operatorToken, get("/v1/jobs"), 401, "account's token"},
+		{"another account's job", "b", get("/v1/jobs/" + string(mine.ID)), 404, "there is no job"},
+		{"stop of another account's job", "b", client.Call{Method: http.MethodDelete, Path: "/v1/jobs/" + string(mine.ID)}, 404, "there is no job"},
+		{"no such job", "a", get("/v1/jobs/chipre.nonsense"), 404, "there is no job"},
+		{"no such template", "a", post("/v1/jobs", `{"template":"wrok"}`, ""), 400, `there is no template "wrok"`},
+		{"unknown field", "a", post("/v1/jobs", `{"tmplate":"work"}`, ""), 400, "unknown field"},
+		{"hall not allowed", "a", post("/v1/jobs", `{"template":"points","hall":"palermo"}`, ""), 400, "may not run in hall"},
+		{"unknown parameter", "a", post("/v1/jobs", `{"template":"work","params":{"x":"y"}}`, ""), 400, `no parameter "x"`},
+		{"key for another job", "a", post("/v1/jobs", `{"template":"work","tasks":9}`, "k"), 422, "different job"},
+		{"no such route", "a", get("/v1/call/blance"), 404, `there is no route "blance"`},
+		{"keyed route without a key", "a", post("/v1/call/redeem", "", ""), 400, "needs the header"},
+		{"no such revision", operatorToken, get("/v1/config/99"), 404, "there is no revision 99"},
+		{"settling what is not unknown", operatorToken, post("/v1/jobs/"+string(mine.ID)+"/settle", `{"task":0,"state":"done"}`, ""), 409, "only an unknown one"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			_, err := c.client(b, x.token).Send(t.Context(), x.call)
+			var ce *client.Error
+			if !errors.As(err, &ce) || ce.Status != x.status || !strings.Contains(ce.Failure.Message, x.says) {
+				t.Errorf("got %v, want %d: %s", err, x.status, x.says)
+			}
+		})
+	}
+	again, err := c.submit(b, "k", api.JobRequest{Template: "work"})
+	if err != nil || again.Created || again.ID != mine.ID {
+		t.Errorf("handed in again: %+v, %v", again, err)
+	}
+}
+
+func TestPortInUseIsTold(t *testing.T) {
+	c := newTestCell(t, 1)
+	set := *c.boxes[0].set
+	set.Box.HTTP = c.boxes[0].HTTP()
+	_, err := New(&set, zerolog.Nop())
+	var le *ListenError
+	if !errors.As(err, &le) || !strings.Contains(err.Error(), "address already in use") || strings.Contains(err.Error(), "\n") {
+		t.Errorf("err = %v", err)
+	}
+}
