hall: a start call names the boot of its grant

A worker rebooted while a grant on it was being committed; the start call then went out under the worker's new boot id, while the next report, by the grant's old one, counted the attempt as over and placed the task elsewhere.

Change: the start call carries the grant's boot, so a worker that has booted since refuses it.

Conclusion: every proof that an attempt is over must hold against the calls that are still on their way.

--- a/box/box_test.go
+++ b/box/box_test.go
@@ -366,3 +366,55 @@
 		t.Errorf("err = %v", err)
 	}
 }
+
+// A hall that is split in two units has two owners, each with the workers of its
+// own racks and no others, and runs jobs in both.
+func TestHallSplitInTwo(t *testing.T) {
+	c := newTestCell(t, 2)
+	if _, err := c.propose(c.boxes[0], 0, func(s *config.Set) { s.Halls["palermo"] = config.Hall{Name: "palermo", Units: 2} }); err != nil {
+		t.Fatal(err)
+	}
+	workers := func() []hall.WorkerStatus {
+		l, err := client.Get[api.Listing[hall.WorkerStatus]](t.Context(), c.operator(c.boxes[0]), "/v1/workers", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l.Items
+	}
+	c.await("the workers of both halls are known", func() bool { return len(workers()) == 26 })
+	units, racks := map[string]int{}, map[string]string{}
+	for _, w := range workers() {
+		units[w.Unit]++
+		if unit, seen := racks[w.Rack]; seen && unit != w.Unit {
+			t.Errorf("rack %s is in %s and %s", w.Rack, unit, w.Unit)
+		}
+		racks[w.Rack] = w.Unit
+	}
+	if len(units) != 3 || units["palermo-u1"]+units["palermo-u2"] != 13 {
+		t.Errorf("workers by unit: %v", units)
+	}
+	c.await("each unit has an owner", func() bool {
+		v := c.boxes[0].life.Load().keeper.View()
+		return v.Units["palermo-u1"].Row.Owner != "" && v.Units["palermo-u2"].Row.Owner != ""
+	})
+	for i := range 12 {
+		if _, err := c.submit(c.boxes[i%2], fmt.Sprint(i), api.JobRequest{Template: "work", Hall: "palermo", Tasks: 20}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.await("all tasks have ended", func() bool { return len(c.platform.Fleet.Witness.Ends()) == 240 })
+	for _, broken := range c.platform.Fleet.Witness.Broken() {
+		t.Error(broken)
+	}
+	for _, unit := range []string{"palermo-u1", "palermo-u2"} {
+		placed := int64(0)
+		for _, b := range c.boxes {
+			if u := b.life.Load().units.Unit(unit); u != nil {
+				placed += u.Summary().Placed
+			}
+		}
+		if placed == 0 {
+			t.Errorf("%s has placed nothing", unit)
+		}
+	}
+}
--- a/hall/orders.go
+++ b/hall/orders.go
@@ -122,7 +122,9 @@
 	t.startBy = earlier(now.Add(u.set.Call), sure)
 	t.until = now.Add(t.grant.Lease)
 	return platform.StartCall{
-		Attempt: attempt, Boot: w.boot, Expires: t.startBy, Until: t.until,
+		// The boot of the grant, not the worker's newest: a worker that has booted
+		// since counts the attempt as over, and must not begin it.
+		Attempt: attempt, Boot: t.grant.Boot, Expires: t.startBy, Until: t.until,
 		Need: t.grant.Need, Command: t.job.job.Template.Command,
 		Params: t.job.job.Params, Checkpoint: t.task.Checkpoint,
 	}, true
--- a/hall/unit_test.go
+++ b/hall/unit_test.go
@@ -58,6 +58,7 @@
 	b.template("bad", "fail 1s", config.RepeatAlways)
 	s := b.template("replica", "serve 5ms", config.RepeatAlways)
 	s.Form, s.Class, s.Slots, s.Connections, s.Down = config.FormService, config.Service, 8, 60, 1
+	s.Need = resource.Amount{CPU: 500, Memory: 1 << 30} // so that many services leave room for jobs
 	set.Templates["replica"] = s
 	return b
 }
@@ -71,8 +72,15 @@
 	return tm
 }
 
-// own makes a new owner, fenced against the ones before it.
+// own makes a new owner, fenced against the ones before it, and runs it.
 func (b *bench) own() *Unit {
+	u := b.newOwner()
+	go u.Run()
+	return u
+}
+
+// newOwner makes a new owner that does not run yet.
+func (b *bench) newOwner() *Unit {
 	ctx := context.Background()
 	was, err := b.table.Get(ctx, control.UnitKey("h"))
 	for err != nil {
@@ -99,8 +107,9 @@
 		Config: b.config,
 		Events: timeline.NewRing("box", &timeline.Clock{}, 100), Log: zerolog.Nop(),
 	})
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.units = append(b.units, u)
-	go u.Run()
 	return u
 }
 
--- a/standin/table.go
+++ b/standin/table.go
@@ -32,6 +32,16 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{rows: map[string]platform.Row{}} }
 
+// Calmly calls f while no fault befalls the table.
+func (t *Table) Calmly(f func()) {
+	t.Faults.mu.Lock()
+	choose := t.Faults.choose
+	t.Faults.choose = nil
+	t.Faults.mu.Unlock()
+	defer t.Faults.Set(choose)
+	f()
+}
+
 // Get implements platform.Table.
 func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
 	return Through(ctx, &t.Faults, platform.TableService, OpGet, key, func() (platform.Row, error) {
--- a/tool/burst.go
+++ b/tool/burst.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/dustin/go-humanize"
 	"github.com/rs/xid"
 
 	"chutereach/api"
@@ -34,6 +34,7 @@
 type burstCommand struct {
 	Examples string        `long:"examples" default:"examples" description:"directory with manizales and guild in it"`
 	Witness  string        `long:"witness" description:"the stand-in's address, to judge by what its workers saw"`
+	Idle     time.Duration `long:"idle" description:"look at the idle cell for this long instead of sending bursts"`
 	Scale    float64       `long:"scale" default:"1" description:"how large the bursts are"`
 	Wait     time.Duration `long:"wait" default:"3m" description:"for how long jobs may take to end"`
 }
@@ -100,6 +101,9 @@
 	if err := b.prepare(ctx, c); err != nil {
 		return err
 	}
+	if b.Idle > 0 {
+		return b.idle(ctx, c)
+	}
 	before, begun := b.costs(ctx, c), time.Now()
 	var results []*burstResult
 	for _, e := range bursts(b.Scale) {
@@ -416,24 +420,56 @@
 	return sum
 }
 
+// IdleSummary is what a cell costs that has nothing to do but keep its services.
+type IdleSummary struct {
+	Took    time.Duration `json:"took_ns"`
+	Boxes   int           `json:"boxes"`
+	CPU     float64       `json:"cpu_percent_of_a_core_each"`
+	Heap    uint64        `json:"largest_heap_bytes"`
+	Commits float64       `json:"table_transactions_a_second"`
+	Reads   float64       `json:"table_reads_a_second"`
+}
+
+// idle measures a cell at rest.
+func (b *burstCommand) idle(ctx context.Context, c *client.Client) error {
+	time.Sleep(settle)
+	before, begun := b.costs(ctx, c), time.Now()
+	seen, err := b.witnessed()
+	if err != nil {
+		return err
+	}
+	time.Sleep(b.Idle)
+	after := b.costs(ctx, c).since(before)
+	now, err := b.witnessed()
+	if err != nil {
+		return err
+	}
+	took := time.Since(begun)
+	s := IdleSummary{Took: took, Boxes: len(c.Servers()), Heap: after.Heap}
+	const percent = 100
+	s.CPU = percent * after.CPU.Seconds() / took.Seconds() / float64(s.Boxes)
+	s.Commits = float64(now.Commits-seen.Commits) / took.Seconds()
+	s.Reads = float64(now.Reads-seen.Reads) / took.Seconds()
+	if options.JSON {
+		return printJSON(s)
+	}
+	fmt.Fprintf(out, "%d idle boxes over %s: %.2f%% of a core each, largest heap %s, %.1f transactions/s and %.1f reads/s at the table\n",
+		s.Boxes, rough(took), s.CPU, humanize.IBytes(s.Heap), s.Commits, s.Reads)
+	return nil
+}
+
+// settle is how long a cell is left alone before it counts as idle.
+const settle = 5 * time.Second
+
 // judge compares what the callers were told with what the workers saw.
 func (b *burstCommand) judge(results []*burstResult) []string {
 	if b.Witness == "" {
 		return nil
 	}
-	resp, err := http.Get(b.Witness + witnessPath)
+	w, err := b.witnessed()
 	if err != nil {
 		return []string{"the witness does not answer: " + err.Error()}
 	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	var w Witnessed
-	if err == nil {
-		err = json.Unmarshal(data, &w)
-	}
-	if err != nil {
-		return []string{"the witness cannot be understood: " + err.Error()}
-	}
 	broken := w.Broken
 	for _, r := range results {
 		broken = append(broken, r.judge(w)...)
@@ -441,6 +477,16 @@
 	return broken
 }
 
+// witnessed asks the stand-in what its workers saw.
+func (b *burstCommand) witnessed() (w Witnessed, err error) {
+	resp, err := http.Get(b.Witness + witnessPath)
+	if err != nil {
+		return w, err
+	}
+	defer resp.Body.Close()
+	return w, json.NewDecoder(resp.Body).Decode(&w)
+}
+
 func (r *burstResult) judge(w Witnessed) []string {
 	var broken []string
 	for id := range r.jobs {
