route: two choices, and a box that runs low pulls

Cause: the choice of box was never compared, and the least crowded box is the same one for everybody in a burst, by loads that are out of date.

Change: ways to choose as a policy type; a request stays while a slot is free where it came in, and goes else to the better of two boxes drawn at random; a box whose queue runs low, or has no urgent request left, pulls from the one with the most waiting.

--- a/box/life.go
+++ b/box/life.go
@@ -61,8 +61,8 @@
 	l.keeper = ownership.New(l.self, times, l.sender, l.units, logs.For(b.log, logs.Ownership))
 	l.members = member.New(l.self, b.client, b.clock, l.state)
 	l.router = route.New(route.Deps{
-		Self: i, Members: l.members, Client: b.client, Table: b.platform.Table,
-		Claims: l.inserts, Log: logs.For(b.log, logs.Route),
+		Self: l.self, Members: l.members, Client: b.client, Claims: l.inserts,
+		Log: logs.For(b.log, logs.Route),
 	})
 	l.cell = cell.New(cell.Deps{
 		Self: l.self, Units: l.units, Members: l.members, Client: b.client, Publisher: l.publisher, Sender: l.sender,
@@ -83,6 +83,7 @@
 	mux := http.NewServeMux()
 	l.cell.Serve(mux)
 	peer.Handle(mux, l.router.ForwardPath(), l.router.Forwarded)
+	peer.Handle(mux, l.router.PullPath(), l.router.Pulled)
 	l.peers = mux
 	server := &api.Server{
 		Cell: l.cell, Router: l.router, Config: l.publisher.Current, History: l.publisher.History,
--- a/box/metrics.go
+++ b/box/metrics.go
@@ -61,6 +61,7 @@
 	Forwarded int64 `json:"forwarded"`
 	Retried   int64 `json:"retried"`
 	Replayed  int64 `json:"replayed"`
+	Pulled    int64 `json:"pulled"`
 }
 
 func (l *life) metrics() Metrics {
@@ -73,7 +74,7 @@
 		},
 		Requests: RequestMetrics{
 			l.router.Stats.Answered.Load(), l.router.Stats.NotRun.Load(), l.router.Stats.Unknown.Load(),
-			l.router.Stats.Forwarded.Load(), l.router.Stats.Retried.Load(), l.router.Stats.Replayed.Load(),
+			l.router.Stats.Forwarded.Load(), l.router.Stats.Retried.Load(), l.router.Stats.Replayed.Load(), l.router.Stats.Pulled.Load(),
 		},
 	}
 	for _, u := range l.units.All() {
--- a/member/member.go
+++ b/member/member.go
@@ -25,6 +25,7 @@
 	Slots  int `cbor:"1,keyasint"` // of the upstreams whose home it is
 	Busy   int `cbor:"2,keyasint"` // of them in use
 	Queued int `cbor:"3,keyasint"` // requests that wait at it
+	Urgent int `cbor:"4,keyasint"` // of them, urgent ones
 }
 
 // Version orders what is said of a unit.
@@ -139,6 +140,16 @@
 	}
 }
 
+// Introduce takes in a peer as if it had answered at a time, without asking it.
+// It serves routers that are tried out without a network.
+func (m *Members) Introduce(row control.BoxRow, heard time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := &member{Peer: Peer{Row: row, Heard: heard}, cancel: func() {}}
+	p.State.Loads = map[string]Load{}
+	m.peers[row.Incarnation] = p
+}
+
 // follow asks a peer for its state until ctx ends.
 func (m *Members) follow(ctx context.Context, p *member) {
 	for ctx.Err() == nil {
@@ -272,12 +283,15 @@
 // AddQueued counts a request that is being sent to a peer into the peer's load
 // until the peer says better, so that a burst is not sent to one box that was
 // idle a moment ago.
-func (m *Members) AddQueued(i control.Incarnation, service string) {
+func (m *Members) AddQueued(i control.Incarnation, service string, urgent bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.peers[i]; p != nil && p.State.Loads != nil {
 		l := p.State.Loads[service]
 		l.Queued++
+		if urgent {
+			l.Urgent++
+		}
 		p.State.Loads[service] = l
 	}
 }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -27,7 +27,7 @@
 	for range 4 {
 		wg.Go(func() {
 			for range 500 {
-				m.AddQueued("other.1", "s")
+				m.AddQueued("other.1", "s", true)
 				m.SetLoad("other.1", "s", Load{Slots: 8})
 			}
 		})
--- a/route/doc.go
+++ b/route/doc.go
@@ -2,9 +2,10 @@
 //
 // An upstream is a running replica of a service, with a number of slots. Each
 // has a home box, by rendezvous hashing over the boxes that answer; the home
-// counts the slots exactly and holds the connections. A request goes to the box
-// whose upstreams have the least work in hand for their slots, and waits there
-// until a slot is free.
+// counts the slots exactly and holds
+// the connections. A request is served where it came in while a slot is
+// free there, and goes else to the better of two boxes, where it waits. A box
+// whose queue runs low pulls requests from the one that has the most waiting.
 //
 // # The three outcomes
 //
--- a/route/pool.go
+++ b/route/pool.go
@@ -4,8 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"chutereach/config"
+	"chutereach/control"
 	"chutereach/hall"
 	"chutereach/member"
 )
@@ -20,19 +23,27 @@
 	busy      int
 	service   time.Duration // smoothed time that a request takes
 	wakeup    *time.Timer   // when an ejected upstream may be tried again
+	low       func()        // called, with the lock held, when the queue runs low
+	pulling   atomic.Bool   // requests are being pulled from another box
 }
 
 // waiter is a request that waits for a slot.
 type waiter struct {
-	got   chan *upstream // has room for the one upstream
+	got   chan turn // has room for the one turn
 	place place
 }
 
+// turn is what a request waited for: a slot here, or a box that has one.
+type turn struct {
+	up *upstream
+	to control.BoxRow // where up is nil
+}
+
 // smoothing is the weight of the newest service time, as one part in so many.
 const smoothing = 16
 
 func newPool() *pool {
-	return &pool{upstreams: map[string]*upstream{}, waiting: newWaiters[*waiter]()}
+	return &pool{upstreams: map[string]*upstream{}, waiting: newWaiters[*waiter](), low: func() {}}
 }
 
 // set replaces the upstreams. One that is not listed any more gets nothing new;
@@ -73,26 +84,26 @@
 func (p *pool) load() member.Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return member.Load{Slots: p.slots, Busy: p.busy, Queued: p.waiting.len}
+	return member.Load{Slots: p.slots, Busy: p.busy, Queued: p.waiting.len, Urgent: p.waiting.ahead(config.Urgent)}
 }
 
 // acquire waits for a slot for r. A request that cannot make its deadline is
 // refused at once.
-func (p *pool) acquire(ctx context.Context, r *Request, avoid string) (*upstream, error) {
+func (p *pool) acquire(ctx context.Context, r *Request, avoid string) (turn, error) {
 	p.mu.Lock()
 	now := time.Now()
 	if p.waiting.len == 0 {
 		if u := p.pick(now, avoid); u != nil {
 			p.take(u)
 			p.mu.Unlock()
-			return u, nil
+			return turn{up: u}, nil
 		}
 	}
 	if err := p.admit(r, now); err != nil {
 		p.mu.Unlock()
-		return nil, err
+		return turn{}, err
 	}
-	w := &waiter{got: make(chan *upstream, 1)}
+	w := &waiter{got: make(chan turn, 1)}
 	w.place = p.waiting.push(r.Route.Class, r.Account, w)
 	p.mu.Unlock()
 	return p.await(ctx, w, r)
@@ -126,13 +137,13 @@
 	return d + time.Duration(rand.Int64N(int64(d)))
 }
 
-func (p *pool) await(ctx context.Context, w *waiter, r *Request) (*upstream, error) {
+func (p *pool) await(ctx context.Context, w *waiter, r *Request) (turn, error) {
 	timer := time.NewTimer(time.Until(r.Deadline))
 	defer timer.Stop()
 	cause := CauseTooLate
 	select {
-	case u := <-w.got:
-		return u, nil
+	case t := <-w.got:
+		return t, nil
 	case <-timer.C:
 	case <-ctx.Done():
 		cause = CauseLeft
@@ -140,12 +151,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
-	case u := <-w.got: // just now: give it on
-		p.put(u, time.Now())
+	case t := <-w.got: // just now: give it on
+		if t.up != nil {
+			p.put(t.up, time.Now())
+		}
 	default:
 		p.waiting.remove(w.place)
 	}
-	return nil, &NotRunError{cause, spread(p.estimate(r))}
+	return turn{}, &NotRunError{cause, spread(p.estimate(r))}
 }
 
 // pick returns the upstream with the most room, other than avoid if there is
@@ -203,12 +216,45 @@
 		u := p.pick(now, "")
 		if u == nil {
 			p.wakeForEjected(now)
-			return
+			break
 		}
 		w, _ := p.waiting.pop()
 		p.take(u)
-		w.got <- u
+		w.got <- turn{up: u}
+	}
+	p.checkLow()
+}
+
+// checkLow asks for more if the queue runs low. The caller holds p.mu.
+func (p *pool) checkLow() {
+	if p.slots > 0 && p.waiting.ahead(config.Urgent) < p.slots/lowWater {
+		p.low()
+	}
+}
+
+// wants returns how many requests the pool should pull, and whether only urgent
+// ones.
+func (p *pool) wants() (n int, urgent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.slots - p.busy
+	if p.waiting.len == 0 && idle > 0 {
+		return idle + p.slots/lowWater, false
+	}
+	return p.slots - p.waiting.ahead(config.Urgent), true
+}
+
+// give hands up to n waiting requests on to another box, and returns how many.
+func (p *pool) give(n int, urgent bool, to control.BoxRow) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	given := 0
+	for given < n && p.waiting.len > 0 && (!urgent || p.waiting.ahead(config.Urgent) > 0) {
+		w, _ := p.waiting.pop()
+		w.got <- turn{to: to}
+		given++
 	}
+	return given
 }
 
 // wakeForEjected hands out again when the first ejected upstream may be tried.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -148,7 +148,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go group.Run(ctx, 2)
-	b.Router = New(Deps{Self: self.Incarnation, Members: m, Table: b.table, Claims: group, Log: zerolog.Nop()})
+	b.Router = New(Deps{Self: self, Members: m, Claims: group, Log: zerolog.Nop()})
 	var list []hall.Endpoint
 	for i, a := range addresses {
 		list = append(list, hall.Endpoint{Service: "s", Attempt: fmt.Sprint("a", i), Address: a, Slots: 1, Conns: 1})
@@ -373,7 +373,7 @@
 		return r
 	}
 	ctx := context.Background()
-	u, err := p.acquire(ctx, class(config.Batch), "")
+	first, err := p.acquire(ctx, class(config.Batch), "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -393,7 +393,7 @@
 	}
 	for _, want := range []config.Class{config.Urgent, config.Service, config.Batch} {
 		p.mu.Lock()
-		p.put(u, time.Now())
+		p.put(first.up, time.Now())
 		p.mu.Unlock()
 		if c := <-got; c != want {
 			t.Errorf("%s went before %s", c, want)
--- a/route/router.go
+++ b/route/router.go
@@ -13,11 +13,11 @@
 	"github.com/rs/zerolog"
 
 	"chutereach/commit"
+	"chutereach/config"
 	"chutereach/control"
 	"chutereach/hall"
 	"chutereach/member"
 	"chutereach/peer"
-	"chutereach/platform"
 )
 
 const (
@@ -36,16 +36,18 @@
 type Stats struct {
 	Answered, NotRun, Unknown atomic.Int64
 	Forwarded, Retried        atomic.Int64
-	Replayed                  atomic.Int64
+	Replayed, Pulled          atomic.Int64
 }
 
 // Router is the requests' way through one box.
 type Router struct {
 	self      control.Incarnation
+	row       control.BoxRow
 	members   *member.Members
-	client    *peer.Client
-	table     platform.Table
 	claims    *commit.Group
+	chooser   Chooser
+	hop       hop
+	ask       ask
 	log       zerolog.Logger
 	maxAnswer int64
 	Stats     Stats
@@ -57,10 +59,9 @@
 
 // Deps are what a Router works with.
 type Deps struct {
-	Self    control.Incarnation
+	Self    control.BoxRow
 	Members *member.Members
 	Client  *peer.Client
-	Table   platform.Table
 	Claims  *commit.Group
 	Log     zerolog.Logger
 }
@@ -68,7 +69,7 @@
 // New returns a Router.
 func New(d Deps) *Router {
 	return &Router{
-		self: d.Self, members: d.Members, client: d.Client, table: d.Table, claims: d.Claims,
+		self: d.Self.Incarnation, row: d.Self, members: d.Members, claims: d.Claims, chooser: TwoChoices{}, hop: callPeer(d.Client), ask: askPeer(d.Client),
 		log: d.Log, maxAnswer: DefaultMaxAnswer, pools: map[string]*pool{}, bank: retryBank,
 	}
 }
@@ -92,10 +93,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for service, list := range own {
-		if r.pools[service] == nil {
-			r.pools[service] = newPool()
-		}
-		r.pools[service].set(list)
+		r.poolOf(service).set(list)
 	}
 	for service, p := range r.pools {
 		if _, listed := own[service]; !listed {
@@ -136,9 +134,15 @@
 func (r *Router) pool(service string) *pool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.poolOf(service)
+}
+
+// poolOf returns a service's pool, a new one if need be. The caller holds r.mu.
+func (r *Router) poolOf(service string) *pool {
 	p := r.pools[service]
 	if p == nil {
 		p = newPool()
+		p.low = func() { r.ranLow(service, p) }
 		r.pools[service] = p
 	}
 	return p
@@ -244,34 +248,30 @@
 // Here sends a request to an upstream whose home is this box.
 func (r *Router) Here(ctx context.Context, req *Request, avoid *avoided) (*Answer, error) {
 	p := r.pool(req.Route.Service)
-	u, err := p.acquire(ctx, req, avoid.upstream)
+	t, err := p.acquire(ctx, req, avoid.upstream)
 	if err != nil {
 		return nil, err
 	}
-	avoid.upstream = u.Attempt
-	return p.run(ctx, u, req, r.maxAnswer)
+	if t.up == nil {
+		return r.forward(ctx, t.to, req) // another box has pulled it
+	}
+	avoid.upstream = t.up.Attempt
+	return p.run(ctx, t.up, req, r.maxAnswer)
 }
 
-// choose returns the box whose upstreams have the least in hand for their
-// slots. On a tie this box wins: it saves the hop.
+// choose returns the box to which a request for a service goes.
 func (r *Router) choose(service string, avoid []control.Incarnation) (control.BoxRow, bool) {
-	best := control.BoxRow{Incarnation: r.self}
 	own := r.pool(service).load()
-	least, found := crowding(own), own.Slots > 0
-	for _, p := range r.members.LoadsOf(service) {
-		if slices.Contains(avoid, p.Row.Incarnation) {
-			continue
-		}
-		if c := crowding(p.Load); !found || c < least {
-			best, least, found = p.Row, c, true
-		}
+	peers := slices.DeleteFunc(r.members.LoadsOf(service), func(p member.PeerLoad) bool {
+		return slices.Contains(avoid, p.Row.Incarnation)
+	})
+	if own.Slots == 0 && len(peers) == 0 {
+		return control.BoxRow{}, false
 	}
-	return best, found
-}
-
-// crowding returns how much a box has in hand for each of its slots.
-func crowding(l member.Load) float64 {
-	return float64(l.Busy+l.Queued) / float64(max(l.Slots, 1))
+	if i := r.chooser.Choose(own, peers); i != Self {
+		return peers[i].Row, true
+	}
+	return control.BoxRow{Incarnation: r.self}, true
 }
 
 // reply is what a box answers to a forwarded request.
@@ -283,13 +283,22 @@
 	Load       member.Load   `cbor:"5,keyasint"`
 }
 
+// hop carries a request to another box and its reply back.
+type hop func(ctx context.Context, to control.BoxRow, req *Request) (reply, error)
+
+func callPeer(c *peer.Client) hop {
+	return func(ctx context.Context, to control.BoxRow, req *Request) (reply, error) {
+		return peer.Call[reply](ctx, c, to.Peer, forwardPath, req)
+	}
+}
+
 // forward hands a request to another box, which does not hand it on.
 func (r *Router) forward(ctx context.Context, to control.BoxRow, req *Request) (*Answer, error) {
 	r.Stats.Forwarded.Add(1)
-	r.members.AddQueued(to.Incarnation, req.Route.Service)
+	r.members.AddQueued(to.Incarnation, req.Route.Service, req.Route.Class == config.Urgent)
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	got, err := peer.Call[reply](ctx, r.client, to.Peer, forwardPath, req)
+	got, err := r.hop(ctx, to, req)
 	var unreachable *peer.UnreachableError
 	switch {
 	case errors.As(err, &unreachable):
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -32,6 +32,7 @@
 type upstream struct {
 	hall.Endpoint
 	client *http.Client
+	send   sender
 
 	busy    int
 	leaving bool
@@ -48,15 +49,20 @@
 		}
 		return &countingConn{Conn: c}, nil
 	}
-	return &upstream{Endpoint: e, client: &http.Client{
+	u := &upstream{Endpoint: e, client: &http.Client{
 		Transport: &http.Transport{
 			DialContext: dial, MaxConnsPerHost: e.Conns, MaxIdleConnsPerHost: e.Slots,
 			IdleConnTimeout: idleTimeout, DisableCompression: true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
+	u.send = u.sendHTTP
+	return u
 }
 
+// sender brings one request to an upstream and its whole answer back.
+type sender func(ctx context.Context, r *Request, maxAnswer int64) (*Answer, error)
+
 // free reports whether u has a slot for one more request.
 func (u *upstream) free() bool { return !u.leaving && u.busy < u.Slots }
 
@@ -112,8 +118,8 @@
 	"Authorization", "Idempotency-Key", "X-Idempotency-Key", "Content-Length", "Accept-Encoding",
 }
 
-// send writes a request to u and reads the whole answer.
-func (u *upstream) send(ctx context.Context, r *Request, maxAnswer int64) (*Answer, error) {
+// sendHTTP writes a request to u and reads the whole answer.
+func (u *upstream) sendHTTP(ctx context.Context, r *Request, maxAnswer int64) (*Answer, error) {
 	var w watch
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: w.gotConn})
 	url := "http://" + u.Address + r.Route.Path + r.Path
