route: tickets, handover of homes, limits that adapt

Cause: with the table down no redemption could run; while boxes joined, two of them counted one upstream's slots; a slow upstream kept all of its slots.

Change: a box mints signed tickets and alone dispatches what comes with them; any other box hands such a request to it, and if it is gone the outcome is unknown. The new home of an upstream counts all slots as taken until the old one has told how many are. How many slots a peer counts is worked out from the endpoints, not awaited; a request whose upstreams are on the move waits for moments instead of being refused; those that wait where no upstream is left look elsewhere. An upstream that takes over four times the usual time gets fewer slots, and gets them back one by one.

Conclusion: redemptions outlive the table; the price is that a ticket dies with its box.

--- a/api/api.go
+++ b/api/api.go
@@ -25,6 +25,7 @@
 const (
 	HeaderKey     = "Idempotency-Key"
 	HeaderOutcome = "Chutereach-Outcome" // answered, not-run or unknown
+	HeaderTicket  = "Chutereach-Ticket"
 	HeaderRequest = "Request-Id"
 	HeaderBox     = "Chutereach-Box"
 )
@@ -53,6 +54,7 @@
 	mux.HandleFunc("DELETE /v1/jobs/{id}", s.account(s.stop))
 	mux.HandleFunc("/v1/call/{route}", s.account(s.call))
 	mux.HandleFunc("/v1/call/{route}/{path...}", s.account(s.call))
+	mux.HandleFunc("POST /v1/tickets/{route}", s.account(s.ticket))
 	mux.HandleFunc("POST /v1/jobs/{id}/settle", s.operator(s.settle))
 	mux.HandleFunc("GET /v1/all/jobs", s.operator(s.allJobs))
 	mux.HandleFunc("GET /v1/all/jobs/{id}", s.operator(s.anyJob))
@@ -265,6 +267,7 @@
 	req := &route.Request{
 		ID: requestID(r), Account: a.Name, Route: rt, Method: r.Method, Path: behind(r),
 		Header: r.Header, Body: body, Deadline: arrived.Add(rt.Deadline), Key: r.Header.Get(HeaderKey),
+		Ticket: r.Header.Get(HeaderTicket),
 	}
 	w.Header().Set(HeaderRequest, req.ID)
 	got, err := s.dispatch(r, req)
@@ -281,15 +284,35 @@
 }
 
 func (s *Server) dispatch(r *http.Request, req *route.Request) (*route.Answer, error) {
-	if req.Route.Safety == config.SafeRepeat {
+	switch {
+	case req.Route.Safety == config.SafeRepeat:
 		return s.Router.Do(r.Context(), req)
-	}
-	if req.Key == "" {
-		return nil, &BodyError{"this route needs the header " + HeaderKey}
+	case req.Ticket != "":
+		return s.Router.DoTicket(r.Context(), req)
+	case req.Route.Safety == config.SafeTicket:
+		return nil, &BodyError{"this route needs the header " + HeaderTicket + "; get a ticket from /v1/tickets/" + req.Route.Name}
+	case req.Key == "":
+		return nil, &BodyError{"this route needs the header " + HeaderKey + " or " + HeaderTicket}
 	}
 	return s.Router.DoOnce(r.Context(), req)
 }
 
+// Ticket is the answer that brings a ticket.
+type Ticket struct {
+	Ticket  string    `json:"ticket"`
+	Expires time.Time `json:"expires"`
+}
+
+func (s *Server) ticket(w http.ResponseWriter, r *http.Request, a config.Account) {
+	name := r.PathValue("route")
+	if _, known := s.Config().Set.Routes[name]; !known {
+		fail(w, &NotFoundError{"route", name})
+		return
+	}
+	text, expires := s.Router.Mint(a.Name, name)
+	reply(w, http.StatusCreated, Ticket{text, expires})
+}
+
 func behind(r *http.Request) string {
 	path := ""
 	if rest := r.PathValue("path"); rest != "" {
--- a/api/errors.go
+++ b/api/errors.go
@@ -92,6 +92,7 @@
 	{as[*publish.ConflictError], http.StatusConflict, CodeConflict},
 	{as[*cell.KeyReusedError], http.StatusUnprocessableEntity, CodeKeyReused},
 	{as[*route.KeyReusedError], http.StatusUnprocessableEntity, CodeKeyReused},
+	{as[*route.TicketError], http.StatusBadRequest, CodeInvalid},
 	{as[*route.NotRunError], http.StatusServiceUnavailable, CodeNotRun},
 	{as[*route.UnknownError], http.StatusBadGateway, CodeUnknown},
 	{as[*commit.AbandonedError], http.StatusServiceUnavailable, CodeNotRun},
--- a/box/life.go
+++ b/box/life.go
@@ -61,7 +61,7 @@
 	l.keeper = ownership.New(l.self, times, l.sender, l.units, logs.For(b.log, logs.Ownership))
 	l.members = member.New(l.self, b.client, b.clock, l.state)
 	l.router = route.New(route.Deps{
-		Self: l.self, Members: l.members, Client: b.client, Claims: l.inserts,
+		Self: l.self, Members: l.members, Client: b.client, Claims: l.inserts, Longest: l.longestDeadline,
 		Log: logs.For(b.log, logs.Route),
 	})
 	l.cell = cell.New(cell.Deps{
@@ -84,6 +84,8 @@
 	l.cell.Serve(mux)
 	peer.Handle(mux, l.router.ForwardPath(), l.router.Forwarded)
 	peer.Handle(mux, l.router.PullPath(), l.router.Pulled)
+	peer.Handle(mux, l.router.TicketPath(), l.router.Ticketed)
+	peer.Handle(mux, l.router.HandoverPath(), l.router.HandedOver)
 	l.peers = mux
 	server := &api.Server{
 		Cell: l.cell, Router: l.router, Config: l.publisher.Current, History: l.publisher.History,
@@ -93,6 +95,17 @@
 	l.publishMetrics()
 }
 
+// longestDeadline returns the longest deadline of a service's routes.
+func (l *life) longestDeadline(service string) time.Duration {
+	var longest time.Duration
+	for _, r := range l.publisher.Current().Set.Routes {
+		if r.Service == service {
+			longest = max(longest, r.Deadline)
+		}
+	}
+	return longest
+}
+
 // run lives until ctx ends, or another box declares this incarnation dead.
 func (l *life) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/member/member.go
+++ b/member/member.go
@@ -99,10 +99,13 @@
 	peers     map[control.Incarnation]*member
 	endpoints map[string]Endpoints // by unit, also of units whose owner is gone
 	changed   []func()
+	viewed    bool // the table's rows have been read
+	settled   bool // every peer has answered, or has had the time to
 }
 
 type member struct {
 	Peer
+	since  time.Time // when it was first seen in the table
 	cancel context.CancelFunc
 }
 
@@ -121,14 +124,46 @@
 // SetView takes in which boxes the table has. A goroutine is begun for each new
 // one, and ended for each that is gone.
 func (m *Members) SetView(ctx context.Context, v control.View) {
+	m.mu.Lock()
+	m.viewed = true
+	m.followAll(ctx, v)
+	settled := m.settle()
+	m.mu.Unlock()
+	if settled {
+		m.notify()
+	}
+}
+
+// settle notes when a box has come to know its peers, and reports whether that
+// was just now. The caller holds m.mu.
+func (m *Members) settle() bool {
+	if m.settled || !m.viewed {
+		return false
+	}
+	for _, p := range m.peers {
+		if p.Heard.IsZero() && time.Since(p.since) < silentAfter {
+			return false
+		}
+	}
+	m.settled = true
+	return true
+}
+
+// Settled reports whether the box has come to know its peers. Until then it
+// would take every upstream for its own.
+func (m *Members) Settled() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.settled
+}
+
+func (m *Members) followAll(ctx context.Context, v control.View) {
 	for i, b := range v.Boxes {
 		if i == m.self.Incarnation || m.peers[i] != nil {
 			continue
 		}
 		ctx, cancel := context.WithCancel(ctx)
-		p := &member{Peer: Peer{Row: b.Row}, cancel: cancel}
+		p := &member{Peer: Peer{Row: b.Row}, since: time.Now(), cancel: cancel}
 		m.peers[i] = p
 		go m.follow(ctx, p)
 	}
@@ -148,6 +183,7 @@
 	p := &member{Peer: Peer{Row: row, Heard: heard}, cancel: func() {}}
 	p.State.Loads = map[string]Load{}
 	m.peers[row.Incarnation] = p
+	m.settled = true
 }
 
 // follow asks a peer for its state until ctx ends.
@@ -177,7 +213,9 @@
 		m.clock.Seen(s.Stamp)
 		p.State, p.Heard = s, time.Now()
 	}
-	changed := p.Alive() != was || m.merge(s.Endpoints)
+	changed := p.Alive() != was
+	changed = m.merge(s.Endpoints) || changed
+	changed = m.settle() || changed
 	m.mu.Unlock()
 	if changed {
 		m.notify()
@@ -267,14 +305,15 @@
 	Load Load
 }
 
-// LoadsOf returns the peers that take requests for a service.
+// LoadsOf returns the peers that take requests, with what each has in hand for a
+// service as far as it has said so.
 func (m *Members) LoadsOf(service string) []PeerLoad {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	all := make([]PeerLoad, 0, len(m.peers))
 	for _, p := range m.peers {
-		if l := p.State.Loads[service]; l.Slots > 0 && p.Alive() && !p.State.Leaving {
-			all = append(all, PeerLoad{p.Row, l})
+		if p.Alive() && !p.State.Leaving {
+			all = append(all, PeerLoad{p.Row, p.State.Loads[service]})
 		}
 	}
 	return all
--- /dev/null
+++ b/route/cell_test.go
@@ -0,0 +1,324 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"chutereach/config"
+	"chutereach/control"
+	"chutereach/hall"
+	"chutereach/member"
+	"chutereach/peer"
+	"chutereach/proptest"
+	"chutereach/standin"
+	"chutereach/timeline"
+)
+
+// linkFault is what befalls a call between two boxes.
+type linkFault int
+
+const (
+	linkWell linkFault = iota
+	linkUnreachable
+	linkAnswerLost
+)
+
+// links is some routers that call each other without a network.
+type links struct {
+	mu      sync.Mutex
+	routers map[control.Incarnation]*Router
+	gone    map[control.Incarnation]bool
+	faults  []linkFault // of the next calls, in turn
+}
+
+// next returns the router at a row, and what befalls the call to it.
+func (l *links) next(to control.BoxRow) (*Router, linkFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.gone[to.Incarnation] {
+		return nil, linkUnreachable
+	}
+	f := linkWell
+	if len(l.faults) > 0 {
+		f, l.faults = l.faults[0], l.faults[1:]
+	}
+	return l.routers[to.Incarnation], f
+}
+
+// through makes one call over a link.
+func through[A any](l *links, to control.BoxRow, do func(*Router) (A, error)) (A, error) {
+	var none A
+	r, f := l.next(to)
+	if f == linkUnreachable {
+		return none, &peer.UnreachableError{Address: to.Peer}
+	}
+	a, err := do(r)
+	if f == linkAnswerLost {
+		return none, &peer.LostError{Address: to.Peer}
+	}
+	return a, err
+}
+
+func newLinks() *links {
+	return &links{routers: map[control.Incarnation]*Router{}, gone: map[control.Incarnation]bool{}}
+}
+
+// join adds a box and makes all know each other.
+func (l *links) join(name string, list []hall.Endpoint) *Router {
+	row := control.BoxRow{Incarnation: control.Incarnation(name + ".1"), Peer: name}
+	m := member.New(row, nil, &timeline.Clock{}, func() member.State { return member.State{} })
+	r := New(Deps{Self: row, Members: m, Longest: func(string) time.Duration { return testDeadline }, Log: zerolog.Nop()})
+	r.hopTo = func(ctx context.Context, to control.BoxRow, path string, req *Request) (reply, error) {
+		return through(l, to, func(other *Router) (reply, error) {
+			if path == ticketPath {
+				return other.Ticketed(ctx, req)
+			}
+			return other.Forwarded(ctx, req)
+		})
+	}
+	r.ask = func(ctx context.Context, to control.BoxRow, p pullRequest) (pullReply, error) {
+		return through(l, to, func(other *Router) (pullReply, error) { return other.Pulled(ctx, p) })
+	}
+	r.tell = func(ctx context.Context, to control.BoxRow, h handoverRequest) (int, error) {
+		return through(l, to, func(other *Router) (int, error) { return other.HandedOver(ctx, h) })
+	}
+	m.SetOwn("u", 1, list)
+	l.mu.Lock()
+	l.routers[row.Incarnation] = r
+	others := make([]*Router, 0, len(l.routers))
+	for _, other := range l.routers {
+		if other != r {
+			others = append(others, other)
+		}
+	}
+	l.mu.Unlock()
+	m.SetView(context.Background(), control.View{})
+	for _, other := range others {
+		other.members.Introduce(row, time.Now().Add(time.Hour))
+		m.Introduce(other.row, time.Now().Add(time.Hour))
+	}
+	for _, x := range append(others, r) {
+		x.Refresh()
+	}
+	for _, x := range append(others, r) {
+		for _, y := range append(others, r) {
+			x.members.SetLoad(y.self, "s", y.pool("s").load())
+		}
+	}
+	return r
+}
+
+// gossip tells all boxes each other's loads until stop, as their questions do.
+func (l *links) gossip(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		l.mu.Lock()
+		for _, x := range l.routers {
+			for _, y := range l.routers {
+				x.members.SetLoad(y.self, "s", y.pool("s").load())
+			}
+		}
+		l.mu.Unlock()
+	}
+}
+
+func endpoints(slots int, addresses ...string) []hall.Endpoint {
+	var list []hall.Endpoint
+	for i, a := range addresses {
+		list = append(list, hall.Endpoint{Service: "s", Attempt: fmt.Sprint("a", i), Address: a, Slots: slots, Conns: slots})
+	}
+	return list
+}
+
+func ticketed(r *Router, id string) *Request {
+	req := request(id, config.SafeTicket)
+	req.Key = ""
+	req.Ticket, _ = r.Mint(req.Account, req.Route.Name)
+	return req
+}
+
+func TestTicketRunsOnceWithoutTheTable(t *testing.T) {
+	u := fake(t)
+	l := newLinks()
+	list := endpoints(4, u.Addr().String())
+	one, two, three := l.join("one", list), l.join("two", list), l.join("three", list)
+	req := ticketed(one, "x")
+	ctx := context.Background()
+	var wg sync.WaitGroup
+	for i := range 30 {
+		r := []*Router{one, two, three}[i%3]
+		wg.Go(func() {
+			again := *req
+			a, err := r.DoTicket(ctx, &again)
+			if err != nil || string(a.Body) != "for x: body of x" {
+				t.Errorf("answer = %v, %v", a, err)
+			}
+		})
+	}
+	wg.Wait()
+	if n := u.count("x"); n != 1 {
+		t.Errorf("the request ran %d times", n)
+	}
+	for _, c := range []struct {
+		name   string
+		change func(*Request)
+		want   func(error) bool
+	}{
+		{"another body", func(r *Request) { r.Body = []byte("other") }, is[*KeyReusedError]},
+		{"another account", func(r *Request) { r.Account = "thief" }, is[*TicketError]},
+		{"another route", func(r *Request) { r.Route.Name = "credit" }, is[*TicketError]},
+		{"forged", func(r *Request) { r.Ticket = r.Ticket[:len(r.Ticket)-4] + "AAAA" }, is[*TicketError]},
+		{"nonsense", func(r *Request) { r.Ticket = "nonsense" }, is[*TicketError]},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			again := *req
+			c.change(&again)
+			if _, err := one.DoTicket(ctx, &again); !c.want(err) {
+				t.Errorf("err = %T %v", err, err)
+			}
+		})
+	}
+	t.Run("the box that minted it is gone", func(t *testing.T) {
+		l.gone["one.1"] = true
+		again := *req
+		if _, err := two.DoTicket(ctx, &again); !is[*UnknownError](err) {
+			t.Errorf("err = %T %v", err, err)
+		}
+	})
+}
+
+func is[E error](err error) bool {
+	var e E
+	return errors.As(err, &e)
+}
+
+// Upstreams change their homes under load as boxes join: none ever has more in
+// hand than its slots.
+func TestHandoverKeepsWithinSlots(t *testing.T) {
+	const slots = 2
+	var ups []*standin.Upstream
+	var addresses []string
+	for range 6 {
+		u, err := standin.NewUpstream(30 * time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(u.Close)
+		ups = append(ups, u)
+		addresses = append(addresses, u.Addr())
+	}
+	l := newLinks()
+	list := endpoints(slots, addresses...)
+	routers := []*Router{l.join("one", list)}
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	load := func(r *Router, n int) {
+		for i := range n {
+			wg.Go(func() {
+				for k := 0; ; k++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					req := request(fmt.Sprintf("%s-%d-%d", r.self, i, k), config.SafeRepeat)
+					if _, err := r.Do(context.Background(), req); err != nil {
+						t.Errorf("%s: %v", req.ID, err)
+					}
+				}
+			})
+		}
+	}
+	load(routers[0], 30)
+	wg.Go(func() { l.gossip(stop) })
+	for _, name := range []string{"two", "three", "four"} {
+		time.Sleep(150 * time.Millisecond)
+		r := l.join(name, list)
+		routers = append(routers, r)
+		load(r, 10)
+	}
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	wg.Wait()
+	homes := 0
+	for _, r := range routers {
+		homes += len(r.pool("s").upstreams)
+	}
+	if homes != len(ups) {
+		t.Errorf("%d homes for %d upstreams", homes, len(ups))
+	}
+	for i, u := range ups {
+		if most := u.Most.Load(); most > slots {
+			t.Errorf("upstream %d had %d requests in hand, it has %d slots", i, most, slots)
+		}
+	}
+}
+
+// Whatever befalls the links and the upstreams, attempts with one ticket at any
+// boxes run the request at most once; and if every attempt was told "not run",
+// it never ran.
+func TestAttemptsAtManyBoxesRunOnce(t *testing.T) {
+	behaviours := []behave{well, well, resetBefore, resetAfter, half}
+	run := 0
+	proptest.Check(t, func(r *rapid.T) {
+		faults := rapid.SliceOfN(rapid.SampledFrom([]linkFault{linkWell, linkWell, linkUnreachable, linkAnswerLost}), 0, 12).Draw(r, "links")
+		first := rapid.SliceOfN(rapid.IntRange(0, len(behaviours)-1), 0, 6).Draw(r, "upstream")
+		at := rapid.SliceOfN(rapid.IntRange(0, 2), 1, 6).Draw(r, "attempts at")
+		together := rapid.Bool().Draw(r, "together")
+		var acts []behave
+		for _, i := range first {
+			acts = append(acts, behaviours[i])
+		}
+		run++
+		id := fmt.Sprint("r", run)
+		u := fake(t, acts...)
+		l := newLinks()
+		list := endpoints(2, u.Addr().String())
+		routers := []*Router{l.join("one", list), l.join("two", list), l.join("three", list)}
+		req := ticketed(routers[0], id)
+		l.mu.Lock()
+		l.faults = slices.Clone(faults)
+		l.mu.Unlock()
+		var mu sync.Mutex
+		outcomes := map[Outcome]int{}
+		attempt := func(i int) {
+			again := *req
+			_, err := routers[i].DoTicket(context.Background(), &again)
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[outcomeOf(err)]++
+		}
+		var wg sync.WaitGroup
+		for _, i := range at {
+			if together {
+				wg.Go(func() { attempt(i) })
+			} else {
+				attempt(i)
+			}
+		}
+		wg.Wait()
+		n := u.count(id)
+		u.Close()
+		if n > 1 {
+			r.Fatalf("it ran %d times", n)
+		}
+		if n == 1 && outcomes[NotRun] == len(at) {
+			r.Fatalf("it ran, and every attempt was told that it did not: %v", outcomes)
+		}
+		if n == 0 && outcomes[Answered] > 0 {
+			r.Fatalf("it did not run, and some were answered: %v", outcomes)
+		}
+	})
+}
--- a/route/outcome.go
+++ b/route/outcome.go
@@ -19,6 +19,7 @@
 	Body     []byte       `cbor:"7,keyasint"`
 	Deadline time.Time    `cbor:"8,keyasint"`
 	Key      string       `cbor:"9,keyasint,omitempty"` // Idempotency-Key
+	Ticket   string       `cbor:"10,keyasint,omitempty"`
 }
 
 // Answer is an upstream's whole answer.
@@ -36,6 +37,7 @@
 	Answered Outcome = "answered"
 	NotRun   Outcome = "not-run"
 	Unknown  Outcome = "unknown"
+	Refused  Outcome = "refused" // between boxes: the request itself is wrong
 )
 
 // Cause says why a request has no answer.
@@ -46,6 +48,7 @@
 	CauseNoReplica Cause = "no replica of the service is running"
 	CauseQueueFull Cause = "too many requests are waiting"
 	CauseTooLate   Cause = "it cannot be answered before its deadline"
+	CauseMoved     Cause = "its upstreams have moved to another box"
 	CauseLeft      Cause = "the caller has gone"
 	CauseRefused   Cause = "no upstream could be reached"
 	CauseStore     Cause = "its key cannot be claimed while the table is out of reach"
@@ -60,6 +63,8 @@
 	CauseTooLarge   Cause = "the upstream's answer is too large"
 	CausePeerLost   Cause = "the box that had the request in hand did not answer"
 	CauseEarlier    Cause = "an earlier request with the same key has an unknown outcome"
+	CauseMinterGone Cause = "the box that minted the ticket is gone"
+	CauseTicketOld  Cause = "the ticket has expired"
 	CauseInProgress Cause = "an earlier request with the same key is in progress"
 )
 
--- a/route/pool.go
+++ b/route/pool.go
@@ -33,7 +33,8 @@
 	place place
 }
 
-// turn is what a request waited for: a slot here, or a box that has one.
+// turn is what a request waited for: a slot here, or a box that has one, or word
+// that there will be none.
 type turn struct {
 	up *upstream
 	to control.BoxRow // where up is nil
@@ -48,7 +49,10 @@
 
 // set replaces the upstreams. One that is not listed any more gets nothing new;
 // what it has in hand ends.
-func (p *pool) set(list []hall.Endpoint) {
+//
+// Those that moved here from another box begin with all slots reserved; they are
+// returned.
+func (p *pool) set(list []hall.Endpoint, moved map[string]control.Incarnation) (taken []hall.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	listed := map[string]bool{}
@@ -58,6 +62,10 @@
 		if u == nil {
 			u = newUpstream(e)
 			p.upstreams[e.Attempt] = u
+			if _, from := moved[e.Attempt]; from {
+				u.reserved = e.Slots
+				taken = append(taken, e)
+			}
 		}
 		u.leaving = e.Draining
 	}
@@ -78,6 +86,17 @@
 		}
 	}
 	p.hand(time.Now())
+	p.turnAway()
+	return taken
+}
+
+// turnAway sends those who wait to look elsewhere if no upstream has its home
+// here any more. The caller holds p.mu.
+func (p *pool) turnAway() {
+	for p.slots == 0 && p.waiting.len > 0 {
+		w, _ := p.waiting.pop()
+		w.got <- turn{}
+	}
 }
 
 // load returns what the pool has in hand.
@@ -112,7 +131,7 @@
 // admit refuses a request that has no chance here.
 func (p *pool) admit(r *Request, now time.Time) error {
 	if p.slots == 0 {
-		return &NotRunError{CauseNoReplica, spread(time.Second)}
+		return &NotRunError{CauseMoved, spread(time.Second)}
 	}
 	wait := p.estimate(r)
 	if p.waiting.len >= r.Route.Queue {
@@ -146,7 +165,9 @@
 		return t, nil
 	case <-timer.C:
 	case <-ctx.Done():
-		cause = CauseLeft
+		if time.Now().Before(r.Deadline) {
+			cause = CauseLeft
+		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -169,7 +190,7 @@
 	all := p.allEjected(now)
 	var best *upstream
 	for id, u := range p.upstreams {
-		if !u.free() || !all && u.ejected.After(now) {
+		if !u.free(now) || !all && u.ejected.After(now) {
 			continue
 		}
 		if best == nil || better(u, best, id == avoid, best.Attempt == avoid) {
@@ -192,7 +213,7 @@
 	if avoided != thanAvoided {
 		return thanAvoided
 	}
-	return u.busy*than.Slots < than.busy*u.Slots
+	return float64(u.busy+u.reserved)*than.limit < float64(than.busy+than.reserved)*u.limit
 }
 
 func (p *pool) take(u *upstream) {
@@ -206,6 +227,7 @@
 	p.busy--
 	if u.leaving && u.busy == 0 && p.upstreams[u.Attempt] == u {
 		u.client.CloseIdleConnections()
+		delete(p.upstreams, u.Attempt)
 	}
 	p.hand(now)
 }
@@ -316,6 +338,7 @@
 	now := time.Now()
 	if err == nil {
 		u.strikes = 0
+		u.adapt(took, p.service)
 		p.service += (took - p.service) / smoothing
 	} else {
 		u.strike(now)
--- a/route/pull.go
+++ b/route/pull.go
@@ -93,7 +93,7 @@
 func (r *Router) victim(service string, own member.Load, urgent bool) (member.PeerLoad, bool) {
 	var worst member.PeerLoad
 	most := 0.0
-	for _, p := range r.members.LoadsOf(service) {
+	for _, p := range r.peers(service) {
 		if w := waitingAt(p.Load, urgent); w > most {
 			worst, most = p, w
 		}
--- a/route/router.go
+++ b/route/router.go
@@ -46,15 +46,21 @@
 	members   *member.Members
 	claims    *commit.Group
 	chooser   Chooser
-	hop       hop
+	hopTo     hopTo
+	tell      tell
+	longest   func(service string) time.Duration
+	tickets   *tickets
 	ask       ask
 	log       zerolog.Logger
 	maxAnswer int64
 	Stats     Stats
 
 	mu    sync.Mutex
-	pools map[string]*pool // by service
-	bank  float64          // retries saved up
+	pools map[string]*pool                       // by service
+	boxes []control.Incarnation                  // over which homes were spread last
+	known map[string]bool                        // upstreams by attempt, as of then
+	slots map[string]map[control.Incarnation]int // by service and home, as of then
+	bank  float64                                // retries saved up
 }
 
 // Deps are what a Router works with.
@@ -63,14 +69,17 @@
 	Members *member.Members
 	Client  *peer.Client
 	Claims  *commit.Group
+	// Longest returns the longest deadline of a service's routes.
+	Longest func(service string) time.Duration
 	Log     zerolog.Logger
 }
 
 // New returns a Router.
 func New(d Deps) *Router {
 	return &Router{
-		self: d.Self.Incarnation, row: d.Self, members: d.Members, claims: d.Claims, chooser: TwoChoices{}, hop: callPeer(d.Client), ask: askPeer(d.Client),
-		log: d.Log, maxAnswer: DefaultMaxAnswer, pools: map[string]*pool{}, bank: retryBank,
+		self: d.Self.Incarnation, row: d.Self, members: d.Members, claims: d.Claims, chooser: TwoChoices{}, hopTo: hopToPeer(d.Client), tell: tellPeer(d.Client),
+		longest: d.Longest, tickets: newTickets(), ask: askPeer(d.Client),
+		log: d.Log, maxAnswer: DefaultMaxAnswer, pools: map[string]*pool{}, known: map[string]bool{}, bank: retryBank,
 	}
 }
 
@@ -82,26 +91,75 @@
 			boxes = append(boxes, p.Row.Incarnation)
 		}
 	}
+	slices.Sort(boxes)
+	if !r.members.Settled() {
+		return
+	}
+	endpoints := r.members.Endpoints()
 	own := map[string][]hall.Endpoint{}
-	for _, e := range r.members.Endpoints() {
+	slots := map[string]map[control.Incarnation]int{}
+	for _, e := range endpoints {
 		list := own[e.Service] // present even if none is at home here
-		if home(e.Attempt, boxes) == r.self {
+		at := home(e.Attempt, boxes)
+		if at == r.self {
 			list = append(list, e)
 		}
 		own[e.Service] = list
+		if slots[e.Service] == nil {
+			slots[e.Service] = map[control.Incarnation]int{}
+		}
+		if !e.Draining {
+			slots[e.Service][at] += e.Slots
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.firstHomes(boxes, endpoints)
 	for service, list := range own {
-		r.poolOf(service).set(list)
+		r.adopt(r.poolOf(service), list)
+	}
+	r.slots = slots
+	r.boxes, r.known = boxes, make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		r.known[e.Attempt] = true
 	}
 	for service, p := range r.pools {
 		if _, listed := own[service]; !listed {
-			p.set(nil)
+			p.set(nil, nil)
 		}
 	}
 }
 
+// firstHomes makes a box that has just come to know its peers take every upstream
+// for one that had its home among them. The caller holds r.mu.
+func (r *Router) firstHomes(boxes []control.Incarnation, endpoints []hall.Endpoint) {
+	if r.boxes != nil {
+		return
+	}
+	for _, i := range boxes {
+		if i != r.self {
+			r.boxes = append(r.boxes, i)
+		}
+	}
+	for _, e := range endpoints {
+		r.known[e.Attempt] = true
+	}
+}
+
+// adopt sets the upstreams of a pool, and takes over those that had their home
+// at another box. The caller holds r.mu.
+func (r *Router) adopt(p *pool, list []hall.Endpoint) {
+	moved := map[string]control.Incarnation{}
+	for _, e := range list {
+		if former, other := r.formerHome(e.Attempt); other {
+			moved[e.Attempt] = former
+		}
+	}
+	for _, e := range p.set(list, moved) {
+		go r.takeOver(p, e, moved[e.Attempt])
+	}
+}
+
 // home returns the box that counts an upstream's slots, by rendezvous hashing.
 func home(upstream string, boxes []control.Incarnation) control.Incarnation {
 	return slices.MaxFunc(boxes, func(a, b control.Incarnation) int {
@@ -181,6 +239,12 @@
 			return a, nil
 		}
 		errors.As(err, &ran)
+		if r.onTheMove(req, err) {
+			n-- // nothing was tried yet
+			avoid.boxes = nil
+			sleep(ctx, movedPause)
+			continue
+		}
 		if n == tries || !mayRepeat(req, err) || ctx.Err() != nil || !r.spend() {
 			return nil, whole(err, ran)
 		}
@@ -188,6 +252,34 @@
 	}
 }
 
+// movedPause is for how long a request waits whose upstreams change their homes:
+// the boxes agree on them within moments.
+const movedPause = 10 * time.Millisecond
+
+// onTheMove reports whether a request found no upstream only because boxes do not
+// agree yet on whose they are, and has the time to wait.
+func (r *Router) onTheMove(req *Request, err error) bool {
+	var notRun *NotRunError
+	if !errors.As(err, &notRun) || time.Until(req.Deadline) < movedPause {
+		return false
+	}
+	if notRun.Cause != CauseMoved && notRun.Cause != CauseNoReplica {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.slots[req.Route.Service]) > 0
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // whole returns the error that is true of all tries together: that the last one
 // was not run says nothing of one before it that may have run.
 func whole(last error, ran *UnknownError) error {
@@ -252,6 +344,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if t.up == nil && t.to.Incarnation == "" {
+		return nil, &NotRunError{CauseMoved, spread(time.Second)}
+	}
 	if t.up == nil {
 		return r.forward(ctx, t.to, req) // another box has pulled it
 	}
@@ -259,10 +354,26 @@
 	return p.run(ctx, t.up, req, r.maxAnswer)
 }
 
+// peers returns the peers that are homes of a service's upstreams. How many slots
+// they count is worked out here: a box that has just become a home has not said
+// so yet.
+func (r *Router) peers(service string) []member.PeerLoad {
+	r.mu.Lock()
+	slots := r.slots[service]
+	r.mu.Unlock()
+	var homes []member.PeerLoad
+	for _, p := range r.members.LoadsOf(service) {
+		if p.Load.Slots = slots[p.Row.Incarnation]; p.Load.Slots > 0 {
+			homes = append(homes, p)
+		}
+	}
+	return homes
+}
+
 // choose returns the box to which a request for a service goes.
 func (r *Router) choose(service string, avoid []control.Incarnation) (control.BoxRow, bool) {
 	own := r.pool(service).load()
-	peers := slices.DeleteFunc(r.members.LoadsOf(service), func(p member.PeerLoad) bool {
+	peers := slices.DeleteFunc(r.peers(service), func(p member.PeerLoad) bool {
 		return slices.Contains(avoid, p.Row.Incarnation)
 	})
 	if own.Slots == 0 && len(peers) == 0 {
@@ -281,16 +392,11 @@
 	Cause      Cause         `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 	Load       member.Load   `cbor:"5,keyasint"`
+	Refusal    string        `cbor:"6,keyasint,omitempty"`
 }
 
-// hop carries a request to another box and its reply back.
-type hop func(ctx context.Context, to control.BoxRow, req *Request) (reply, error)
-
-func callPeer(c *peer.Client) hop {
-	return func(ctx context.Context, to control.BoxRow, req *Request) (reply, error) {
-		return peer.Call[reply](ctx, c, to.Peer, forwardPath, req)
-	}
-}
+// hopTo carries a request to a path of another box and its reply back.
+type hopTo func(ctx context.Context, to control.BoxRow, path string, req *Request) (reply, error)
 
 // forward hands a request to another box, which does not hand it on.
 func (r *Router) forward(ctx context.Context, to control.BoxRow, req *Request) (*Answer, error) {
@@ -298,7 +404,7 @@
 	r.members.AddQueued(to.Incarnation, req.Route.Service, req.Route.Class == config.Urgent)
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	got, err := r.hop(ctx, to, req)
+	got, err := r.hopTo(ctx, to, forwardPath, req)
 	var unreachable *peer.UnreachableError
 	switch {
 	case errors.As(err, &unreachable):
@@ -307,30 +413,43 @@
 		return nil, &UnknownError{CausePeerLost}
 	}
 	r.members.SetLoad(to.Incarnation, req.Route.Service, got.Load)
-	switch got.Outcome {
+	return got.result()
+}
+
+// result returns what a reply says.
+func (g reply) result() (*Answer, error) {
+	switch g.Outcome {
 	case Answered:
-		return got.Answer, nil
+		return g.Answer, nil
 	case NotRun:
-		return nil, &NotRunError{got.Cause, got.RetryAfter}
+		return nil, &NotRunError{g.Cause, g.RetryAfter}
+	case Refused:
+		return nil, &TicketError{g.Refusal}
 	}
-	return nil, &UnknownError{got.Cause}
+	return nil, &UnknownError{g.Cause}
 }
 
-// Forwarded serves a request that another box handed on.
-func (r *Router) Forwarded(ctx context.Context, req *Request) (reply, error) {
-	a, err := r.Here(ctx, req, &avoided{})
-	r.count(err)
-	got := reply{Outcome: Answered, Answer: a, Load: r.pool(req.Route.Service).load()}
+// replyOf is the reply that says what became of a request.
+func replyOf(a *Answer, err error) reply {
 	var (
 		notRun  *NotRunError
 		unknown *UnknownError
 	)
 	switch {
 	case errors.As(err, &notRun):
-		got.Outcome, got.Cause, got.RetryAfter = NotRun, notRun.Cause, notRun.RetryAfter
+		return reply{Outcome: NotRun, Cause: notRun.Cause, RetryAfter: notRun.RetryAfter}
 	case errors.As(err, &unknown):
-		got.Outcome, got.Cause = Unknown, unknown.Cause
+		return reply{Outcome: Unknown, Cause: unknown.Cause}
 	}
+	return reply{Outcome: Answered, Answer: a}
+}
+
+// Forwarded serves a request that another box handed on.
+func (r *Router) Forwarded(ctx context.Context, req *Request) (reply, error) {
+	a, err := r.Here(ctx, req, &avoided{})
+	r.count(err)
+	got := replyOf(a, err)
+	got.Load = r.pool(req.Route.Service).load()
 	return got, nil
 }
 
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -34,10 +34,13 @@
 	client *http.Client
 	send   sender
 
-	busy    int
-	leaving bool
-	ejected time.Time // until when it gets nothing
-	strikes int
+	busy     int
+	reserved int       // slots that its former home still uses
+	limit    float64   // of slots, as far as it bears them
+	moved    time.Time // until when another box is its home, whatever this one thinks
+	leaving  bool
+	ejected  time.Time // until when it gets nothing
+	strikes  int
 }
 
 func newUpstream(e hall.Endpoint) *upstream {
@@ -49,7 +52,7 @@
 		}
 		return &countingConn{Conn: c}, nil
 	}
-	u := &upstream{Endpoint: e, client: &http.Client{
+	u := &upstream{Endpoint: e, limit: float64(e.Slots), client: &http.Client{
 		Transport: &http.Transport{
 			DialContext: dial, MaxConnsPerHost: e.Conns, MaxIdleConnsPerHost: e.Slots,
 			IdleConnTimeout: idleTimeout, DisableCompression: true,
@@ -64,7 +67,29 @@
 type sender func(ctx context.Context, r *Request, maxAnswer int64) (*Answer, error)
 
 // free reports whether u has a slot for one more request.
-func (u *upstream) free() bool { return !u.leaving && u.busy < u.Slots }
+func (u *upstream) free(now time.Time) bool {
+	taken := u.busy + u.reserved
+	return !u.leaving && now.After(u.moved) && taken < u.Slots && float64(taken) < u.limit
+}
+
+const (
+	// slowBy is how many times the service's usual time a request may take before
+	// its upstream counts as slowed down.
+	slowBy = 4
+	// shrink is by what an upstream's limit is multiplied then.
+	shrink = 0.7
+)
+
+// adapt lowers the limit of an upstream that has slowed down against the others,
+// and raises it again, by one for each limit's worth of good answers. The slots
+// are the ceiling.
+func (u *upstream) adapt(took, usual time.Duration) {
+	if usual > 0 && took > slowBy*usual {
+		u.limit = max(1, u.limit*shrink)
+		return
+	}
+	u.limit = min(float64(u.Slots), u.limit+1/u.limit)
+}
 
 // strike ejects an upstream that could not be reached, for longer each time.
 func (u *upstream) strike(now time.Time) {
