hall, publish, box: leaving workers, revisions from peers, a bounded leave

Cause: the platform's list of leaving boxes was not read; a box cut off from the table waited for it to learn of a revision; a box told to stop while the table was down took four minutes, two for each try to release a unit (found by the new test).

Change: workers that the platform says are leaving count as drained; a box takes higher revisions from its peers; releasing units is bounded by 5 s, after which successors wait for the lapse as after a death.

Conclusion: an outage of the table no longer holds up a stop or a revision.

--- a/box/box.go
+++ b/box/box.go
@@ -33,6 +33,9 @@
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
 	shutdownLimit  = 2 * time.Minute
+	// leaveLimit bounds the release of units. Without the table they cannot be
+	// released; the successors then wait for the heartbeat to lapse.
+	leaveLimit = 5 * time.Second
 )
 
 // Box is one daemon.
@@ -220,7 +223,9 @@
 		b.log.Warn().Err(err).Msg("Some requests were cut off.")
 	}
 	if l := b.life.Load(); l != nil {
+		ctx, cancel := context.WithTimeout(ctx, leaveLimit)
 		l.keeper.Leave(ctx)
+		cancel()
 	}
 	die()
 	<-lived
--- a/box/box_test.go
+++ b/box/box_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 	"chutereach/keys"
 	"chutereach/platformhttp"
 	"chutereach/publish"
+	"chutereach/route"
 	"chutereach/settings"
 	"chutereach/standin"
 )
@@ -37,25 +39,19 @@
 type testCell struct {
 	t        *testing.T
 	platform *standin.Platform
-	url      string
 	dir      string
 	boxes    []*Box
 	stops    []func()
+	cuts     []*atomic.Bool // of each box from the platform
 }
 
 func newTestCell(t *testing.T, boxes int) *testCell {
 	c := &testCell{t: t, platform: standin.New(standin.Manizales()), dir: t.TempDir()}
-	server := httptest.NewUnstartedServer(platformhttp.Handler(c.platform.Interfaces()))
-	server.Config.ErrorLog = log.New(io.Discard, "", 0)
-	server.Start()
-	c.url = server.URL
+	t.Cleanup(c.platform.Fleet.Close)
 	t.Cleanup(func() {
 		for _, stop := range c.stops {
 			stop()
 		}
-		c.platform.Fleet.Close()
-		server.CloseClientConnections()
-		server.Close()
 	})
 	if err := keys.NewAuthority(c.dir); err != nil {
 		t.Fatal(err)
@@ -75,6 +71,26 @@
 	return c
 }
 
+// link serves the platform to one box, and can cut it off.
+func (c *testCell) link() (url string) {
+	cut := &atomic.Bool{}
+	c.cuts = append(c.cuts, cut)
+	handler := platformhttp.Handler(c.platform.Interfaces())
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Start()
+	c.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.URL
+}
+
 func (c *testCell) start() {
 	c.t.Helper()
 	name := fmt.Sprintf("box-%d", len(c.boxes)+1)
@@ -83,7 +99,7 @@
 	}
 	set, err := settings.Load([]string{
 		"--box.name", name, "--box.hall", "chipre", "--box.http", "127.0.0.1:0", "--box.peer", "127.0.0.1:0",
-		"--platform.url", c.url, "--operator.token", operatorToken, "--times.drain", "300ms",
+		"--platform.url", c.link(), "--operator.token", operatorToken, "--times.drain", "300ms",
 		"--keys.authority", filepath.Join(c.dir, keys.AuthorityCert),
 		"--keys.cert", filepath.Join(c.dir, name+".pem"), "--keys.key", filepath.Join(c.dir, name+"-key.pem"),
 	})
@@ -418,3 +434,43 @@
 		}
 	}
 }
+
+// A box that cannot reach the platform follows its peers' revisions; with the
+// table out of reach for all, lookups and tickets go on, and what needs the table
+// is refused with the truth.
+func TestTableOutOfReach(t *testing.T) {
+	c := newTestCell(t, 2)
+	c.serve()
+	c.cuts[1].Store(true)
+	if _, err := c.propose(c.boxes[0], 1, func(s *config.Set) { s.Halls["new"] = config.Hall{Name: "new", Units: 1} }); err != nil {
+		t.Fatal(err)
+	}
+	c.await("the box that is cut off has the revision", func() bool {
+		l := c.boxes[1].life.Load()
+		return l != nil && l.publisher.Current().Number == 2
+	})
+	c.cuts[0].Store(true)
+	for i, b := range c.boxes {
+		c.await("lookups go on", func() bool { return c.call(b, fmt.Sprint("lookup-", i), "balance") == nil })
+		mint := client.Call{Method: http.MethodPost, Path: "/v1/tickets/redeem"}
+		ticket, err := client.Do[api.Ticket](t.Context(), c.client(b, "a"), mint, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for k, at := range []*Box{c.boxes[1-i], b, c.boxes[1-i]} {
+			id := fmt.Sprintf("ticket-%d", i)
+			call := client.Call{Method: http.MethodPost, Path: "/v1/call/redeem", Body: []byte("body"), Header: http.Header{
+				api.HeaderRequest: {id}, api.HeaderTicket: {ticket.Ticket},
+			}}
+			resp, err := c.client(at, "a").Send(t.Context(), call)
+			if err != nil || !strings.Contains(string(resp.Body), "answered "+id) {
+				t.Errorf("attempt %d with a ticket: %+v, %v", k, resp, err)
+			}
+		}
+	}
+	var ce *client.Error
+	err := c.call(c.boxes[0], "keyed", "redeem")
+	if !errors.As(err, &ce) || ce.Outcome != route.NotRun && ce.Outcome != route.Unknown {
+		t.Errorf("keyed request: %v", err)
+	}
+}
--- a/box/life.go
+++ b/box/life.go
@@ -160,7 +160,8 @@
 	return s
 }
 
-// followEndpoints tells the members what the own units serve.
+// followEndpoints tells the members what the own units serve, and follows the
+// revisions that peers have.
 func (l *life) followEndpoints(ctx context.Context) {
 	tick := time.NewTicker(endpointsEvery)
 	defer tick.Stop()
@@ -170,6 +171,7 @@
 			return
 		case <-tick.C:
 		}
+		l.cell.CatchUp()
 		for _, u := range l.units.All() {
 			if s := u.Summary(); s.Ready {
 				l.members.SetOwn(s.Unit, s.Epoch, u.Endpoints())
@@ -193,7 +195,7 @@
 	set := hall.Defaults
 	set.ClockError = b.set.Times.ClockError
 	u := hall.New(h, set, hall.Deps{
-		Workers: b.platform.Workers, Sender: s.life.sender, Sure: s.life.keeper.Sure,
+		Workers: b.platform.Workers, Boxes: b.platform.Boxes, Sender: s.life.sender, Sure: s.life.keeper.Sure,
 		Config: s.life.publisher.Current, Events: b.events, Log: logs.For(b.log, logs.Hall),
 	})
 	s.mu.Lock()
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -77,6 +77,7 @@
 	pathWorkers  = "/peer/workers"
 	pathTimeline = "/peer/timeline"
 	pathRevision = "/peer/revision"
+	pathCurrent  = "/peer/current"
 )
 
 // Serve adds the calls that other boxes make.
@@ -90,6 +91,7 @@
 	peer.Handle(mux, pathWorkers, c.ownWorkers)
 	peer.Handle(mux, pathTimeline, c.ownTimeline)
 	peer.Handle(mux, pathRevision, c.pushed)
+	peer.Handle(mux, pathCurrent, c.ownCurrent)
 }
 
 // none stands where a call says nothing.
--- a/cell/status.go
+++ b/cell/status.go
@@ -8,6 +8,7 @@
 
 	"chutereach/config"
 	"chutereach/hall"
+	"chutereach/peer"
 	"chutereach/publish"
 	"chutereach/timeline"
 )
@@ -122,6 +123,21 @@
 	everywhere(ctx, c, pathRevision, r, c.pushed)
 }
 
+// CatchUp gets the newest revision that any peer has said it has.
+func (c *Cell) CatchUp() {
+	for _, p := range c.Members.Peers() {
+		c.Publisher.Heard(p.State.Revision, func() (config.Revision, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+			defer cancel()
+			return peer.Call[config.Revision](ctx, c.Client, p.Row.Peer, pathCurrent, none{})
+		})
+	}
+}
+
+func (c *Cell) ownCurrent(context.Context, none) (config.Revision, error) {
+	return c.Publisher.Current(), nil
+}
+
 func (c *Cell) pushed(_ context.Context, r config.Revision) (none, error) {
 	c.Publisher.Apply(r)
 	return none{}, nil
--- a/hall/bench_test.go
+++ b/hall/bench_test.go
@@ -58,7 +58,7 @@
 
 func benchDeps(table platform.Table, fleet *standin.Fleet, rev config.Revision) Deps {
 	return Deps{
-		Workers: fleet, Sender: commit.NewSender(table, rate.NewLimiter(tableRate, 1)),
+		Workers: fleet, Boxes: &standin.BoxList{}, Sender: commit.NewSender(table, rate.NewLimiter(tableRate, 1)),
 		Sure:   func() time.Time { return time.Now().Add(testSure) },
 		Config: func() config.Revision { return rev },
 		Events: timeline.NewRing("box", &timeline.Clock{}, 1000), Log: zerolog.Nop(),
--- a/hall/load.go
+++ b/hall/load.go
@@ -200,9 +200,15 @@
 
 // reindex puts what a worker has free into the index. The caller holds u.mu.
 func (u *Unit) reindex(w *workerState) {
+	closed := !w.silent.IsZero() || w.gone || u.drained(w)
+	u.index.Set(w.ledger.Worker(), w.ledger.Free(), closed)
+}
+
+// drained reports whether a worker's tasks should leave it: an operator says so,
+// or the platform. The caller holds u.mu.
+func (u *Unit) drained(w *workerState) bool {
 	info := w.ledger.Worker()
-	closed := !w.silent.IsZero() || w.gone || u.deps.Config().Set.Drained(info.Name, info.Rack, info.Hall)
-	u.index.Set(info, w.ledger.Free(), closed)
+	return w.leaving || u.deps.Config().Set.Drained(info.Name, info.Rack, info.Hall)
 }
 
 // enqueueIdle queues every task of a job that waits. The caller holds u.mu.
--- a/hall/planned.go
+++ b/hall/planned.go
@@ -5,6 +5,7 @@
 
 	"chutereach/config"
 	"chutereach/job"
+	"chutereach/platform"
 	"chutereach/timeline"
 )
 
@@ -67,6 +68,35 @@
 	return t
 }
 
+// boxesLoop follows the platform's list of boxes. The list lags; it only ever
+// closes a worker, and never proves that one has stopped.
+func (u *Unit) boxesLoop() {
+	for u.pause(u.set.Boxes) {
+		list, err := u.deps.Boxes.List(u.ctx)
+		if err != nil {
+			continue // the list as it was
+		}
+		leaving := map[string]bool{}
+		for _, b := range list {
+			leaving[b.Name] = b.State == platform.BoxLeaving
+		}
+		u.setLeaving(leaving)
+	}
+}
+
+func (u *Unit) setLeaving(leaving map[string]bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for name, w := range u.workers {
+		if w.leaving == leaving[name] {
+			continue
+		}
+		w.leaving = leaving[name]
+		u.reindex(w)
+		signal(u.decideWake)
+	}
+}
+
 // planned makes the stops that are nobody's emergency: replicas of an older form
 // of their template, and what runs on drained workers.
 func (u *Unit) planned() {
@@ -77,10 +107,8 @@
 			u.replaceReplicas(j)
 		}
 	}
-	set := u.deps.Config().Set
 	for _, w := range u.workers {
-		info := w.ledger.Worker()
-		if !set.Drained(info.Name, info.Rack, info.Hall) {
+		if !u.drained(w) {
 			continue
 		}
 		for _, t := range w.tasks {
@@ -112,8 +140,7 @@
 }
 
 func (u *Unit) mustMove(t *taskState) bool {
-	info := t.worker.ledger.Worker()
-	return t.grant.Revision < t.job.job.Revision || u.deps.Config().Set.Drained(info.Name, info.Rack, info.Hall)
+	return t.grant.Revision < t.job.job.Revision || u.drained(t.worker)
 }
 
 // checkpointAway takes a task that can be resumed off its drained worker. What
--- a/hall/planned_test.go
+++ b/hall/planned_test.go
@@ -42,6 +42,9 @@
 		{"drained worker", 1, func(_ *bench, s *config.Set) {
 			*s = s.WithDrain(config.Drain{Target: config.TargetWorker, Name: "w00"})
 		}, func(b *bench, u *Unit, _ job.ID) bool { return tasksOn(u, "w00") == 0 }},
+		{"worker is leaving, says the platform", 1, func(b *bench, _ *config.Set) {
+			b.boxes.Set(platform.Box{Name: "w00", State: platform.BoxLeaving})
+		}, func(b *bench, u *Unit, _ job.ID) bool { return tasksOn(u, "w00") == 0 }},
 		{"drained rack", 1, func(_ *bench, s *config.Set) {
 			*s = s.WithDrain(config.Drain{Target: config.TargetRack, Name: "r0"})
 		}, func(b *bench, u *Unit, _ job.ID) bool { return tasksOn(u, "w00")+tasksOn(u, "w05") == 0 }},
--- a/hall/report.go
+++ b/hall/report.go
@@ -215,13 +215,12 @@
 }
 
 func (u *Unit) stateOf(w *workerState) WorkerState {
-	info := w.ledger.Worker()
 	switch {
 	case w.gone:
 		return WorkerGone
 	case !w.silent.IsZero():
 		return WorkerSilent
-	case u.deps.Config().Set.Drained(info.Name, info.Rack, info.Hall):
+	case u.drained(w):
 		return WorkerDrained
 	}
 	return WorkerOpen
@@ -243,7 +242,6 @@
 func (u *Unit) Endpoints() []Endpoint {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	set := u.deps.Config().Set
 	var all []Endpoint
 	for _, w := range u.workers {
 		info := w.ledger.Worker()
@@ -255,7 +253,7 @@
 			all = append(all, Endpoint{
 				Service: tm.Name, Attempt: t.attempt, Worker: info.Name, Hall: info.Hall, Address: t.endpoint,
 				Slots: tm.Slots, Conns: tm.Connections,
-				Draining: t.phase == stopping || set.Drained(info.Name, info.Rack, info.Hall),
+				Draining: t.phase == stopping || u.drained(w),
 			})
 		}
 	}
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -28,6 +28,7 @@
 	Watch      time.Duration // for which a worker may hold back a report without news
 	Inbox      time.Duration // between reads of the inbox
 	Fleet      time.Duration // between reads of the list of workers
+	Boxes      time.Duration // between reads of the platform's list of boxes
 	Lanes      int           // transactions on their way at once
 	BatchRows  int           // rows of a transaction
 	Ageing     time.Duration // after which waiting work goes a class up
@@ -41,6 +42,7 @@
 	Watch:      10 * time.Second,
 	Inbox:      time.Second,
 	Fleet:      10 * time.Second,
+	Boxes:      2 * time.Second,
 	Lanes:      4,
 	BatchRows:  400,
 	Ageing:     time.Hour,
@@ -50,6 +52,7 @@
 // Deps are what a unit works with.
 type Deps struct {
 	Workers platform.Workers
+	Boxes   platform.BoxList
 	Sender  *commit.Sender
 	// Sure returns until when no other box can have taken the unit over.
 	Sure func() time.Time
@@ -160,11 +163,12 @@
 	marked  bool     // is among the unit's dirty
 	flying  bool     // its ledger is on its way
 
-	boot   string // "" until heard of
-	seq    uint64
-	silent time.Time // since when it has not answered; zero while it does
-	gone   bool      // the platform lists it no more
-	orders []order
+	boot    string // "" until heard of
+	seq     uint64
+	silent  time.Time // since when it has not answered; zero while it does
+	gone    bool      // the platform lists it no more
+	leaving bool      // the platform says that it is leaving
+	orders  []order
 
 	stopAsk context.CancelFunc // breaks off the question under way
 	nudged  bool               // it was broken off on purpose
@@ -216,6 +220,7 @@
 	u.group.Go(u.decideLoop)
 	u.group.Go(u.inboxLoop)
 	u.group.Go(u.sweepLoop)
+	u.group.Go(u.boxesLoop)
 	<-u.ctx.Done()
 	return u.why(context.Cause(u.ctx))
 }
--- a/hall/unit_test.go
+++ b/hall/unit_test.go
@@ -34,6 +34,7 @@
 	mu    sync.Mutex
 	table *standin.Table
 	fleet *standin.Fleet
+	boxes standin.BoxList
 	rev   config.Revision
 	epoch uint64
 	units []*Unit
@@ -102,7 +103,7 @@
 	b.over = append(b.over, time.Time{})
 	b.mu.Unlock()
 	u := New(ownership.Hold{Unit: "h", Epoch: b.epoch, Version: version, Before: now}, Defaults, Deps{
-		Workers: b.fleet, Sender: sender,
+		Workers: b.fleet, Boxes: &b.boxes, Sender: sender,
 		Sure:   func() time.Time { return b.sure(me) },
 		Config: b.config,
 		Events: timeline.NewRing("box", &timeline.Clock{}, 100), Log: zerolog.Nop(),
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -109,6 +109,20 @@
 	p.checked = v.Asked
 }
 
+// Heard brings a revision into force that a peer has, read by read from there. It
+// is how a box follows while the table is out of reach.
+func (p *Publisher) Heard(number uint64, read func() (config.Revision, error)) {
+	if number <= p.Current().Number {
+		return
+	}
+	r, err := read()
+	if err != nil {
+		p.log.Warn().Err(err).Uint64("revision", number).Msg("Revision cannot be had from a peer.")
+		return
+	}
+	p.Apply(r)
+}
+
 // NoRevisionError says that there is no such revision.
 type NoRevisionError struct{ Number uint64 }
 
--- a/tool/look.go
+++ b/tool/look.go
@@ -21,6 +21,7 @@
 
 type requestCommand struct {
 	Key  string `long:"key" description:"Idempotency-Key of a request that may run once"`
+	Ticket bool `long:"ticket" description:"get a ticket and send the request with it; works without the platform's table"`
 	Data string `short:"d" long:"data" description:"body; the method is then POST"`
 	Args struct {
 		Route string `positional-arg-name:"ROUTE" required:"yes"`
@@ -40,8 +41,17 @@
 	if r.Key != "" {
 		call.Header.Set(api.HeaderKey, r.Key)
 	}
+	c := newClient()
+	if r.Ticket {
+		mint := client.Call{Method: http.MethodPost, Path: "/v1/tickets/" + r.Args.Route}
+		t, err := client.Do[api.Ticket](context.Background(), c, mint, nil)
+		if err != nil {
+			return err
+		}
+		call.Header.Set(api.HeaderTicket, t.Ticket)
+	}
 	began := time.Now()
-	resp, err := newClient().Send(context.Background(), call)
+	resp, err := c.Send(context.Background(), call)
 	if err != nil {
 		return err
 	}
