--- /dev/null
+++ b/job/task_test.go
@@ -0,0 +1,78 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"chutereach/config"
+)
+
+var noon = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+func TestWhatBecomesOfATask(t *testing.T) {
+	always := config.Template{Form: config.FormBatch, Repeat: config.RepeatAlways, Attempts: 2}
+	never := config.Template{Form: config.FormBatch, Repeat: config.RepeatNever, Attempts: 2}
+	resume := config.Template{Form: config.FormBatch, Repeat: config.RepeatCheckpoint, Attempts: 2}
+	service := config.Template{Form: config.FormService, Repeat: config.RepeatAlways, Attempts: 1}
+	end := func(tm config.Template, ok bool) func(Task) Task {
+		return func(t Task) Task { return t.WithEnd(tm, ok, nil, noon) }
+	}
+	loss := func(tm config.Template, checkpoint string) func(Task) Task {
+		return func(t Task) Task { return t.WithLoss(tm, checkpoint, noon) }
+	}
+	for _, c := range []struct {
+		name  string
+		steps []func(Task) Task
+		want  State
+	}{
+		{"ends well", []func(Task) Task{end(always, true)}, Done},
+		{"fails once", []func(Task) Task{end(always, false)}, Waiting},
+		{"fails too often", []func(Task) Task{end(always, false), end(always, false)}, Failed},
+		{"fails and may not be repeated", []func(Task) Task{end(never, false)}, Failed},
+		{"replica ends well", []func(Task) Task{end(service, true)}, Waiting},
+		{"replica fails", []func(Task) Task{end(service, false)}, Waiting},
+		{"is lost", []func(Task) Task{loss(always, "")}, Waiting},
+		{"is lost and may not be repeated", []func(Task) Task{loss(never, "")}, Unknown},
+		{"is lost without a checkpoint", []func(Task) Task{loss(resume, "")}, Unknown},
+		{"is lost after a checkpoint", []func(Task) Task{loss(resume, "c"), loss(resume, "")}, Waiting},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			task := NewTask(Job{ID: NewID("h")}, 0)
+			for _, step := range c.steps {
+				task = step(task.WithStart(task.Attempts+1, "w", noon))
+			}
+			if task.State != c.want {
+				t.Errorf("state = %s, want %s", task.State, c.want)
+			}
+			back, err := DecodeTask(task.Encode())
+			if err != nil || back.State != task.State || !back.Changed.Equal(task.Changed) || back.Attempts != task.Attempts {
+				t.Errorf("read back: %+v, %v", back, err)
+			}
+		})
+	}
+}
+
+func TestAttemptNames(t *testing.T) {
+	a := AttemptID{NewID("chipre-u2"), 7, 3}
+	if got, err := ParseAttempt(a.String()); err != nil || got != a {
+		t.Errorf("%s reads as %v, %v", a, got, err)
+	}
+	for _, text := range []string{"", "x", "chipre.d4k1", "chipre.9m4e2mr0ui3e8a215n4g/0", "chipre.9m4e2mr0ui3e8a215n4g/-1/1", "chipre.9m4e2mr0ui3e8a215n4g/0/0", "a/b.9m4e2mr0ui3e8a215n4g/0/1"} {
+		if got, err := ParseAttempt(text); err == nil {
+			t.Errorf("%q reads as %v", text, got)
+		}
+	}
+}
+
+func FuzzParseAttempt(f *testing.F) {
+	f.Add("chipre.9m4e2mr0ui3e8a215n4g/0/1")
+	f.Fuzz(func(t *testing.T, text string) {
+		a, err := ParseAttempt(text)
+		if err != nil {
+			return
+		}
+		if again, err := ParseAttempt(a.String()); err != nil || again != a {
+			t.Errorf("%q reads as %v, then as %v, %v", text, a, again, err)
+		}
+	})
+}
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,59 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chutereach/platform"
+	"chutereach/proptest"
+	"chutereach/resource"
+)
+
+var worker = platform.Worker{Name: "w", Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30, Accelerators: 2}}
+
+// Whatever is asked of a ledger, its grants never exceed the worker, it is the
+// sum of its grants, and its row reads back the same.
+func TestGrantsNeverExceedTheWorker(t *testing.T) {
+	proptest.Check(t, func(r *rapid.T) {
+		l := New(worker)
+		for i := range rapid.IntRange(1, 40).Draw(r, "steps") {
+			attempt := fmt.Sprint("a", rapid.IntRange(0, 8).Draw(r, fmt.Sprint("attempt ", i)))
+			before := l.Used()
+			if rapid.Bool().Draw(r, fmt.Sprint("release ", i)) {
+				next, err := l.WithRelease(attempt)
+				var missing *MissingError
+				if err != nil && (!errors.As(err, &missing) || next.Used() != before) {
+					r.Fatalf("release: %v", err)
+				}
+				l = next
+				continue
+			}
+			need := resource.Amount{
+				CPU:          resource.MilliCPU(rapid.Int64Range(-1000, 17_000).Draw(r, fmt.Sprint("cpu ", i))),
+				Memory:       resource.Bytes(rapid.Int64Range(0, 65<<30).Draw(r, fmt.Sprint("memory ", i))),
+				Accelerators: rapid.Int64Range(0, 3).Draw(r, fmt.Sprint("accelerators ", i)),
+			}
+			next, err := l.WithGrant(Grant{Attempt: attempt, Need: need, Lease: time.Minute, Boot: "b"})
+			if err != nil && next.Used() != before {
+				r.Fatalf("a refused grant changed the ledger")
+			}
+			l = next
+		}
+		sum := resource.Amount{}
+		for _, g := range l.Grants() {
+			sum = sum.Plus(g.Need)
+		}
+		if kind, over := l.Used().Lacking(worker.Capacity); over || sum != l.Used() {
+			r.Fatalf("used %v of %v (%s), grants sum up to %v", l.Used(), worker.Capacity, kind, sum)
+		}
+		back, err := Decode(l.Encode())
+		if err != nil || back.Used() != l.Used() || len(l.Grants()) > 0 && !reflect.DeepEqual(back.Grants(), l.Grants()) {
+			r.Fatalf("read back: %+v, %v", back, err)
+		}
+	})
+}
--- a/tool/look.go
+++ b/tool/look.go
@@ -20,10 +20,10 @@
 )
 
 type requestCommand struct {
-	Key  string `long:"key" description:"Idempotency-Key of a request that may run once"`
-	Ticket bool `long:"ticket" description:"get a ticket and send the request with it; works without the platform's table"`
-	Data string `short:"d" long:"data" description:"body; the method is then POST"`
-	Args struct {
+	Key    string `long:"key" description:"Idempotency-Key of a request that may run once"`
+	Ticket bool   `long:"ticket" description:"get a ticket and send the request with it; works without the platform's table"`
+	Data   string `short:"d" long:"data" description:"body; the method is then POST"`
+	Args   struct {
 		Route string `positional-arg-name:"ROUTE" required:"yes"`
 		Path  string `positional-arg-name:"PATH"`
 	} `positional-args:"yes"`
