box, peer: what a box costs in memory and bytes, and what it adds to a request

Cause: docs/CAPACITY.md had no figure for bytes between boxes, resident memory, or the price of a hop.

--- a/box/box_test.go
+++ b/box/box_test.go
@@ -37,7 +37,7 @@
 
 // testCell is some boxes on loopback and the platform behind them.
 type testCell struct {
-	t        *testing.T
+	t        testing.TB
 	platform *standin.Platform
 	dir      string
 	boxes    []*Box
@@ -45,7 +45,7 @@
 	cuts     []*atomic.Bool // of each box from the platform
 }
 
-func newTestCell(t *testing.T, boxes int) *testCell {
+func newTestCell(t testing.TB, boxes int) *testCell {
 	c := &testCell{t: t, platform: standin.New(standin.Manizales()), dir: t.TempDir()}
 	t.Cleanup(c.platform.Fleet.Close)
 	t.Cleanup(func() {
--- a/box/life.go
+++ b/box/life.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
 	"chutereach/api"
@@ -205,6 +206,7 @@
 	go func() {
 		if err := u.Run(); err != nil {
 			b.log.Warn().Err(err).Msg("Unit is lost.")
+			b.log.Debug().Str("stack", eris.ToString(err, true)).Msg("Unit was lost here.")
 			s.life.keeper.GiveUp(context.Background(), h.Unit)
 		}
 	}()
--- a/box/metrics.go
+++ b/box/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"expvar"
+	"fmt"
+	"os"
 	"runtime/metrics"
 	"sync"
 	"syscall"
@@ -40,6 +42,8 @@
 	Revision    uint64         `json:"revision"`
 	CPU         time.Duration  `json:"cpu_ns"`
 	Heap        uint64         `json:"heap_bytes"`
+	Resident    uint64         `json:"resident_bytes"`
+	PeerBytes   int64          `json:"peer_bytes"` // of calls to peers and their answers
 	Units       []hall.Summary `json:"units"`
 	Table       TableMetrics   `json:"table"`
 	Requests    RequestMetrics `json:"requests"`
@@ -67,7 +71,8 @@
 func (l *life) metrics() Metrics {
 	m := Metrics{
 		Box: l.box.set.Box.Name, Incarnation: string(l.self.Incarnation), Revision: l.publisher.Current().Number,
-		CPU: processCPU(), Heap: heap(),
+		CPU: processCPU(), Heap: heap(), Resident: resident(),
+		PeerBytes: l.box.client.Sent.Load() + l.box.client.Received.Load(),
 		Table: TableMetrics{
 			l.sender.Stats.Sent.Load(), l.sender.Stats.Resent.Load(),
 			l.sender.Stats.ReadBack.Load(), l.sender.Stats.Conflicts.Load(),
@@ -92,6 +97,20 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// resident returns how much memory the process holds, or 0 where the system does
+// not tell.
+func resident() uint64 {
+	data, err := os.ReadFile("/proc/self/statm")
+	var size, pages uint64
+	if err != nil {
+		return 0
+	}
+	if _, err := fmt.Sscan(string(data), &size, &pages); err != nil {
+		return 0
+	}
+	return pages * uint64(os.Getpagesize())
+}
+
 const heapMetric = "/memory/classes/heap/objects:bytes"
 
 func heap() uint64 {
--- a/hall/load.go
+++ b/hall/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"chutereach/control"
@@ -30,7 +31,7 @@
 	for pause := firstPause; ; pause = min(2*pause, lastPause) {
 		r, err := u.read()
 		if err == nil {
-			return u.rebuild(r)
+			return eris.Wrap(u.rebuild(r), "rebuild from the table")
 		}
 		u.log.Warn().Err(err).Msg("Unit cannot be loaded yet.")
 		if !u.pause(pause) {
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"chutereach/commit"
@@ -234,7 +235,9 @@
 	return time.Now()
 }
 
-func (u *Unit) lose(cause error) { u.cancel(cause) }
+// lose ends a unit that cannot be run here any more. The cause keeps where it
+// came from: by the time it is logged, every goroutine of the unit has ended.
+func (u *Unit) lose(cause error) { u.cancel(eris.Wrap(cause, "commit")) }
 
 func (u *Unit) why(err error) error {
 	if errors.Is(context.Cause(u.ctx), errDisowned) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -79,11 +80,16 @@
 func (s *Server) Close() error { return errors.Join(s.server.Close(), s.conn.Close()) }
 
 // Client makes calls to peers.
-type Client struct{ transport *http3.Transport }
+type Client struct {
+	transport *http3.Transport
+	// Sent and Received count the bytes of calls and answers, without headers and
+	// what QUIC adds.
+	Sent, Received atomic.Int64
+}
 
 // NewClient returns a Client.
 func NewClient(keys *tls.Config) *Client {
-	return &Client{&http3.Transport{
+	return &Client{transport: &http3.Transport{
 		TLSClientConfig: keys.Clone(), QUICConfig: quicConfig(), DisableCompression: true,
 	}}
 }
@@ -139,6 +145,7 @@
 		return answer, &UnreachableError{address, err}
 	}
 	req.Header.Set("Content-Type", contentType)
+	c.Sent.Add(int64(len(body)))
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return answer, classify(address, err)
@@ -148,6 +155,7 @@
 	if err != nil {
 		return answer, &LostError{address, err}
 	}
+	c.Received.Add(int64(len(data)))
 	if resp.StatusCode != http.StatusOK {
 		f := &Failure{}
 		if codec.Unmarshal(data, f) != nil {
