--- a/codec/codec.go
+++ b/codec/codec.go
@@ -3,7 +3,12 @@
 // which once cost requests up to a second of their deadlines.
 package codec
 
-import "github.com/fxamacker/cbor/v2"
+import (
+	"io"
+	"net/http"
+
+	"github.com/fxamacker/cbor/v2"
+)
 
 var mode = newMode()
 
@@ -30,3 +35,27 @@
 
 // Unmarshal reads what Marshal wrote.
 func Unmarshal(data []byte, v any) error { return cbor.Unmarshal(data, v) }
+
+// ContentType is what bodies of this codec are marked with.
+const ContentType = "application/cbor"
+
+// ReadRequest reads a request's body of at most limit bytes into v.
+func ReadRequest(w http.ResponseWriter, r *http.Request, limit int64, v any) error {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return err
+	}
+	return Unmarshal(data, v)
+}
+
+// Reply answers a request with v.
+func Reply(w http.ResponseWriter, status int, v any) {
+	data, err := Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", ContentType)
+	w.WriteHeader(status)
+	w.Write(data)
+}
--- a/commit/commit.go
+++ b/commit/commit.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"chutereach/platform"
+	"chutereach/wait"
 )
 
 const (
@@ -113,7 +114,7 @@
 		} else if !platform.NotApplied(err) {
 			open = true
 		}
-		if wait(ctx, max(pause.NextBackOff(), platform.RetryAfter(err))) != nil {
+		if wait.For(ctx, max(pause.NextBackOff(), platform.RetryAfter(err))) != nil {
 			return 0, gaveUp(t, open, err)
 		}
 		s.Stats.Resent.Add(1)
@@ -162,14 +163,3 @@
 	}
 	return 0, puts == 0 && gone, nil
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/commit/commit_test.go
+++ b/commit/commit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,12 +25,11 @@
 
 // once lets a fault befall the first request of an operation only.
 func once(op standin.Op, f standin.Fault) func(standin.Op, string) standin.Fault {
-	left := 1
+	var befallen atomic.Bool
 	return func(o standin.Op, _ string) standin.Fault {
-		if o != op || left == 0 {
+		if o != op || !befallen.CompareAndSwap(false, true) {
 			return standin.Fault{}
 		}
-		left--
 		return f
 	}
 }
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -20,6 +20,7 @@
 	"chutereach/queue"
 	"chutereach/resource"
 	"chutereach/timeline"
+	"chutereach/wait"
 )
 
 // Settings are the times and sizes by which a unit is run.
@@ -261,16 +262,7 @@
 }
 
 // pause waits for d or until the unit ends, and reports whether it goes on.
-func (u *Unit) pause(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-u.ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
+func (u *Unit) pause(d time.Duration) bool { return wait.For(u.ctx, d) == nil }
 
 // mine reports whether a worker belongs to the unit.
 func (u *Unit) mine(w platform.Worker) bool {
--- a/member/member.go
+++ b/member/member.go
@@ -18,6 +18,7 @@
 	"chutereach/hall"
 	"chutereach/peer"
 	"chutereach/timeline"
+	"chutereach/wait"
 )
 
 // Load is what a box has to give for a service.
@@ -190,12 +191,7 @@
 func (m *Members) follow(ctx context.Context, p *member) {
 	for ctx.Err() == nil {
 		m.ask(ctx, p)
-		t := time.NewTimer(interval)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		wait.For(ctx, interval)
 	}
 	m.notify()
 }
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -13,6 +13,7 @@
 	"chutereach/commit"
 	"chutereach/control"
 	"chutereach/platform"
+	"chutereach/wait"
 )
 
 // Settings are the times by which a Keeper goes.
@@ -145,16 +146,7 @@
 	for ctx.Err() == nil {
 		next := time.Now().Add(k.set.Beat - time.Duration(rand.Int64N(int64(k.set.Beat)/10+1)))
 		f()
-		pause(ctx, time.Until(next))
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		wait.For(ctx, time.Until(next))
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -23,8 +23,7 @@
 
 const (
 	// maxBody bounds what is read of one call.
-	maxBody     = 32 << 20
-	contentType = "application/cbor"
+	maxBody = 32 << 20
 	// idleTimeout closes a connection to a peer that has gone; keepAlive keeps
 	// one to a peer that is there.
 	idleTimeout = 6 * time.Second
@@ -144,7 +143,7 @@
 	if err != nil {
 		return answer, &UnreachableError{address, err}
 	}
-	req.Header.Set("Content-Type", contentType)
+	req.Header.Set("Content-Type", codec.ContentType)
 	c.Sent.Add(int64(len(body)))
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
@@ -186,20 +185,16 @@
 func Handle[R, A any](mux *http.ServeMux, path string, do func(context.Context, R) (A, error)) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var request R
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-		if err == nil {
-			err = codec.Unmarshal(data, &request)
-		}
-		if err != nil {
-			reply(w, http.StatusBadRequest, Failure{Message: err.Error()})
+		if err := codec.ReadRequest(w, r, maxBody, &request); err != nil {
+			codec.Reply(w, http.StatusBadRequest, Failure{Message: err.Error()})
 			return
 		}
 		answer, err := do(r.Context(), request)
 		if err != nil {
-			reply(w, http.StatusUnprocessableEntity, failureOf(err))
+			codec.Reply(w, http.StatusUnprocessableEntity, failureOf(err))
 			return
 		}
-		reply(w, http.StatusOK, answer)
+		codec.Reply(w, http.StatusOK, answer)
 	})
 }
 
@@ -220,14 +215,3 @@
 	}
 	return Failure{Message: err.Error()}
 }
-
-func reply[A any](w http.ResponseWriter, status int, answer A) {
-	data, err := codec.Marshal(answer)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", contentType)
-	w.WriteHeader(status)
-	w.Write(data)
-}
--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	contentType  = "application/cbor"
 	connsPerHost = 512 // a held-back report takes one for each worker
 	idleTimeout  = 90 * time.Second
 	dialTimeout  = 2 * time.Second
@@ -52,7 +51,7 @@
 	if err != nil {
 		return answer, &platform.UnavailableError{Service: s, Reason: err.Error()}
 	}
-	req.Header.Set("Content-Type", contentType)
+	req.Header.Set("Content-Type", codec.ContentType)
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
 	}
--- a/platformhttp/handler.go
+++ b/platformhttp/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"chutereach/codec"
@@ -46,11 +45,7 @@
 func handle[R, A any](mux *http.ServeMux, path string, do func(context.Context, R) (A, error)) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var request R
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-		if err == nil {
-			err = codec.Unmarshal(data, &request)
-		}
-		if err != nil {
+		if err := codec.ReadRequest(w, r, maxBody, &request); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
@@ -59,7 +54,7 @@
 			fail(w, err)
 			return
 		}
-		reply(w, http.StatusOK, answer)
+		codec.Reply(w, http.StatusOK, answer)
 	})
 }
 
@@ -78,16 +73,5 @@
 	if !answered {
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, status[f.Kind], f)
-}
-
-func reply[A any](w http.ResponseWriter, status int, answer A) {
-	data, err := codec.Marshal(answer)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", contentType)
-	w.WriteHeader(status)
-	w.Write(data)
+	codec.Reply(w, status[f.Kind], f)
 }
--- a/route/router.go
+++ b/route/router.go
@@ -18,6 +18,7 @@
 	"chutereach/hall"
 	"chutereach/member"
 	"chutereach/peer"
+	"chutereach/wait"
 )
 
 const (
@@ -242,7 +243,7 @@
 		if r.onTheMove(req, err) {
 			n-- // nothing was tried yet
 			avoid.boxes = nil
-			sleep(ctx, movedPause)
+			wait.For(ctx, movedPause)
 			continue
 		}
 		if n == tries || !mayRepeat(req, err) || ctx.Err() != nil || !r.spend() {
@@ -271,15 +272,6 @@
 	return len(r.slots[req.Route.Service]) > 0
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // whole returns the error that is true of all tries together: that the last one
 // was not run says nothing of one before it that may have run.
 func whole(last error, ran *UnknownError) error {
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"chutereach/platform"
+	"chutereach/wait"
 )
 
 // Op names an operation in faults, as in "commit" or "start".
@@ -76,7 +77,7 @@
 		return none, fault.Refuse
 	}
 	due := time.Now().Add(fault.Delay)
-	if pause(ctx, fault.Delay) != nil {
+	if wait.For(ctx, fault.Delay) != nil {
 		if !fault.Vanish {
 			// The caller has gone; the request takes effect all the same, late.
 			time.AfterFunc(time.Until(due), func() { do() })
@@ -87,7 +88,7 @@
 		return none, &platform.UnknownError{Service: s, Cause: errLost}
 	}
 	v, err := do()
-	if pause(ctx, fault.AnswerLate) != nil {
+	if wait.For(ctx, fault.AnswerLate) != nil {
 		return none, &platform.UnknownError{Service: s, Cause: ctx.Err()}
 	}
 	if fault.Lose {
@@ -96,20 +97,6 @@
 	return v, err
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // Down is the refusal of a service that is down.
 func Down(s platform.Service) error {
 	return &platform.UnavailableError{Service: s, Reason: "it is down"}
