settings, box: a port in use names file, line and key

Cause: the line that tells of a port in use named the key but not where it was set, unlike every other wrong setting.

Change: settings tell where a setting stands; the benchmark of a running task counts allocations too.

Conclusion: every wrong setting is told alike.

--- a/box/box.go
+++ b/box/box.go
@@ -55,18 +55,22 @@
 	leaving atomic.Bool
 }
 
-// ListenError says that an address cannot be listened on.
+// ListenError says that an address cannot be listened on. Setting names the
+// setting that gave the address, and where it stands.
 type ListenError struct {
-	Key, Address string
-	Cause        error
+	Setting error
+	Cause   error
 }
 
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("%s: cannot listen on %s: %v", e.Key, e.Address, reason(e.Cause))
-}
+func (e *ListenError) Error() string { return e.Setting.Error() }
 
 func (e *ListenError) Unwrap() error { return e.Cause }
 
+func cannotListen(set *settings.Settings, key, address string, cause error) error {
+	text := fmt.Sprintf("cannot listen on %s: %v", address, reason(cause))
+	return &ListenError{set.Fault("box", key, text), cause}
+}
+
 // reason returns the innermost cause of a network error: the outer ones repeat
 // the address.
 func reason(err error) error {
@@ -88,12 +92,12 @@
 		return nil, err
 	}
 	if b.http, err = net.Listen("tcp", set.Box.HTTP); err != nil {
-		return nil, &ListenError{"box.http", set.Box.HTTP, err}
+		return nil, cannotListen(set, "http", set.Box.HTTP, err)
 	}
 	b.peers, err = peer.Listen(set.Box.Peer, b.keys, http.HandlerFunc(b.servePeer))
 	if err != nil {
 		b.http.Close()
-		return nil, &ListenError{"box.peer", set.Box.Peer, err}
+		return nil, cannotListen(set, "peer", set.Box.Peer, err)
 	}
 	b.client = peer.NewClient(b.keys)
 	b.server = &http.Server{
--- a/box/box_test.go
+++ b/box/box_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"log"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -373,13 +375,24 @@
 }
 
 func TestPortInUseIsTold(t *testing.T) {
-	c := newTestCell(t, 1)
-	set := *c.boxes[0].set
-	set.Box.HTTP = c.boxes[0].HTTP()
-	_, err := New(&set, zerolog.Nop())
-	var le *ListenError
-	if !errors.As(err, &le) || !strings.Contains(err.Error(), "address already in use") || strings.Contains(err.Error(), "\n") {
-		t.Errorf("err = %v", err)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	name := filepath.Join(t.TempDir(), "box.ini")
+	text := "[box]\nname = x\nhttp = " + taken.Addr().String() + "\npeer = 127.0.0.1:0\n"
+	if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	set, err := settings.Load([]string{"--config", name})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = New(set, zerolog.Nop())
+	want := fmt.Sprintf("%s:3: http: cannot listen on %s: address already in use", name, taken.Addr())
+	if !errors.As(err, new(*ListenError)) || err.Error() != want {
+		t.Errorf("got %v, want %s", err, want)
 	}
 }
 
--- a/hall/bench_test.go
+++ b/hall/bench_test.go
@@ -158,11 +158,12 @@
 		table, fleet := benchPlatform(hallWorkers)
 		rev := benchConfig()
 		u := benchUnit(b, table, fleet, rev, Defaults)
-		before := heapInUse()
+		before, allocs := heapInUse(), mallocs()
 		insert(b, table, rev, "long", hallTasks/10, 10)
 		u.Notify()
 		await(func() bool { return u.begun() == hallTasks })
 		all := heapInUse() - before
+		b.ReportMetric(float64(mallocs()-allocs)/hallTasks, "allocs/start")
 		u.Stop()
 		// What the stand-in holds for its side stays when the owner has gone.
 		*u = Unit{}
@@ -173,6 +174,13 @@
 	}
 }
 
+// mallocs returns how many objects were allocated so far, by the stand-in too.
+func mallocs() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.Mallocs
+}
+
 func heapInUse() int64 {
 	runtime.GC()
 	runtime.GC()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,6 +29,8 @@
 	Operator Operator `group:"operator" namespace:"operator" env-namespace:"CHUTEREACH_OPERATOR"`
 	Times    Times    `group:"times" namespace:"times" env-namespace:"CHUTEREACH_TIMES"`
 	Log      Log      `group:"log" namespace:"log" env-namespace:"CHUTEREACH_LOG"`
+
+	file *ini.File
 }
 
 // Box is who the daemon is and where it listens.
@@ -120,7 +122,17 @@
 	case len(rest) > 0:
 		return nil, &Error{Key: "command line", Reason: fmt.Sprintf("%q is not understood", rest[0])}
 	}
-	return s, s.check(file)
+	s.file = file
+	return s, s.check()
+}
+
+// Fault returns the error that a setting cannot be used, at the file and line
+// that gave it if one did.
+func (s *Settings) Fault(section, key, reason string) error {
+	if s.file == nil {
+		return &Error{Key: section + "." + key, Reason: reason}
+	}
+	return s.file.At(section, key, reason)
 }
 
 func newParser(s *Settings, o flags.Options) *flags.Parser {
@@ -182,13 +194,8 @@
 )
 
 // check applies the rules between settings.
-func (s *Settings) check(file *ini.File) error {
-	bad := func(section, key, reason string) error {
-		if file != nil {
-			return file.At(section, key, reason)
-		}
-		return &Error{Key: section + "." + key, Reason: reason}
-	}
+func (s *Settings) check() error {
+	bad := s.Fault
 	if err := addressError(s.Box.HTTP); err != "" {
 		return bad("box", "http", err)
 	}
