rendezvous, route, hall: hashing stands once, large files by job

Cause: ownership and route each had the same hash; route/router.go and hall/report.go had several jobs each.

Change: package rendezvous with a property and a check of the spread; the router's homes, retries and forwarding, and the hall's waits, endpoints and operators' calls have files of their own.

Conclusion: each file names what is in it.

--- /dev/null
+++ b/hall/operate.go
@@ -0,0 +1,75 @@
+package hall
+
+import (
+	"fmt"
+	"time"
+
+	"chutereach/job"
+	"chutereach/timeline"
+)
+
+// NoJobError says that a unit has no such job.
+type NoJobError struct{ ID job.ID }
+
+func (e *NoJobError) Error() string { return fmt.Sprintf("there is no job %q", string(e.ID)) }
+
+// StopJob makes a job run no more: what waits is not started, and what runs is
+// stopped. It returns once that is on its way.
+func (u *Unit) StopJob(id job.ID) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	j := u.jobs[id]
+	if j == nil || j.version == 0 {
+		return &NoJobError{id}
+	}
+	if j.job.Stopped {
+		return nil
+	}
+	j.job = j.job.WithStopped()
+	u.write(change{
+		writes: []rowWrite{{key: j.job.Key(), version: j.version, value: j.job.Encode()}},
+		then: func(version uint64) {
+			j.version = version
+			u.stopTasks(j)
+			u.note(timeline.Event{Kind: timeline.JobStopped, Job: string(id), Account: j.job.Account})
+		},
+	})
+	return nil
+}
+
+func (u *Unit) stopTasks(j *jobState) {
+	for _, i := range j.waiting {
+		u.finalize(j.tasks[i], j.tasks[i].task.WithStopped(time.Now()))
+	}
+	j.waiting = nil
+	for _, t := range j.tasks {
+		if t.phase == running {
+			t.phase = stopping
+			u.order(t.worker, order{kind: orderStop, attempt: t.attempt})
+		}
+	}
+}
+
+// Settle gives an unknown task the state that an operator found it in.
+func (u *Unit) Settle(id job.ID, task int, s job.State) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	j := u.jobs[id]
+	if j == nil || task < 0 || task >= len(j.tasks) {
+		return &NoJobError{id}
+	}
+	t := j.tasks[task]
+	next, err := t.task.WithSettled(s, time.Now())
+	if err != nil {
+		return err
+	}
+	u.write(change{
+		writes: []rowWrite{{key: next.Key(), version: t.version, value: next.Encode()}},
+		then: func(version uint64) {
+			t.version = version
+			u.note(timeline.Event{Kind: timeline.TaskSettled, Job: string(id), Detail: string(s)})
+			u.released(t, next)
+		},
+	})
+	return nil
+}
--- a/hall/report.go
+++ b/hall/report.go
@@ -2,65 +2,13 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"chutereach/config"
 	"chutereach/job"
 	"chutereach/resource"
-	"chutereach/timeline"
-)
-
-const (
-	longestWait = int64(24 * time.Hour / time.Microsecond)
-	waitDigits  = 3
 )
 
-// Waits keeps how long tasks waited from the moment they were due until they
-// ran, by class, in microseconds.
-type Waits map[config.Class]*hdrhistogram.Histogram
-
-func (w *Waits) record(c config.Class, d time.Duration) {
-	if *w == nil {
-		*w = Waits{}
-	}
-	h := (*w)[c]
-	if h == nil {
-		h = hdrhistogram.New(1, longestWait, waitDigits)
-		(*w)[c] = h
-	}
-	h.RecordValue(min(max(d.Microseconds(), 1), longestWait))
-}
-
-// WaitSummary is the waits of one class.
-type WaitSummary struct {
-	Class config.Class  `json:"class" cbor:"1,keyasint"`
-	Count int64         `json:"count" cbor:"2,keyasint"`
-	P50   time.Duration `json:"p50" cbor:"3,keyasint"`
-	P99   time.Duration `json:"p99" cbor:"4,keyasint"`
-	Max   time.Duration `json:"max" cbor:"5,keyasint"`
-}
-
-func (w Waits) summary() []WaitSummary {
-	var all []WaitSummary
-	for _, c := range config.Classes {
-		h := w[c]
-		if h == nil {
-			continue
-		}
-		all = append(all, WaitSummary{
-			Class: c, Count: h.TotalCount(),
-			P50: time.Duration(h.ValueAtPercentile(50)) * time.Microsecond,
-			P99: time.Duration(h.ValueAtPercentile(99)) * time.Microsecond,
-			Max: time.Duration(h.Max()) * time.Microsecond,
-		})
-	}
-	return all
-}
-
 // Summary is what other boxes and people are told of a unit.
 type Summary struct {
 	Unit     string          `json:"unit" cbor:"1,keyasint"`
@@ -225,104 +173,3 @@
 	}
 	return WorkerOpen
 }
-
-// Endpoint is a running replica of a service that takes requests.
-type Endpoint struct {
-	Service  string `json:"service" cbor:"1,keyasint"` // template
-	Attempt  string `json:"attempt" cbor:"2,keyasint"`
-	Worker   string `json:"worker" cbor:"3,keyasint"`
-	Hall     string `json:"hall" cbor:"4,keyasint"`
-	Address  string `json:"address" cbor:"5,keyasint"`
-	Slots    int    `json:"slots" cbor:"6,keyasint"`
-	Conns    int    `json:"connections" cbor:"7,keyasint"`
-	Draining bool   `json:"draining,omitempty" cbor:"8,keyasint,omitempty"`
-}
-
-// Endpoints returns the unit's replicas that take requests.
-func (u *Unit) Endpoints() []Endpoint {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	var all []Endpoint
-	for _, w := range u.workers {
-		info := w.ledger.Worker()
-		for _, t := range w.tasks {
-			if t.phase != running && t.phase != stopping || t.endpoint == "" {
-				continue
-			}
-			tm := t.job.job.Template
-			all = append(all, Endpoint{
-				Service: tm.Name, Attempt: t.attempt, Worker: info.Name, Hall: info.Hall, Address: t.endpoint,
-				Slots: tm.Slots, Conns: tm.Connections,
-				Draining: t.phase == stopping || u.drained(w),
-			})
-		}
-	}
-	slices.SortFunc(all, func(a, b Endpoint) int { return cmp.Compare(a.Attempt, b.Attempt) })
-	return all
-}
-
-// NoJobError says that a unit has no such job.
-type NoJobError struct{ ID job.ID }
-
-func (e *NoJobError) Error() string { return fmt.Sprintf("there is no job %q", string(e.ID)) }
-
-// StopJob makes a job run no more: what waits is not started, and what runs is
-// stopped. It returns once that is on its way.
-func (u *Unit) StopJob(id job.ID) error {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	j := u.jobs[id]
-	if j == nil || j.version == 0 {
-		return &NoJobError{id}
-	}
-	if j.job.Stopped {
-		return nil
-	}
-	j.job = j.job.WithStopped()
-	u.write(change{
-		writes: []rowWrite{{key: j.job.Key(), version: j.version, value: j.job.Encode()}},
-		then: func(version uint64) {
-			j.version = version
-			u.stopTasks(j)
-			u.note(timeline.Event{Kind: timeline.JobStopped, Job: string(id), Account: j.job.Account})
-		},
-	})
-	return nil
-}
-
-func (u *Unit) stopTasks(j *jobState) {
-	for _, i := range j.waiting {
-		u.finalize(j.tasks[i], j.tasks[i].task.WithStopped(time.Now()))
-	}
-	j.waiting = nil
-	for _, t := range j.tasks {
-		if t.phase == running {
-			t.phase = stopping
-			u.order(t.worker, order{kind: orderStop, attempt: t.attempt})
-		}
-	}
-}
-
-// Settle gives an unknown task the state that an operator found it in.
-func (u *Unit) Settle(id job.ID, task int, s job.State) error {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	j := u.jobs[id]
-	if j == nil || task < 0 || task >= len(j.tasks) {
-		return &NoJobError{id}
-	}
-	t := j.tasks[task]
-	next, err := t.task.WithSettled(s, time.Now())
-	if err != nil {
-		return err
-	}
-	u.write(change{
-		writes: []rowWrite{{key: next.Key(), version: t.version, value: next.Encode()}},
-		then: func(version uint64) {
-			t.version = version
-			u.note(timeline.Event{Kind: timeline.TaskSettled, Job: string(id), Detail: string(s)})
-			u.released(t, next)
-		},
-	})
-	return nil
-}
--- /dev/null
+++ b/hall/waits.go
@@ -0,0 +1,56 @@
+package hall
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"chutereach/config"
+)
+
+const (
+	longestWait = int64(24 * time.Hour / time.Microsecond)
+	waitDigits  = 3
+)
+
+// Waits keeps how long tasks waited from the moment they were due until they
+// ran, by class, in microseconds.
+type Waits map[config.Class]*hdrhistogram.Histogram
+
+func (w *Waits) record(c config.Class, d time.Duration) {
+	if *w == nil {
+		*w = Waits{}
+	}
+	h := (*w)[c]
+	if h == nil {
+		h = hdrhistogram.New(1, longestWait, waitDigits)
+		(*w)[c] = h
+	}
+	h.RecordValue(min(max(d.Microseconds(), 1), longestWait))
+}
+
+// WaitSummary is the waits of one class.
+type WaitSummary struct {
+	Class config.Class  `json:"class" cbor:"1,keyasint"`
+	Count int64         `json:"count" cbor:"2,keyasint"`
+	P50   time.Duration `json:"p50" cbor:"3,keyasint"`
+	P99   time.Duration `json:"p99" cbor:"4,keyasint"`
+	Max   time.Duration `json:"max" cbor:"5,keyasint"`
+}
+
+func (w Waits) summary() []WaitSummary {
+	var all []WaitSummary
+	for _, c := range config.Classes {
+		h := w[c]
+		if h == nil {
+			continue
+		}
+		all = append(all, WaitSummary{
+			Class: c, Count: h.TotalCount(),
+			P50: time.Duration(h.ValueAtPercentile(50)) * time.Microsecond,
+			P99: time.Duration(h.ValueAtPercentile(99)) * time.Microsecond,
+			Max: time.Duration(h.Max()) * time.Microsecond,
+		})
+	}
+	return all
+}
--- a/ownership/spread.go
+++ b/ownership/spread.go
@@ -1,10 +1,8 @@
 package ownership
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -12,6 +10,7 @@
 
 	"chutereach/control"
 	"chutereach/platform"
+	"chutereach/rendezvous"
 )
 
 const (
@@ -179,27 +178,10 @@
 	return unit
 }
 
-// order returns boxes in a unit's order, by rendezvous hashing: each box keeps
-// its place towards the others whoever comes or goes. It goes by the box's name
-// so that a restarted box comes back to its place.
+// order returns boxes in a unit's order, by rendezvous hashing. It goes by the
+// box's name, so that a restarted box comes back to its place.
 func order(unit string, boxes []control.Incarnation) []control.Incarnation {
-	sorted := slices.Clone(boxes)
-	slices.SortFunc(sorted, func(a, b control.Incarnation) int {
-		return cmp.Or(cmp.Compare(weight(unit, b), weight(unit, a)), cmp.Compare(a, b))
-	})
-	return sorted
-}
-
-func weight(unit string, i control.Incarnation) uint64 {
-	sum := fnv.New64a()
-	sum.Write([]byte(unit))
-	sum.Write([]byte{0})
-	sum.Write([]byte(i.Box()))
-	// FNV alone leaves names that differ in their last letter close together.
-	x := sum.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
+	return rendezvous.Order(unit, boxes, control.Incarnation.Box)
 }
 
 // take makes this box the owner of units, in one transaction that requires
--- /dev/null
+++ b/route/homes.go
@@ -0,0 +1,91 @@
+package route
+
+import (
+	"slices"
+
+	"chutereach/control"
+	"chutereach/hall"
+	"chutereach/rendezvous"
+)
+
+// Refresh works out anew which upstreams have their home here.
+func (r *Router) Refresh() {
+	boxes := []control.Incarnation{r.self}
+	for _, p := range r.members.Peers() {
+		if p.Alive() && !p.State.Leaving {
+			boxes = append(boxes, p.Row.Incarnation)
+		}
+	}
+	slices.Sort(boxes)
+	if !r.members.Settled() {
+		return
+	}
+	endpoints := r.members.Endpoints()
+	own := map[string][]hall.Endpoint{}
+	slots := map[string]map[control.Incarnation]int{}
+	for _, e := range endpoints {
+		list := own[e.Service] // present even if none is at home here
+		at := home(e.Attempt, boxes)
+		if at == r.self {
+			list = append(list, e)
+		}
+		own[e.Service] = list
+		if slots[e.Service] == nil {
+			slots[e.Service] = map[control.Incarnation]int{}
+		}
+		if !e.Draining {
+			slots[e.Service][at] += e.Slots
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.firstHomes(boxes, endpoints)
+	for service, list := range own {
+		r.adopt(r.poolOf(service), list)
+	}
+	r.slots = slots
+	r.boxes, r.known = boxes, make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		r.known[e.Attempt] = true
+	}
+	for service, p := range r.pools {
+		if _, listed := own[service]; !listed {
+			p.set(nil, nil)
+		}
+	}
+}
+
+// firstHomes makes a box that has just come to know its peers take every upstream
+// for one that had its home among them. The caller holds r.mu.
+func (r *Router) firstHomes(boxes []control.Incarnation, endpoints []hall.Endpoint) {
+	if r.boxes != nil {
+		return
+	}
+	for _, i := range boxes {
+		if i != r.self {
+			r.boxes = append(r.boxes, i)
+		}
+	}
+	for _, e := range endpoints {
+		r.known[e.Attempt] = true
+	}
+}
+
+// adopt sets the upstreams of a pool, and takes over those that had their home
+// at another box. The caller holds r.mu.
+func (r *Router) adopt(p *pool, list []hall.Endpoint) {
+	moved := map[string]control.Incarnation{}
+	for _, e := range list {
+		if former, other := r.formerHome(e.Attempt); other {
+			moved[e.Attempt] = former
+		}
+	}
+	for _, e := range p.set(list, moved) {
+		go r.takeOver(p, e, moved[e.Attempt])
+	}
+}
+
+// home returns the box that counts an upstream's slots, by rendezvous hashing.
+func home(upstream string, boxes []control.Incarnation) control.Incarnation {
+	return rendezvous.First(upstream, boxes, func(i control.Incarnation) string { return string(i) })
+}
--- a/route/router.go
+++ b/route/router.go
@@ -1,10 +1,8 @@
 package route
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,9 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"chutereach/commit"
-	"chutereach/config"
 	"chutereach/control"
-	"chutereach/hall"
 	"chutereach/member"
 	"chutereach/peer"
 	"chutereach/wait"
@@ -84,101 +80,6 @@
 	}
 }
 
-// Refresh works out anew which upstreams have their home here.
-func (r *Router) Refresh() {
-	boxes := []control.Incarnation{r.self}
-	for _, p := range r.members.Peers() {
-		if p.Alive() && !p.State.Leaving {
-			boxes = append(boxes, p.Row.Incarnation)
-		}
-	}
-	slices.Sort(boxes)
-	if !r.members.Settled() {
-		return
-	}
-	endpoints := r.members.Endpoints()
-	own := map[string][]hall.Endpoint{}
-	slots := map[string]map[control.Incarnation]int{}
-	for _, e := range endpoints {
-		list := own[e.Service] // present even if none is at home here
-		at := home(e.Attempt, boxes)
-		if at == r.self {
-			list = append(list, e)
-		}
-		own[e.Service] = list
-		if slots[e.Service] == nil {
-			slots[e.Service] = map[control.Incarnation]int{}
-		}
-		if !e.Draining {
-			slots[e.Service][at] += e.Slots
-		}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.firstHomes(boxes, endpoints)
-	for service, list := range own {
-		r.adopt(r.poolOf(service), list)
-	}
-	r.slots = slots
-	r.boxes, r.known = boxes, make(map[string]bool, len(endpoints))
-	for _, e := range endpoints {
-		r.known[e.Attempt] = true
-	}
-	for service, p := range r.pools {
-		if _, listed := own[service]; !listed {
-			p.set(nil, nil)
-		}
-	}
-}
-
-// firstHomes makes a box that has just come to know its peers take every upstream
-// for one that had its home among them. The caller holds r.mu.
-func (r *Router) firstHomes(boxes []control.Incarnation, endpoints []hall.Endpoint) {
-	if r.boxes != nil {
-		return
-	}
-	for _, i := range boxes {
-		if i != r.self {
-			r.boxes = append(r.boxes, i)
-		}
-	}
-	for _, e := range endpoints {
-		r.known[e.Attempt] = true
-	}
-}
-
-// adopt sets the upstreams of a pool, and takes over those that had their home
-// at another box. The caller holds r.mu.
-func (r *Router) adopt(p *pool, list []hall.Endpoint) {
-	moved := map[string]control.Incarnation{}
-	for _, e := range list {
-		if former, other := r.formerHome(e.Attempt); other {
-			moved[e.Attempt] = former
-		}
-	}
-	for _, e := range p.set(list, moved) {
-		go r.takeOver(p, e, moved[e.Attempt])
-	}
-}
-
-// home returns the box that counts an upstream's slots, by rendezvous hashing.
-func home(upstream string, boxes []control.Incarnation) control.Incarnation {
-	return slices.MaxFunc(boxes, func(a, b control.Incarnation) int {
-		return cmp.Or(cmp.Compare(weight(upstream, a), weight(upstream, b)), cmp.Compare(a, b))
-	})
-}
-
-func weight(upstream string, box control.Incarnation) uint64 {
-	sum := fnv.New64a()
-	sum.Write([]byte(upstream))
-	sum.Write([]byte(box))
-	// FNV alone leaves names that differ in their last letter close together.
-	x := sum.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
-
 // Loads returns what this box has in hand, by service.
 func (r *Router) Loads() map[string]member.Load {
 	r.mu.Lock()
@@ -281,32 +182,6 @@
 	return last
 }
 
-// mayRepeat reports whether a request that failed with err can be sent again
-// and may fare better.
-func mayRepeat(req *Request, err error) bool {
-	var notRun *NotRunError
-	if errors.As(err, &notRun) {
-		return notRun.Cause == CauseRefused || notRun.Cause == CausePeers
-	}
-	return req.Route.Safety == "repeat" && time.Now().Before(req.Deadline)
-}
-
-func (r *Router) earn() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.bank = min(r.bank+retryShare, retryBank)
-}
-
-func (r *Router) spend() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.bank < 1 {
-		return false
-	}
-	r.bank--
-	return true
-}
-
 // avoided is where a request has failed already.
 type avoided struct {
 	upstream string
@@ -377,73 +252,5 @@
 	return control.BoxRow{Incarnation: r.self}, true
 }
 
-// reply is what a box answers to a forwarded request.
-type reply struct {
-	Outcome    Outcome       `cbor:"1,keyasint"`
-	Answer     *Answer       `cbor:"2,keyasint,omitempty"`
-	Cause      Cause         `cbor:"3,keyasint,omitempty"`
-	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
-	Load       member.Load   `cbor:"5,keyasint"`
-	Refusal    string        `cbor:"6,keyasint,omitempty"`
-}
-
-// hopTo carries a request to a path of another box and its reply back.
-type hopTo func(ctx context.Context, to control.BoxRow, path string, req *Request) (reply, error)
-
-// forward hands a request to another box, which does not hand it on.
-func (r *Router) forward(ctx context.Context, to control.BoxRow, req *Request) (*Answer, error) {
-	r.Stats.Forwarded.Add(1)
-	r.members.AddQueued(to.Incarnation, req.Route.Service, req.Route.Class == config.Urgent)
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	defer cancel()
-	got, err := r.hopTo(ctx, to, forwardPath, req)
-	var unreachable *peer.UnreachableError
-	switch {
-	case errors.As(err, &unreachable):
-		return nil, &NotRunError{CausePeers, spread(time.Second)}
-	case err != nil:
-		return nil, &UnknownError{CausePeerLost}
-	}
-	r.members.SetLoad(to.Incarnation, req.Route.Service, got.Load)
-	return got.result()
-}
-
-// result returns what a reply says.
-func (g reply) result() (*Answer, error) {
-	switch g.Outcome {
-	case Answered:
-		return g.Answer, nil
-	case NotRun:
-		return nil, &NotRunError{g.Cause, g.RetryAfter}
-	case Refused:
-		return nil, &TicketError{g.Refusal}
-	}
-	return nil, &UnknownError{g.Cause}
-}
-
-// replyOf is the reply that says what became of a request.
-func replyOf(a *Answer, err error) reply {
-	var (
-		notRun  *NotRunError
-		unknown *UnknownError
-	)
-	switch {
-	case errors.As(err, &notRun):
-		return reply{Outcome: NotRun, Cause: notRun.Cause, RetryAfter: notRun.RetryAfter}
-	case errors.As(err, &unknown):
-		return reply{Outcome: Unknown, Cause: unknown.Cause}
-	}
-	return reply{Outcome: Answered, Answer: a}
-}
-
-// Forwarded serves a request that another box handed on.
-func (r *Router) Forwarded(ctx context.Context, req *Request) (reply, error) {
-	a, err := r.Here(ctx, req, &avoided{})
-	r.count(err)
-	got := replyOf(a, err)
-	got.Load = r.pool(req.Route.Service).load()
-	return got, nil
-}
-
 // ForwardPath is where Forwarded must be served.
 func (r *Router) ForwardPath() string { return forwardPath }
