box: tests cut the platform off only after the boxes have left

Cause: the links to the platform were closed before the boxes stopped, so each box waited in vain to release its units: 5 s a box, and four minutes before that wait was bounded.

Change: boxes stop first, with their links restored.

Conclusion: none for the product; the bound on leaving stays.

--- a/box/box_test.go
+++ b/box/box_test.go
@@ -45,15 +45,21 @@
 	boxes    []*Box
 	stops    []func()
 	cuts     []*atomic.Bool // of each box from the platform
+	links    []*httptest.Server
 }
 
 func newTestCell(t testing.TB, boxes int) *testCell {
 	c := &testCell{t: t, platform: standin.New(standin.Manizales()), dir: t.TempDir()}
-	t.Cleanup(c.platform.Fleet.Close)
 	t.Cleanup(func() {
-		for _, stop := range c.stops {
+		for i, stop := range c.stops {
+			c.cuts[i].Store(false) // so that it can release its units
 			stop()
 		}
+		for _, s := range c.links {
+			s.CloseClientConnections()
+			s.Close()
+		}
+		c.platform.Fleet.Close()
 	})
 	if err := keys.NewAuthority(c.dir); err != nil {
 		t.Fatal(err)
@@ -86,10 +92,7 @@
 	}))
 	server.Config.ErrorLog = log.New(io.Discard, "", 0)
 	server.Start()
-	c.t.Cleanup(func() {
-		server.CloseClientConnections()
-		server.Close()
-	})
+	c.links = append(c.links, server)
 	return server.URL
 }
 
