api: accounts are found by an index of token hashes

Cause: a hostile read of the request path: each request hashed its token once for each account, and compared with all of them; at 790 accounts that is more than the rest of a request.

Change: one hash a request and an index for each revision; the found account is still compared in constant time. Two accounts with one token are refused when declared, with file and line.

Conclusion: the number of accounts no longer shows in a request.

--- /dev/null
+++ b/api/accounts_test.go
@@ -0,0 +1,59 @@
+package api
+
+import (
+	"fmt"
+	"testing"
+
+	"chutereach/config"
+)
+
+// many returns a revision with the target's number of accounts.
+func many(number uint64, token string) config.Revision {
+	set := config.NewSet()
+	for i := range 790 {
+		name := fmt.Sprint("account-", i)
+		set.Accounts[name] = config.Account{Name: name, TokenHash: config.HashToken(fmt.Sprint(token, i))}
+	}
+	return config.Revision{Number: number, Set: set}
+}
+
+func TestAccountsFollowTheRevision(t *testing.T) {
+	var x accountIndex
+	first, second := many(1, "old-"), many(2, "new-")
+	for _, c := range []struct {
+		rev   config.Revision
+		token string
+		want  string
+	}{
+		{first, "old-7", "account-7"},
+		{first, "new-7", ""},
+		{first, "", ""},
+		{second, "new-789", "account-789"},
+		{second, "old-7", ""},
+	} {
+		if a, _ := x.find(c.rev, c.token); a.Name != c.want {
+			t.Errorf("revision %d, token %q: %q, want %q", c.rev.Number, c.token, a.Name, c.want)
+		}
+	}
+}
+
+// BenchmarkFindAccount measures the look-up among 790 accounts. The baseline
+// compares with each.
+func BenchmarkFindAccount(b *testing.B) {
+	rev := many(1, "t-")
+	b.Run("index", func(b *testing.B) {
+		var x accountIndex
+		for b.Loop() {
+			x.find(rev, "t-400")
+		}
+	})
+	b.Run("each", func(b *testing.B) {
+		for b.Loop() {
+			for _, a := range rev.Set.Accounts {
+				if a.Admits(config.HashToken("t-400")) {
+					break
+				}
+			}
+		}
+	})
+}
--- a/api/api.go
+++ b/api/api.go
@@ -43,6 +43,8 @@
 	Ready    func() error
 	Token    string // that operators show
 	Box      string
+
+	accounts accountIndex
 }
 
 // Mux returns the handlers of the API.
@@ -74,14 +76,12 @@
 func (s *Server) account(next accountHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(HeaderBox, s.Box)
-		token := bearer(r)
-		for _, a := range s.Config().Set.Accounts {
-			if token != "" && a.Admits(token) {
-				next(w, r, a)
-				return
-			}
+		a, admitted := s.accounts.find(s.Config(), bearer(r))
+		if !admitted {
+			fail(w, &UnauthorizedError{"account"})
+			return
 		}
-		fail(w, &UnauthorizedError{"account"})
+		next(w, r, a)
 	}
 }
 
--- a/config/others.go
+++ b/config/others.go
@@ -92,12 +92,16 @@
 	return c.errs
 }
 
-// Admits reports whether token is a's, in a time that does not tell how much of
-// it is right.
-func (a Account) Admits(token string) bool {
+// HashToken returns a token as accounts keep it.
+func HashToken(token string) string {
 	sum := sha256.Sum256([]byte(token))
-	got := hex.EncodeToString(sum[:])
-	return subtle.ConstantTimeCompare([]byte(got), []byte(a.TokenHash)) == 1
+	return hex.EncodeToString(sum[:])
+}
+
+// Admits reports whether a token with this hash is a's, in a time that does not
+// tell how much of it is right.
+func (a Account) Admits(hash string) bool {
+	return subtle.ConstantTimeCompare([]byte(hash), []byte(a.TokenHash)) == 1
 }
 
 // Hall is a data hall and the number of units into which its racks are split.
--- a/config/set.go
+++ b/config/set.go
@@ -43,9 +43,14 @@
 	for _, p := range sorted(s.Policies) {
 		errs = append(errs, p.Check()...)
 	}
+	holder := map[string]string{} // of a token, by its hash
 	for _, a := range sorted(s.Accounts) {
 		errs = append(errs, a.Check()...)
 		errs = append(errs, s.checkAccount(a)...)
+		if other, twice := holder[a.TokenHash]; twice {
+			errs = append(errs, &InvalidError{KindAccount, a.Name, "token-sha256", "account " + other + " has the same token"})
+		}
+		holder[a.TokenHash] = a.Name
 	}
 	for _, h := range sorted(s.Halls) {
 		errs = append(errs, h.Check()...)
--- a/declare/declare_test.go
+++ b/declare/declare_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"chutereach/config"
 	"chutereach/ini"
 )
 
@@ -53,7 +54,7 @@
 	if p.Lease != 2*time.Hour || p.Need.CPU != 2000 || p.Attempts != 3 || p.Halls[0] != "chipre" {
 		t.Errorf("points = %+v", p)
 	}
-	if !s.Accounts["billing"].Admits("test") || s.Accounts["billing"].Admits("Test") {
+	if !s.Accounts["billing"].Admits(config.HashToken("test")) || s.Accounts["billing"].Admits(config.HashToken("Test")) {
 		t.Error("the account admits the wrong token")
 	}
 }
@@ -72,6 +73,7 @@
 		{"missing parameter", "param = tariff:a1", "param = other:a1", `needs the parameter "tariff"`},
 		{"out of range", "lease = 2h", "lease = 1s", "x.ini:14: lease: must be 5s to 24h0m0s"},
 		{"line of neither kind", "cpu = 2", "cpu 2", `x.ini:9: "cpu 2" is neither`},
+		{"token of two accounts", "[route balance]", "[account other]\ntoken-sha256 = 9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08\n[route balance]", "x.ini:19: token-sha256: account billing has the same token"},
 		{"not a service", "form = service", "form = batch", `template "points" is not a service`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
