ownership, route, box: a drained box, and no homes on a box that leaves

Cause: a drain of a box was accepted and did nothing. A box that was told to stop still took itself for the home of its upstreams while its peers no longer did, so two boxes counted their slots.

Change: a drained box is not ready, gives up its units one a tick, and takes its share again when the drain is undone; a box that leaves or is drained is home to nothing unless it is alone.

Measured: 9 units over 3 boxes: the drained one owns none after 20 s, and 3 again after the undo; 20 redemptions by way of a drained cell of two all answered.

--- a/box/box.go
+++ b/box/box.go
@@ -52,7 +52,8 @@
 	peers   *peer.Server
 	client  *peer.Client
 	life    atomic.Pointer[life]
-	leaving atomic.Bool
+	leaving atomic.Bool // it was told to stop
+	drained atomic.Bool // an operator has drained it
 }
 
 // ListenError says that an address cannot be listened on. Setting names the
@@ -161,12 +162,17 @@
 	switch {
 	case b.leaving.Load():
 		return &NotReadyError{"the box is leaving"}
+	case b.drained.Load():
+		return &NotReadyError{"the box is drained"}
 	case l == nil:
 		return &NotReadyError{"the box is starting"}
 	}
 	return l.ready(b.set.Times.Cutoff)
 }
 
+// isLeaving reports whether the box should be given nothing more.
+func (b *Box) isLeaving() bool { return b.leaving.Load() || b.drained.Load() }
+
 func (b *Box) servePeer(w http.ResponseWriter, r *http.Request) {
 	l := b.life.Load()
 	if l == nil {
@@ -220,6 +226,9 @@
 	b.log.Info().Msg("Box is leaving.")
 	b.events.Add(timeline.Event{Kind: timeline.BoxLeaving})
 	b.leaving.Store(true)
+	if l := b.life.Load(); l != nil {
+		l.router.Refresh()
+	}
 	time.Sleep(b.set.Times.Drain)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 	defer cancel()
--- a/box/box_test.go
+++ b/box/box_test.go
@@ -490,3 +490,31 @@
 		t.Errorf("keyed request: %v", err)
 	}
 }
+
+// A drained box owns nothing and is home to nothing, and still brings a request
+// that reaches it to its answer.
+func TestDrainedBox(t *testing.T) {
+	c := newTestCell(t, 2)
+	c.serve()
+	if _, err := c.propose(c.boxes[0], 1, func(s *config.Set) {
+		*s = s.WithDrain(config.Drain{Target: config.TargetBox, Name: "box-2"})
+	}); err != nil {
+		t.Fatal(err)
+	}
+	drained := c.boxes[1]
+	c.await("the drained box is not ready", func() bool { return drained.ready() != nil })
+	c.await("it owns and counts nothing", func() bool {
+		l := drained.life.Load()
+		return len(l.keeper.Held()) == 0 && l.router.Loads()["points"].Slots == 0
+	})
+	c.await("the other box counts all slots", func() bool {
+		return c.boxes[0].life.Load().router.Loads()["points"].Slots == 24
+	})
+	for i, b := range c.boxes {
+		for n := range 10 {
+			if err := c.call(b, fmt.Sprintf("d%d-%d", i, n), "redeem"); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
--- a/box/life.go
+++ b/box/life.go
@@ -62,7 +62,7 @@
 	l.keeper = ownership.New(l.self, times, l.sender, l.units, logs.For(b.log, logs.Ownership))
 	l.members = member.New(l.self, b.client, b.clock, l.state)
 	l.router = route.New(route.Deps{
-		Self: l.self, Members: l.members, Client: b.client, Claims: l.inserts, Longest: l.longestDeadline,
+		Self: l.self, Members: l.members, Client: b.client, Claims: l.inserts, Longest: l.longestDeadline, Leaving: b.isLeaving,
 		Log: logs.For(b.log, logs.Route),
 	})
 	l.cell = cell.New(cell.Deps{
@@ -78,6 +78,9 @@
 	l.members.OnChange(l.router.Refresh)
 	l.publisher.OnApply(func(r config.Revision) {
 		l.keeper.SetUnits(control.Units(r.Set))
+		_, drained := r.Set.Drains[config.Drain{Target: config.TargetBox, Name: l.box.set.Box.Name}.Key()]
+		l.box.drained.Store(drained)
+		l.keeper.SetDrained(drained)
 		l.units.configured()
 		l.router.Refresh()
 	})
@@ -152,7 +155,7 @@
 func (l *life) state() member.State {
 	s := member.State{
 		Incarnation: l.self.Incarnation, Stamp: l.box.clock.Now(), Revision: l.publisher.Current().Number,
-		InForce: l.publisher.Since(), Leaving: l.box.leaving.Load(), Ready: l.box.ready() == nil,
+		InForce: l.publisher.Since(), Leaving: l.box.isLeaving(), Ready: l.box.ready() == nil,
 		Loads: l.router.Loads(),
 	}
 	for _, u := range l.units.All() {
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -226,6 +226,14 @@
 	return !known || time.Since(s.since) > k.set.Lapse+k.took
 }
 
+// SetDrained makes the box give up its units, one a tick, and take none, for as
+// long as it is drained.
+func (k *Keeper) SetDrained(drained bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.self.Leaving = drained || k.leaving
+}
+
 // Leave makes the box give up its units, one after the other, and take no more.
 // It returns when all are released or ctx ends.
 func (k *Keeper) Leave(ctx context.Context) {
--- a/ownership/keeper_test.go
+++ b/ownership/keeper_test.go
@@ -256,6 +256,26 @@
 	})
 }
 
+// A drained box owns nothing, and gets its share back when the drain is undone.
+func TestDrainedBoxOwnsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3, 9)
+		defer c.stop()
+		c.watch(30 * time.Second)
+		n := c.nodes[1]
+		n.SetDrained(true)
+		c.watch(20 * time.Second)
+		if held := len(n.Held()); held != 0 || c.running() != 9 {
+			t.Errorf("the drained box owns %d units, %d of 9 are run", held, c.running())
+		}
+		n.SetDrained(false)
+		c.watch(time.Minute)
+		if got := c.counts(); !slices.Equal(got, []int{3, 3, 3}) {
+			t.Errorf("after the drain units by box = %v", got)
+		}
+	})
+}
+
 // A slow table makes boxes patient: nobody is declared dead for it.
 func TestSlowTableCostsNoOwnership(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/ownership/spread.go
+++ b/ownership/spread.go
@@ -57,6 +57,9 @@
 // plan works out what to do. The caller holds k.mu.
 func (k *Keeper) plan(v control.View) plan {
 	alive := k.alive(v)
+	if k.self.Leaving && !k.leaving {
+		return plan{give: k.anyHeld()}
+	}
 	// A box that has just begun waits until it would see others that began with
 	// it, or it would take everything and give most of it back.
 	settled := k.seen[k.self.Incarnation].ticks >= joinTicks
@@ -77,6 +80,13 @@
 	return p
 }
 
+func (k *Keeper) anyHeld() string {
+	for unit := range k.held {
+		return unit
+	}
+	return ""
+}
+
 // alive returns the boxes that may own units, this one among them.
 func (k *Keeper) alive(v control.View) []control.Incarnation {
 	var alive []control.Incarnation
--- a/route/cell_test.go
+++ b/route/cell_test.go
@@ -75,7 +75,7 @@
 func (l *links) join(name string, list []hall.Endpoint) *Router {
 	row := control.BoxRow{Incarnation: control.Incarnation(name + ".1"), Peer: name}
 	m := member.New(row, nil, &timeline.Clock{}, func() member.State { return member.State{} })
-	r := New(Deps{Self: row, Members: m, Longest: func(string) time.Duration { return testDeadline }, Log: zerolog.Nop()})
+	r := New(Deps{Self: row, Members: m, Longest: func(string) time.Duration { return testDeadline }, Leaving: func() bool { return false }, Log: zerolog.Nop()})
 	r.hopTo = func(ctx context.Context, to control.BoxRow, path string, req *Request) (reply, error) {
 		return through(l, to, func(other *Router) (reply, error) {
 			if path == ticketPath {
--- a/route/homes.go
+++ b/route/homes.go
@@ -10,12 +10,16 @@
 
 // Refresh works out anew which upstreams have their home here.
 func (r *Router) Refresh() {
-	boxes := []control.Incarnation{r.self}
+	var boxes []control.Incarnation
 	for _, p := range r.members.Peers() {
 		if p.Alive() && !p.State.Leaving {
 			boxes = append(boxes, p.Row.Incarnation)
 		}
 	}
+	// A box that leaves is home to nothing, unless there is no other.
+	if len(boxes) == 0 || !r.leaving() {
+		boxes = append(boxes, r.self)
+	}
 	slices.Sort(boxes)
 	if !r.members.Settled() {
 		return
--- a/route/opening_test.go
+++ b/route/opening_test.go
@@ -129,7 +129,7 @@
 	var routers []*Router
 	for _, row := range rows {
 		m := member.New(row, nil, &timeline.Clock{}, func() member.State { return member.State{} })
-		r := New(Deps{Self: row, Members: m, Longest: func(string) time.Duration { return openDeadline }, Log: zerolog.Nop()})
+		r := New(Deps{Self: row, Members: m, Longest: func(string) time.Duration { return openDeadline }, Leaving: func() bool { return false }, Log: zerolog.Nop()})
 		r.chooser = choose()
 		routers = append(routers, r)
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -148,7 +148,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go group.Run(ctx, 2)
-	b.Router = New(Deps{Self: self, Members: m, Claims: group, Log: zerolog.Nop()})
+	b.Router = New(Deps{Self: self, Members: m, Claims: group, Leaving: func() bool { return false }, Log: zerolog.Nop()})
 	var list []hall.Endpoint
 	for i, a := range addresses {
 		list = append(list, hall.Endpoint{Service: "s", Attempt: fmt.Sprint("a", i), Address: a, Slots: 1, Conns: 1})
--- a/route/router.go
+++ b/route/router.go
@@ -46,6 +46,7 @@
 	hopTo     hopTo
 	tell      tell
 	longest   func(service string) time.Duration
+	leaving   func() bool
 	tickets   *tickets
 	ask       ask
 	log       zerolog.Logger
@@ -68,6 +69,8 @@
 	Claims  *commit.Group
 	// Longest returns the longest deadline of a service's routes.
 	Longest func(service string) time.Duration
+	// Leaving reports whether this box is to be home to nothing.
+	Leaving func() bool
 	Log     zerolog.Logger
 }
 
@@ -75,7 +78,7 @@
 func New(d Deps) *Router {
 	return &Router{
 		self: d.Self.Incarnation, row: d.Self, members: d.Members, claims: d.Claims, chooser: TwoChoices{}, hopTo: hopToPeer(d.Client), tell: tellPeer(d.Client),
-		longest: d.Longest, tickets: newTickets(), ask: askPeer(d.Client),
+		longest: d.Longest, leaving: d.Leaving, tickets: newTickets(), ask: askPeer(d.Client),
 		log: d.Log, maxAnswer: DefaultMaxAnswer, pools: map[string]*pool{}, known: map[string]bool{}, bank: retryBank,
 	}
 }
