box, member: a stop waits for what peers have handed on

Cause: a clean run of the suite failed: eight redemptions that peers had handed to a leaving box were cut off and came out as unknown. The box waited for its own callers only, and peers learned that it leaves from their next question, up to a second later.

Change: a leaving box tells its peers at once, is marked so until its incarnation is gone, and waits until no call of a peer has been in hand for 200 ms before it closes.

Conclusion: a planned stop must count forwarded work as its own.

--- a/box/box.go
+++ b/box/box.go
@@ -52,8 +52,9 @@
 	peers   *peer.Server
 	client  *peer.Client
 	life    atomic.Pointer[life]
-	leaving atomic.Bool // it was told to stop
-	drained atomic.Bool // an operator has drained it
+	leaving atomic.Bool  // it was told to stop
+	drained atomic.Bool  // an operator has drained it
+	inHand  atomic.Int64 // calls of peers
 }
 
 // ListenError says that an address cannot be listened on. Setting names the
@@ -179,6 +180,8 @@
 		http.Error(w, "the box is starting", http.StatusServiceUnavailable)
 		return
 	}
+	b.inHand.Add(1)
+	defer b.inHand.Add(-1)
 	l.peers.ServeHTTP(w, r)
 }
 
@@ -222,12 +225,32 @@
 	}
 }
 
+const (
+	peersEvery = 20 * time.Millisecond
+	// peersQuiet is for how long no call of a peer must have been in hand before
+	// the box takes it that none is on its way.
+	peersQuiet = 200 * time.Millisecond
+)
+
+// awaitPeers waits for the calls of peers that are in hand: requests that they
+// handed on before they heard that this box leaves.
+func (b *Box) awaitPeers(ctx context.Context) {
+	quiet := time.Now()
+	for ctx.Err() == nil && time.Since(quiet) < peersQuiet {
+		time.Sleep(peersEvery)
+		if b.inHand.Load() > 0 {
+			quiet = time.Now()
+		}
+	}
+}
+
 func (b *Box) stop(die context.CancelFunc, lived <-chan struct{}) {
 	b.log.Info().Msg("Box is leaving.")
 	b.events.Add(timeline.Event{Kind: timeline.BoxLeaving})
 	b.leaving.Store(true)
 	if l := b.life.Load(); l != nil {
 		l.router.Refresh()
+		l.members.SayLeaving(context.Background())
 	}
 	time.Sleep(b.set.Times.Drain)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
@@ -240,6 +263,7 @@
 		l.keeper.Leave(ctx)
 		cancel()
 	}
+	b.awaitPeers(ctx)
 	die()
 	<-lived
 	err := errors.Join(b.peers.Close(), b.client.Close())
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -83,6 +83,7 @@
 // Serve adds the calls that other boxes make.
 func (c *Cell) Serve(mux *http.ServeMux) {
 	peer.Handle(mux, c.Members.Path(), c.Members.Answer)
+	peer.Handle(mux, c.Members.LeavingPath(), c.Members.Left)
 	peer.Handle(mux, pathNotify, c.notified)
 	peer.Handle(mux, pathJob, c.ownJob)
 	peer.Handle(mux, pathJobs, c.ownJobs)
--- a/member/member.go
+++ b/member/member.go
@@ -87,6 +87,7 @@
 	// silentAfter is when a peer that does not answer counts as gone.
 	silentAfter = 3 * time.Second
 	statePath   = "/peer/state"
+	leavingPath = "/peer/leaving"
 )
 
 // Members is the boxes that this one knows.
@@ -107,6 +108,7 @@
 type member struct {
 	Peer
 	since  time.Time // when it was first seen in the table
+	left   bool      // it said that it leaves; an answer under way may not know yet
 	cancel context.CancelFunc
 }
 
@@ -207,6 +209,7 @@
 	// this one.
 	if err == nil && s.Incarnation == p.Row.Incarnation {
 		m.clock.Seen(s.Stamp)
+		s.Leaving = s.Leaving || p.left
 		p.State, p.Heard = s, time.Now()
 	}
 	changed := p.Alive() != was
@@ -276,6 +279,36 @@
 	return s, nil
 }
 
+// SayLeaving tells every peer that this box leaves, so that none sends it another
+// request while it waits for the last ones.
+func (m *Members) SayLeaving(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, p := range m.Peers() {
+		wg.Go(func() {
+			// A peer that does not hear it learns it from the next answer.
+			peer.Call[bool](ctx, m.client, p.Row.Peer, leavingPath, m.self.Incarnation)
+		})
+	}
+	wg.Wait()
+}
+
+// Left takes in that a peer leaves.
+func (m *Members) Left(_ context.Context, i control.Incarnation) (bool, error) {
+	m.mu.Lock()
+	p := m.peers[i]
+	if p != nil {
+		p.left, p.State.Leaving = true, true
+	}
+	m.mu.Unlock()
+	m.notify()
+	return p != nil, nil
+}
+
+// LeavingPath is where Left must be served.
+func (m *Members) LeavingPath() string { return leavingPath }
+
 // Path is where Answer must be served.
 func (m *Members) Path() string { return statePath }
 
