member: a peer that begins to leave is a change

Cause: a clean run of the suite failed: the other box did not take the homes of a drained one's upstreams, since only a peer's coming and going counted as a change, and not its word that it leaves. Whether it was noticed depended on something else changing.

Change: that word counts as a change, in both directions.

--- a/member/member.go
+++ b/member/member.go
@@ -204,7 +204,7 @@
 	a := Ask{From: m.self.Incarnation, Stamp: m.clock.Now(), Have: m.have()}
 	s, err := peer.Call[State](ctx, m.client, p.Row.Peer, statePath, a)
 	m.mu.Lock()
-	was := p.Alive()
+	was, leaving := p.Alive(), p.State.Leaving
 	// An address may have passed to another incarnation: it does not speak for
 	// this one.
 	if err == nil && s.Incarnation == p.Row.Incarnation {
@@ -212,7 +212,7 @@
 		s.Leaving = s.Leaving || p.left
 		p.State, p.Heard = s, time.Now()
 	}
-	changed := p.Alive() != was
+	changed := p.Alive() != was || p.State.Leaving != leaving
 	changed = m.merge(s.Endpoints) || changed
 	changed = m.settle() || changed
 	m.mu.Unlock()
