hall: a nudge does not outlive the question it is for

Cause: a last reading of the change. The mark that a question was broken off on purpose was cleared only by a call to a worker whose boot is known. A worker nudged before that, and refusing every question, was asked without any pause.

Change: the mark is cleared by the next question, whatever kind it is. A test asks such a worker for a minute.

Conclusion: a worker that is down cannot make its owner spin.

--- a/hall/step_test.go
+++ b/hall/step_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -251,3 +252,30 @@
 		}
 	})
 }
+
+// A worker that is nudged before its boot is known, and refuses every question,
+// is asked with pauses. The nudge once stayed for ever and did away with them.
+func TestNudgedWorkerIsAskedWithPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		defer b.close()
+		var asked atomic.Int64
+		b.fleet.Faults.Set(func(op standin.Op, _ string) standin.Fault {
+			if op != standin.OpList {
+				return standin.Fault{}
+			}
+			// Past a bound the question hangs, so that a loop without pauses ends.
+			if asked.Add(1) > 1000 {
+				return standin.Fault{Delay: time.Hour}
+			}
+			return standin.Fault{Refuse: standin.Down(platform.WorkerService)}
+		})
+		u := b.own()
+		time.Sleep(time.Second)
+		u.nudge(u.workers["w00"])
+		time.Sleep(time.Minute)
+		if n := asked.Load(); n > 100 {
+			t.Errorf("the worker was asked %d times in a minute", n)
+		}
+	})
+}
--- a/hall/watch.go
+++ b/hall/watch.go
@@ -74,16 +74,17 @@
 	sure := u.deps.Sure()
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	nudged := w.nudged
+	w.nudged = false
 	if w.boot == "" {
 		return call, nil, false
 	}
 	now := time.Now()
 	from := earlier(now, sure)
 	call = platform.RenewCall{Boot: w.boot, Expires: now.Add(u.set.Call), Seen: w.seq, Wait: u.set.Watch}
-	if !w.silent.IsZero() || w.nudged {
+	if !w.silent.IsZero() || nudged {
 		call.Wait = 0 // ask for an answer at once
 	}
-	w.nudged = false
 	if expires, sure := u.surely(now); sure && len(w.forget) > 0 {
 		call.Forget, call.Expires = w.forget, expires
 		forget, w.forget = w.forget, nil
