--- a/hall/step_test.go
+++ b/hall/step_test.go
@@ -272,7 +272,10 @@
 		})
 		u := b.own()
 		time.Sleep(time.Second)
-		u.nudge(u.workers["w00"])
+		u.mu.Lock()
+		w := u.workers["w00"]
+		u.mu.Unlock()
+		u.nudge(w)
 		time.Sleep(time.Minute)
 		if n := asked.Load(); n > 100 {
 			t.Errorf("the worker was asked %d times in a minute", n)
