hall, route, timeline: what the last reading found written twice or dead

Cause: a reading of the whole change: the check that a task's commit or start is still on its way stood three times; a status carried an account that its job has, and nobody read; two kinds of event were never recorded; homes were worked out before the check that may make that needless; a safety was a bare string.

Change: two methods of a task, and the dead pieces removed. No behaviour changes.

Measured: the suite passes with the race detector.

--- a/hall/report.go
+++ b/hall/report.go
@@ -75,14 +75,13 @@
 	Counts  map[job.State]int `json:"counts" cbor:"2,keyasint"`
 	Tasks   []job.Task        `json:"tasks,omitempty" cbor:"3,keyasint,omitempty"`
 	Ended   time.Time         `json:"ended,omitzero" cbor:"4,keyasint,omitempty"`
-	Account string            `json:"-" cbor:"-"`
 }
 
 // Final reports whether no task of the job will run any more.
 func (s JobStatus) Final() bool { return !s.Ended.IsZero() }
 
 func statusOf(j *jobState, tasks bool) JobStatus {
-	s := JobStatus{Job: j.job, Counts: map[job.State]int{}, Ended: j.ended, Account: j.job.Account}
+	s := JobStatus{Job: j.job, Counts: map[job.State]int{}, Ended: j.ended}
 	for _, t := range j.tasks {
 		shown := t.task
 		if t.phase == running || t.phase == stopping {
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -155,6 +155,13 @@
 	refusals int       // starts in a row that surely did not happen
 }
 
+// committing reports whether a grant or an end of the task is on its way to the
+// table: until it is there nothing new is decided of the task.
+func (t *taskState) committing() bool { return t.phase == granting || t.phase == releasing }
+
+// unstarted reports whether a start is ordered and no call was made for it yet.
+func (t *taskState) unstarted() bool { return t.phase == starting && t.startBy.IsZero() }
+
 // workerState is a worker of the unit.
 type workerState struct {
 	id      string // does not change, and so may be read without the lock
--- a/hall/watch.go
+++ b/hall/watch.go
@@ -187,7 +187,7 @@
 
 // heardOf goes on with a task of whose attempt the worker spoke.
 func (u *Unit) heardOf(w *workerState, t *taskState, state platform.AttemptState) {
-	if t.phase == granting || t.phase == releasing {
+	if t.committing() {
 		return
 	}
 	switch state.Phase {
@@ -257,10 +257,10 @@
 func (u *Unit) missing(w *workerState, seen map[string]bool, asked time.Time) {
 	for _, g := range w.ledger.Grants() {
 		t := w.tasks[g.Attempt]
-		if t == nil || seen[g.Attempt] || t.phase == granting || t.phase == releasing {
+		if t == nil || seen[g.Attempt] || t.committing() {
 			continue
 		}
-		unstarted := t.phase == starting && t.startBy.IsZero() // ordered, and no call made yet
+		unstarted := t.unstarted()
 		switch {
 		case unstarted && g.Boot != w.boot:
 			u.notRun(t, "the worker rebooted before the start")
@@ -317,7 +317,7 @@
 			continue
 		}
 		for _, t := range w.tasks {
-			if t.phase == granting || t.phase == releasing || t.phase == starting && t.startBy.IsZero() {
+			if t.committing() || t.unstarted() {
 				continue
 			}
 			if now.After(t.until.Add(u.set.ClockError)) && now.After(t.startBy.Add(u.set.ClockError)) {
--- a/route/homes.go
+++ b/route/homes.go
@@ -10,6 +10,9 @@
 
 // Refresh works out anew which upstreams have their home here.
 func (r *Router) Refresh() {
+	if !r.members.Settled() {
+		return
+	}
 	var boxes []control.Incarnation
 	for _, p := range r.members.Peers() {
 		if p.Alive() && !p.State.Leaving {
@@ -21,9 +24,6 @@
 		boxes = append(boxes, r.self)
 	}
 	slices.Sort(boxes)
-	if !r.members.Settled() {
-		return
-	}
 	endpoints := r.members.Endpoints()
 	own := map[string][]hall.Endpoint{}
 	slots := map[string]map[control.Incarnation]int{}
--- a/route/retry.go
+++ b/route/retry.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"chutereach/config"
 )
 
 // mayRepeat reports whether a request that failed with err can be sent again
@@ -12,7 +14,7 @@
 	if errors.As(err, &notRun) {
 		return notRun.Cause == CauseRefused || notRun.Cause == CausePeers
 	}
-	return req.Route.Safety == "repeat" && time.Now().Before(req.Deadline)
+	return req.Route.Safety == config.SafeRepeat && time.Now().Before(req.Deadline)
 }
 
 func (r *Router) earn() {
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -79,8 +79,6 @@
 	WorkerSilent   Kind = "worker-silent"
 	WorkerBack     Kind = "worker-back"
 	WorkerRebooted Kind = "worker-rebooted"
-	RequestRefused Kind = "request-refused"
-	RequestUnknown Kind = "request-unknown"
 	ConfigAccepted Kind = "config-accepted"
 	ConfigInForce  Kind = "config-in-force"
 )
