--- a/hall/report.go
+++ b/hall/report.go
@@ -71,10 +71,10 @@
 
 // JobStatus is a job and what its tasks do.
 type JobStatus struct {
-	Job     job.Job           `json:"job" cbor:"1,keyasint"`
-	Counts  map[job.State]int `json:"counts" cbor:"2,keyasint"`
-	Tasks   []job.Task        `json:"tasks,omitempty" cbor:"3,keyasint,omitempty"`
-	Ended   time.Time         `json:"ended,omitzero" cbor:"4,keyasint,omitempty"`
+	Job    job.Job           `json:"job" cbor:"1,keyasint"`
+	Counts map[job.State]int `json:"counts" cbor:"2,keyasint"`
+	Tasks  []job.Task        `json:"tasks,omitempty" cbor:"3,keyasint,omitempty"`
+	Ended  time.Time         `json:"ended,omitzero" cbor:"4,keyasint,omitempty"`
 }
 
 // Final reports whether no task of the job will run any more.
