--- a/api/errors.go
+++ b/api/errors.go
@@ -14,7 +14,7 @@
 	"chutereach/hall"
 	"chutereach/job"
 	"chutereach/peer"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/publish"
 	"chutereach/route"
 )
@@ -100,8 +100,8 @@
 	{as[*cell.NoOwnerError], http.StatusServiceUnavailable, CodeUnavailable},
 	{as[*peer.UnreachableError], http.StatusServiceUnavailable, CodeUnavailable},
 	{as[*peer.LostError], http.StatusBadGateway, CodeUnknown},
-	{as[*platform.UnknownError], http.StatusBadGateway, CodeUnknown},
-	{platform.NotApplied, http.StatusServiceUnavailable, CodeUnavailable},
+	{as[*provider.UnknownError], http.StatusBadGateway, CodeUnknown},
+	{provider.NotApplied, http.StatusServiceUnavailable, CodeUnavailable},
 }
 
 func kindOf(err error) kind {
--- a/box/box.go
+++ b/box/box.go
@@ -20,8 +20,8 @@
 	"chutereach/keys"
 	"chutereach/logs"
 	"chutereach/peer"
-	"chutereach/platform"
 	"chutereach/platformhttp"
+	"chutereach/provider"
 	"chutereach/settings"
 	"chutereach/standin"
 	"chutereach/timeline"
@@ -42,7 +42,7 @@
 type Box struct {
 	set      *settings.Settings
 	log      zerolog.Logger
-	platform platform.Platform
+	platform provider.Platform
 	keys     *tls.Config
 	events   *timeline.Ring
 	clock    *timeline.Clock
@@ -108,7 +108,7 @@
 	return b, nil
 }
 
-func (b *Box) openPlatform() platform.Platform {
+func (b *Box) openPlatform() provider.Platform {
 	if b.set.Platform.URL != "" {
 		return platformhttp.Dial(b.set.Platform.URL, b.set.Platform.Token)
 	}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -23,7 +23,7 @@
 	"chutereach/job"
 	"chutereach/member"
 	"chutereach/peer"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/publish"
 	"chutereach/timeline"
 )
@@ -214,7 +214,7 @@
 		part = part.Insert("jobkey/"+account.Name+"/"+s.Key, row)
 	}
 	_, err = c.Inserts.Do(ctx, part)
-	var conflict *platform.ConflictError
+	var conflict *provider.ConflictError
 	if errors.As(err, &conflict) && s.Key != "" {
 		id, err := known(s, conflict.Have)
 		return id, false, err
@@ -235,7 +235,7 @@
 }
 
 // known returns the job that a key created before.
-func known(s Submission, row platform.Row) (job.ID, error) {
+func known(s Submission, row provider.Row) (job.ID, error) {
 	var k keyRow
 	if err := codec.Unmarshal(row.Value, &k); err != nil {
 		return "", &control.RowError{Key: row.Key, Cause: err}
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -10,7 +10,7 @@
 	"chutereach/hall"
 	"chutereach/job"
 	"chutereach/peer"
-	"chutereach/platform"
+	"chutereach/provider"
 )
 
 // Job returns the status of a job: from its unit's owner, or from the table
@@ -67,14 +67,14 @@
 	if err != nil {
 		return hall.JobStatus{}, err
 	}
-	tasks, err := platform.ReadAll(ctx, table, job.TasksOf(id))
+	tasks, err := provider.ReadAll(ctx, table, job.TasksOf(id))
 	if err != nil {
 		return hall.JobStatus{}, err
 	}
 	return statusOf(j, tasks)
 }
 
-func statusOf(j job.Job, rows []platform.Row) (hall.JobStatus, error) {
+func statusOf(j job.Job, rows []provider.Row) (hall.JobStatus, error) {
 	s := hall.JobStatus{Job: j, Counts: map[job.State]int{}}
 	for i := range j.Tasks {
 		s.Tasks = append(s.Tasks, job.NewTask(j, i))
--- a/commit/commit.go
+++ b/commit/commit.go
@@ -13,7 +13,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/time/rate"
 
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/wait"
 )
 
@@ -58,18 +58,18 @@
 
 // Sender sends transactions to a table.
 type Sender struct {
-	table platform.Table
+	table provider.Table
 	limit *rate.Limiter
 	Stats Stats
 }
 
 // NewSender returns a Sender that sends to table no faster than limit.
-func NewSender(table platform.Table, limit *rate.Limiter) *Sender {
+func NewSender(table provider.Table, limit *rate.Limiter) *Sender {
 	return &Sender{table: table, limit: limit}
 }
 
 // Table returns the table to read from.
-func (s *Sender) Table() platform.Table { return s.table }
+func (s *Sender) Table() provider.Table { return s.table }
 
 // Wait blocks until the rate limit allows one more transaction. A caller that
 // gathers a batch waits first and gathers after, so that batches grow as the
@@ -78,7 +78,7 @@
 
 // Do sends t until its fate is known or ctx ends. It returns the version of the
 // rows written, or a ConflictError, an AbandonedError or an UndecidedError.
-func (s *Sender) Do(ctx context.Context, t platform.Txn) (uint64, error) {
+func (s *Sender) Do(ctx context.Context, t provider.Txn) (uint64, error) {
 	if err := s.Wait(ctx); err != nil {
 		return 0, &AbandonedError{t.ID, err}
 	}
@@ -90,7 +90,7 @@
 // The same transaction, with the same conditions, is sent until it has an
 // answer. A copy that the table takes up late conflicts with the one that was
 // heard, so sending it often does no harm.
-func (s *Sender) DoNow(ctx context.Context, t platform.Txn) (uint64, error) {
+func (s *Sender) DoNow(ctx context.Context, t provider.Txn) (uint64, error) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstRetry, lastRetry
 	open := false // an earlier sending may have taken effect
@@ -100,7 +100,7 @@
 		if err == nil {
 			return version, nil
 		}
-		var conflict *platform.ConflictError
+		var conflict *provider.ConflictError
 		if errors.As(err, &conflict) {
 			if !open {
 				s.Stats.Conflicts.Add(1)
@@ -111,17 +111,17 @@
 				return s.settle(version, applied, conflict)
 			}
 			err = backErr
-		} else if !platform.NotApplied(err) {
+		} else if !provider.NotApplied(err) {
 			open = true
 		}
-		if wait.For(ctx, max(pause.NextBackOff(), platform.RetryAfter(err))) != nil {
+		if wait.For(ctx, max(pause.NextBackOff(), provider.RetryAfter(err))) != nil {
 			return 0, gaveUp(t, open, err)
 		}
 		s.Stats.Resent.Add(1)
 	}
 }
 
-func (s *Sender) settle(version uint64, applied bool, conflict *platform.ConflictError) (uint64, error) {
+func (s *Sender) settle(version uint64, applied bool, conflict *provider.ConflictError) (uint64, error) {
 	if applied {
 		s.Stats.ReadBack.Add(1)
 		return version, nil
@@ -130,7 +130,7 @@
 	return 0, conflict
 }
 
-func gaveUp(t platform.Txn, open bool, cause error) error {
+func gaveUp(t provider.Txn, open bool, cause error) error {
 	if open {
 		return &UndecidedError{t.ID, cause}
 	}
@@ -142,7 +142,7 @@
 // not; callers whose rows others may write must have a way of their own to tell.
 // One that only removes rows leaves no trace: it counts as applied if they are
 // all gone, which is what it was for.
-func (s *Sender) readBack(ctx context.Context, t platform.Txn, c *platform.ConflictError) (version uint64, applied bool, err error) {
+func (s *Sender) readBack(ctx context.Context, t provider.Txn, c *provider.ConflictError) (version uint64, applied bool, err error) {
 	if c.Have.Txn == t.ID {
 		return c.Have.Version, true, nil // the conflict is with itself
 	}
--- a/commit/commit_test.go
+++ b/commit/commit_test.go
@@ -12,15 +12,15 @@
 	"golang.org/x/time/rate"
 	"pgregory.net/rapid"
 
-	"chutereach/platform"
 	"chutereach/proptest"
+	"chutereach/provider"
 	"chutereach/standin"
 )
 
 func sender(t *standin.Table) *Sender { return NewSender(t, rate.NewLimiter(rate.Inf, 1)) }
 
-func txn(id, key string, version uint64) platform.Txn {
-	return platform.Txn{ID: id}.Put(key, version, []byte(id))
+func txn(id, key string, version uint64) provider.Txn {
+	return provider.Txn{ID: id}.Put(key, version, []byte(id))
 }
 
 // once lets a fault befall the first request of an operation only.
@@ -35,7 +35,7 @@
 }
 
 func TestFateIsFoundOut(t *testing.T) {
-	down := standin.Fault{Refuse: standin.Down(platform.TableService)}
+	down := standin.Fault{Refuse: standin.Down(provider.TableService)}
 	for _, c := range []struct {
 		name  string
 		fault standin.Fault
@@ -47,8 +47,8 @@
 		{"answer lost", standin.Fault{Lose: true}, false, isNil},
 		{"request lost", standin.Fault{Vanish: true}, false, isNil},
 		{"refused once", down, false, isNil},
-		{"rival wins before the request", standin.Fault{Refuse: down.Refuse}, true, is[*platform.ConflictError]},
-		{"rival wins after a lost request", standin.Fault{Vanish: true}, true, is[*platform.ConflictError]},
+		{"rival wins before the request", standin.Fault{Refuse: down.Refuse}, true, is[*provider.ConflictError]},
+		{"rival wins after a lost request", standin.Fault{Vanish: true}, true, is[*provider.ConflictError]},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -84,7 +84,7 @@
 		fault standin.Fault
 		want  func(error) bool
 	}{
-		{"always refused", standin.Fault{Refuse: standin.Down(platform.TableService)}, is[*AbandonedError]},
+		{"always refused", standin.Fault{Refuse: standin.Down(provider.TableService)}, is[*AbandonedError]},
 		{"always lost", standin.Fault{Vanish: true}, is[*UndecidedError]},
 		{"hangs", standin.Fault{Delay: time.Hour}, is[*UndecidedError]},
 	} {
@@ -112,7 +112,7 @@
 			t.Fatal(err)
 		}
 		table.Faults.Set(once(standin.OpCommit, standin.Fault{Lose: true}))
-		if _, err := s.Do(t.Context(), platform.Txn{ID: "2"}.Remove("a", v)); err != nil {
+		if _, err := s.Do(t.Context(), provider.Txn{ID: "2"}.Remove("a", v)); err != nil {
 			t.Errorf("err = %v", err)
 		}
 	})
@@ -150,7 +150,7 @@
 					switch {
 					case err == nil:
 						won <- value
-					case is[*platform.ConflictError](err):
+					case is[*provider.ConflictError](err):
 						won <- ""
 					default:
 						t.Errorf("part %d: %v", i, err)
--- a/commit/group.go
+++ b/commit/group.go
@@ -7,33 +7,33 @@
 
 	"github.com/rs/xid"
 
-	"chutereach/platform"
+	"chutereach/provider"
 )
 
 // Part is one caller's share of a group's transaction.
 type Part struct {
-	Conds  []platform.Cond
-	Writes []platform.Write
+	Conds  []provider.Cond
+	Writes []provider.Write
 }
 
 // Insert returns p with one more row that must be absent.
 func (p Part) Insert(key string, value []byte) Part {
-	p.Conds = append(p.Conds, platform.Cond{Key: key})
-	p.Writes = append(p.Writes, platform.Write{Key: key, Value: value})
+	p.Conds = append(p.Conds, provider.Cond{Key: key})
+	p.Writes = append(p.Writes, provider.Write{Key: key, Value: value})
 	return p
 }
 
 // Remove returns p with one more row that must be at version, and goes.
 func (p Part) Remove(key string, version uint64) Part {
-	p.Conds = append(p.Conds, platform.Cond{Key: key, Version: version})
-	p.Writes = append(p.Writes, platform.Write{Key: key, Delete: true})
+	p.Conds = append(p.Conds, provider.Cond{Key: key, Version: version})
+	p.Writes = append(p.Writes, provider.Write{Key: key, Delete: true})
 	return p
 }
 
 // Put returns p with one more row that must be at version.
 func (p Part) Put(key string, version uint64, value []byte) Part {
-	p.Conds = append(p.Conds, platform.Cond{Key: key, Version: version})
-	p.Writes = append(p.Writes, platform.Write{Key: key, Value: value})
+	p.Conds = append(p.Conds, provider.Cond{Key: key, Version: version})
+	p.Writes = append(p.Writes, provider.Write{Key: key, Value: value})
 	return p
 }
 
@@ -147,13 +147,13 @@
 // and the others are sent again.
 func (g *Group) send(ctx context.Context, parts []*waiting) {
 	for len(parts) > 0 {
-		t := platform.Txn{ID: xid.New().String()}
+		t := provider.Txn{ID: xid.New().String()}
 		for _, w := range parts {
 			t.Conds = append(t.Conds, w.part.Conds...)
 			t.Writes = append(t.Writes, w.part.Writes...)
 		}
 		version, err := g.sender.DoNow(ctx, t)
-		var conflict *platform.ConflictError
+		var conflict *provider.ConflictError
 		if !errors.As(err, &conflict) {
 			g.answer(parts, fate{version, err})
 			return
@@ -167,7 +167,7 @@
 	}
 }
 
-func (g *Group) reject(parts []*waiting, conflict *platform.ConflictError) []*waiting {
+func (g *Group) reject(parts []*waiting, conflict *provider.ConflictError) []*waiting {
 	var rest []*waiting
 	for _, w := range parts {
 		if hasCond(w.part, conflict.Key) {
--- a/control/control.go
+++ b/control/control.go
@@ -16,7 +16,7 @@
 
 	"chutereach/codec"
 	"chutereach/config"
-	"chutereach/platform"
+	"chutereach/provider"
 )
 
 const (
@@ -93,7 +93,7 @@
 }
 
 // Read reads the control rows.
-func Read(ctx context.Context, t platform.Table) (View, error) {
+func Read(ctx context.Context, t provider.Table) (View, error) {
 	v := View{
 		Boxes: map[Incarnation]Versioned[BoxRow]{},
 		Units: map[string]Versioned[UnitRow]{},
@@ -111,7 +111,7 @@
 	return v, nil
 }
 
-func (v *View) add(r platform.Row) error {
+func (v *View) add(r provider.Row) error {
 	switch {
 	case strings.HasPrefix(r.Key, boxPrefix):
 		b, err := decode[BoxRow](r)
@@ -129,7 +129,7 @@
 	return nil
 }
 
-func decode[R any](r platform.Row) (Versioned[R], error) {
+func decode[R any](r provider.Row) (Versioned[R], error) {
 	v := Versioned[R]{Version: r.Version}
 	return v, codec.Unmarshal(r.Value, &v.Row)
 }
--- a/hall/bench_test.go
+++ b/hall/bench_test.go
@@ -15,7 +15,7 @@
 	"chutereach/control"
 	"chutereach/job"
 	"chutereach/ownership"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/resource"
 	"chutereach/standin"
 	"chutereach/timeline"
@@ -34,7 +34,7 @@
 func benchPlatform(workers int) (*standin.Table, *standin.Fleet) {
 	table, fleet := standin.NewTable(), standin.NewFleet()
 	for i := range workers {
-		fleet.Add(platform.Worker{
+		fleet.Add(provider.Worker{
 			Name: fmt.Sprintf("w%03d", i), Hall: "h", Rack: fmt.Sprintf("r%d", i/8),
 			Capacity: resource.Amount{CPU: 64_000, Memory: 256 << 30},
 		})
@@ -56,7 +56,7 @@
 	return config.Revision{Number: 1, Set: set}
 }
 
-func benchDeps(table platform.Table, fleet *standin.Fleet, rev config.Revision) Deps {
+func benchDeps(table provider.Table, fleet *standin.Fleet, rev config.Revision) Deps {
 	return Deps{
 		Workers: fleet, Boxes: &standin.BoxList{}, Sender: commit.NewSender(table, rate.NewLimiter(tableRate, 1)),
 		Sure:   func() time.Time { return time.Now().Add(testSure) },
@@ -68,7 +68,7 @@
 // benchUnit owns the hall's unit and waits until every worker was heard of.
 func benchUnit(b *testing.B, table *standin.Table, fleet *standin.Fleet, rev config.Revision, set Settings) *Unit {
 	b.Helper()
-	version, err := table.Commit(context.Background(), platform.Txn{ID: "own"}.Put(control.UnitKey("h"), 0, nil))
+	version, err := table.Commit(context.Background(), provider.Txn{ID: "own"}.Put(control.UnitKey("h"), 0, nil))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -102,7 +102,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		if _, err := table.Commit(context.Background(), platform.Txn{ID: string(j.ID)}.Put(job.InboxKey(j.ID), 0, j.Encode())); err != nil {
+		if _, err := table.Commit(context.Background(), provider.Txn{ID: string(j.ID)}.Put(job.InboxKey(j.ID), 0, j.Encode())); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/hall/decide.go
+++ b/hall/decide.go
@@ -7,7 +7,7 @@
 	"chutereach/job"
 	"chutereach/ledger"
 	"chutereach/placement"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/queue"
 	"chutereach/resource"
 	"chutereach/timeline"
@@ -94,11 +94,11 @@
 func exceeds(n, bound int64) bool { return bound > 0 && n > bound }
 
 // choose returns the worker for the job's next task. The caller holds u.mu.
-func (u *Unit) choose(j *jobState) (platform.Worker, bool) {
+func (u *Unit) choose(j *jobState) (provider.Worker, bool) {
 	tm := &j.job.Template
 	ask := placement.Ask{Need: tm.Need, Tolerates: tm.Tolerates, Affinity: tm.Affinity, Avoid: tm.Avoid}
 	if tm.Form == config.FormService && len(j.tasks) > 1 {
-		ask.Crowd = func(w platform.Worker) (int, int) { return j.crowd[w.Name], j.crowd[rackKey(w)] }
+		ask.Crowd = func(w provider.Worker) (int, int) { return j.crowd[w.Name], j.crowd[rackKey(w)] }
 	}
 	if j.job.Scoring == config.ScorePacking {
 		return placement.Choose(u.index, placement.Packing{}, ask)
@@ -107,7 +107,7 @@
 }
 
 // rackKey is a rack among a job's counts, which are kept by worker too.
-func rackKey(w platform.Worker) string { return "rack:" + w.Rack }
+func rackKey(w provider.Worker) string { return "rack:" + w.Rack }
 
 // crowd counts a service's task on its worker and rack.
 func (u *Unit) crowd(t *taskState, n int) {
--- a/hall/fault_test.go
+++ b/hall/fault_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"chutereach/job"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/standin"
 	"chutereach/timeline"
 )
@@ -65,7 +65,7 @@
 // faults returns the table of faults. It is a function so that times count from
 // the begin of each run.
 func faults() []fault {
-	down := standin.Fault{Refuse: standin.Down(platform.TableService)}
+	down := standin.Fault{Refuse: standin.Down(provider.TableService)}
 	return []fault{
 		{name: "nothing"},
 		{name: "commits lose their answers", table: every(standin.OpCommit, 2, lost)},
--- a/hall/flush.go
+++ b/hall/flush.go
@@ -7,7 +7,7 @@
 
 	"chutereach/control"
 	"chutereach/ledger"
-	"chutereach/platform"
+	"chutereach/provider"
 )
 
 // change is what a decision writes, and what goes on once it is committed.
@@ -26,7 +26,7 @@
 
 // batch is what one transaction carries.
 type batch struct {
-	txn     platform.Txn
+	txn     provider.Txn
 	workers []*workerState
 	changes []change
 }
@@ -75,7 +75,7 @@
 }
 
 func (u *Unit) flushFailed(err error) {
-	var conflict *platform.ConflictError
+	var conflict *provider.ConflictError
 	if errors.As(err, &conflict) {
 		u.lose(conflict)
 	}
@@ -86,7 +86,7 @@
 func (u *Unit) gather() batch {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	b := batch{txn: platform.Txn{ID: xid.New().String()}}
+	b := batch{txn: provider.Txn{ID: xid.New().String()}}
 	b.txn = b.txn.Require(control.UnitKey(u.hold.Unit), u.hold.Version)
 	rest := u.dirty[:0]
 	for i, w := range u.dirty {
--- a/hall/inbox.go
+++ b/hall/inbox.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"chutereach/job"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/timeline"
 )
 
@@ -53,7 +53,7 @@
 
 // accept takes one job in, and moves its row out of the inbox in the same
 // transaction. It is queued once that has been committed.
-func (u *Unit) accept(row platform.Row) (fresh bool) {
+func (u *Unit) accept(row provider.Row) (fresh bool) {
 	j, err := job.Decode(row.Value)
 	if err != nil || j.ID.Unit() != u.hold.Unit {
 		u.log.Error().Err(err).Str("row", row.Key).Msg("Inbox row is no job of this unit.")
@@ -83,7 +83,7 @@
 
 // dropCopy removes a row of a job that was moved already: a box whose insert had
 // no answer has sent it again after the move. The caller holds u.mu.
-func (u *Unit) dropCopy(j *jobState, row platform.Row) {
+func (u *Unit) dropCopy(j *jobState, row provider.Row) {
 	if j.inbox == row.Version {
 		return // on its way out, or gone since the inbox was read
 	}
--- a/hall/load.go
+++ b/hall/load.go
@@ -10,7 +10,7 @@
 	"chutereach/control"
 	"chutereach/job"
 	"chutereach/ledger"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/timeline"
 )
 
@@ -21,8 +21,8 @@
 
 // rows is what the table holds of a unit.
 type rows struct {
-	jobs, tasks, ledgers []platform.Row
-	fleet                []platform.Worker
+	jobs, tasks, ledgers []provider.Row
+	fleet                []provider.Worker
 }
 
 // load rebuilds the unit from the table. It tries until it succeeds or the unit
@@ -43,9 +43,9 @@
 func (u *Unit) read() (rows, error) {
 	var r rows
 	g, ctx := errgroup.WithContext(u.ctx)
-	get := func(into *[]platform.Row, prefix string) func() error {
+	get := func(into *[]provider.Row, prefix string) func() error {
 		return func() (err error) {
-			*into, err = platform.ReadAll(ctx, u.deps.Sender.Table(), prefix)
+			*into, err = provider.ReadAll(ctx, u.deps.Sender.Table(), prefix)
 			return err
 		}
 	}
@@ -61,13 +61,13 @@
 
 // fleet returns the unit's workers. The list may be down for long; then the
 // ledgers alone tell of the workers.
-func (u *Unit) fleet(ctx context.Context) ([]platform.Worker, error) {
+func (u *Unit) fleet(ctx context.Context) ([]provider.Worker, error) {
 	all, err := u.deps.Workers.Fleet(ctx)
 	if err != nil {
 		u.log.Warn().Err(err).Msg("List of workers cannot be read.")
 		return nil, nil
 	}
-	var own []platform.Worker
+	var own []provider.Worker
 	for _, w := range all {
 		if u.mine(w) {
 			own = append(own, w)
@@ -99,7 +99,7 @@
 	return nil
 }
 
-func (u *Unit) rebuildJobs(jobs, tasks []platform.Row) error {
+func (u *Unit) rebuildJobs(jobs, tasks []provider.Row) error {
 	for _, row := range jobs {
 		j, err := job.Decode(row.Value)
 		if err != nil {
@@ -175,7 +175,7 @@
 
 // mergeFleet takes in what the platform says of the workers. The caller holds
 // u.mu.
-func (u *Unit) mergeFleet(fleet []platform.Worker) {
+func (u *Unit) mergeFleet(fleet []provider.Worker) {
 	if len(fleet) == 0 {
 		return // an empty list is more likely a fault than the truth
 	}
--- a/hall/orders.go
+++ b/hall/orders.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/timeline"
 )
 
@@ -86,16 +86,16 @@
 	if t == nil || t.phase != starting {
 		return // a report was faster
 	}
-	var refused *platform.RefusedError
+	var refused *provider.RefusedError
 	switch {
 	case err == nil:
 		u.heardOf(w, t, state)
 	case errors.As(err, &refused):
-		if refused.Reason == platform.RefusedBoot {
+		if refused.Reason == provider.RefusedBoot {
 			u.silence(w) // place nothing there until its next report
 		}
 		u.notRun(t, string(refused.Reason))
-	case platform.NotApplied(err):
+	case provider.NotApplied(err):
 		u.notRun(t, err.Error())
 	default:
 		known := t.startBy.Add(u.set.ClockError + time.Millisecond)
@@ -106,22 +106,22 @@
 // startCall makes the call, or says that this is not the time for one: an owner
 // that is not sure of its ownership starts nothing. The attempt is then put
 // back as not run, since no call for it was ever made.
-func (u *Unit) startCall(w *workerState, attempt string) (platform.StartCall, bool) {
+func (u *Unit) startCall(w *workerState, attempt string) (provider.StartCall, bool) {
 	sure := u.deps.Sure()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	t := w.tasks[attempt]
 	if t == nil || t.phase != starting {
-		return platform.StartCall{}, false
+		return provider.StartCall{}, false
 	}
 	now := time.Now()
 	if !now.Before(sure) {
 		u.notRun(t, "ownership is not sure")
-		return platform.StartCall{}, false
+		return provider.StartCall{}, false
 	}
 	t.startBy = earlier(now.Add(u.set.Call), sure)
 	t.until = now.Add(t.grant.Lease)
-	return platform.StartCall{
+	return provider.StartCall{
 		// The boot of the grant, not the worker's newest: a worker that has booted
 		// since counts the attempt as over, and must not begin it.
 		Attempt: attempt, Boot: t.grant.Boot, Expires: t.startBy, Until: t.until,
@@ -164,7 +164,7 @@
 		}
 		return
 	}
-	c := platform.AttemptCall{Attempt: attempt, Boot: boot, Expires: expires}
+	c := provider.AttemptCall{Attempt: attempt, Boot: boot, Expires: expires}
 	ctx, cancel := context.WithTimeout(u.ctx, u.set.Call)
 	defer cancel()
 	state, err := call(ctx, w.name(), c)
--- a/hall/planned.go
+++ b/hall/planned.go
@@ -5,7 +5,7 @@
 
 	"chutereach/config"
 	"chutereach/job"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/timeline"
 )
 
@@ -78,7 +78,7 @@
 		}
 		leaving := map[string]bool{}
 		for _, b := range list {
-			leaving[b.Name] = b.State == platform.BoxLeaving
+			leaving[b.Name] = b.State == provider.BoxLeaving
 		}
 		u.setLeaving(leaving)
 	}
--- a/hall/planned_test.go
+++ b/hall/planned_test.go
@@ -8,7 +8,7 @@
 
 	"chutereach/config"
 	"chutereach/job"
-	"chutereach/platform"
+	"chutereach/provider"
 )
 
 // downMost looks at a service all the time for d and returns the most replicas
@@ -43,7 +43,7 @@
 			*s = s.WithDrain(config.Drain{Target: config.TargetWorker, Name: "w00"})
 		}, func(b *bench, u *Unit, _ job.ID) bool { return tasksOn(u, "w00") == 0 }},
 		{"worker is leaving, says the platform", 1, func(b *bench, _ *config.Set) {
-			b.boxes.Set(platform.Box{Name: "w00", State: platform.BoxLeaving})
+			b.boxes.Set(provider.Box{Name: "w00", State: provider.BoxLeaving})
 		}, func(b *bench, u *Unit, _ job.ID) bool { return tasksOn(u, "w00") == 0 }},
 		{"drained rack", 1, func(_ *bench, s *config.Set) {
 			*s = s.WithDrain(config.Drain{Target: config.TargetRack, Name: "r0"})
@@ -203,7 +203,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := b.table.Commit(t.Context(), platform.Txn{ID: "in"}.Put(job.InboxKey(j.ID), 0, j.Encode())); err != nil {
+		if _, err := b.table.Commit(t.Context(), provider.Txn{ID: "in"}.Put(job.InboxKey(j.ID), 0, j.Encode())); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(59 * time.Second)
--- a/hall/step_test.go
+++ b/hall/step_test.go
@@ -13,8 +13,8 @@
 
 	"chutereach/config"
 	"chutereach/job"
-	"chutereach/platform"
 	"chutereach/proptest"
+	"chutereach/provider"
 	"chutereach/standin"
 )
 
@@ -190,7 +190,7 @@
 	{"workers are back", func(b *bench, _ map[job.ID]string) { b.fleet.Faults.Clear() }},
 	{"answers of the table are lost", func(b *bench, _ map[job.ID]string) { b.table.Faults.Set(locked(every(standin.OpCommit, 2, lost))) }},
 	{"table is down", func(b *bench, _ map[job.ID]string) {
-		b.table.Faults.Always(standin.Fault{Refuse: standin.Down(platform.TableService)})
+		b.table.Faults.Always(standin.Fault{Refuse: standin.Down(provider.TableService)})
 	}},
 	{"table is slow", func(b *bench, _ map[job.ID]string) { b.table.Faults.Always(slow) }},
 	{"table is back", func(b *bench, _ map[job.ID]string) { b.table.Faults.Clear() }},
@@ -268,7 +268,7 @@
 			if asked.Add(1) > 1000 {
 				return standin.Fault{Delay: time.Hour}
 			}
-			return standin.Fault{Refuse: standin.Down(platform.WorkerService)}
+			return standin.Fault{Refuse: standin.Down(provider.WorkerService)}
 		})
 		u := b.own()
 		time.Sleep(time.Second)
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -16,7 +16,7 @@
 	"chutereach/ledger"
 	"chutereach/ownership"
 	"chutereach/placement"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/queue"
 	"chutereach/resource"
 	"chutereach/timeline"
@@ -53,8 +53,8 @@
 
 // Deps are what a unit works with.
 type Deps struct {
-	Workers platform.Workers
-	Boxes   platform.BoxList
+	Workers provider.Workers
+	Boxes   provider.BoxList
 	Sender  *commit.Sender
 	// Sure returns until when no other box can have taken the unit over.
 	Sure func() time.Time
@@ -272,7 +272,7 @@
 func (u *Unit) pause(d time.Duration) bool { return wait.For(u.ctx, d) == nil }
 
 // mine reports whether a worker belongs to the unit.
-func (u *Unit) mine(w platform.Worker) bool {
+func (u *Unit) mine(w provider.Worker) bool {
 	h, declared := u.deps.Config().Set.Halls[w.Hall]
 	return declared && control.UnitOf(h, w.Rack) == u.hold.Unit
 }
--- a/hall/unit_test.go
+++ b/hall/unit_test.go
@@ -17,7 +17,7 @@
 	"chutereach/control"
 	"chutereach/job"
 	"chutereach/ownership"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/resource"
 	"chutereach/standin"
 	"chutereach/timeline"
@@ -44,7 +44,7 @@
 func newBench(t *testing.T, workers int) *bench {
 	b := &bench{t: t, table: standin.NewTable(), fleet: standin.NewFleet()}
 	for i := range workers {
-		b.fleet.Add(platform.Worker{
+		b.fleet.Add(provider.Worker{
 			Name: fmt.Sprintf("w%02d", i), Hall: "h", Rack: fmt.Sprintf("r%d", i/6),
 			Capacity: resource.Amount{CPU: 16000, Memory: 64 << 30},
 		})
@@ -93,7 +93,7 @@
 	b.fence(now)
 	row := control.UnitRow{Owner: control.NewIncarnation("box"), Epoch: b.epoch, Sure: now}
 	sender := commit.NewSender(b.table, rate.NewLimiter(rate.Inf, 1))
-	txn := platform.Txn{ID: fmt.Sprint("own-", b.epoch)}.Put(control.UnitKey("h"), was.Version, control.Encode(row))
+	txn := provider.Txn{ID: fmt.Sprint("own-", b.epoch)}.Put(control.UnitKey("h"), was.Version, control.Encode(row))
 	version, err := sender.Do(ctx, txn)
 	if err != nil {
 		b.t.Fatal(err)
@@ -154,7 +154,7 @@
 		b.t.Fatal(err)
 	}
 	sender := commit.NewSender(b.table, rate.NewLimiter(rate.Inf, 1))
-	txn := platform.Txn{ID: string(j.ID)}.Put(job.InboxKey(j.ID), 0, j.Encode())
+	txn := provider.Txn{ID: string(j.ID)}.Put(job.InboxKey(j.ID), 0, j.Encode())
 	if _, err := sender.Do(context.Background(), txn); err != nil {
 		b.t.Fatal(err)
 	}
--- a/hall/watch.go
+++ b/hall/watch.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"chutereach/job"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/timeline"
 )
 
 // haltCall is a worker's Stop or Checkpoint.
-type haltCall func(context.Context, string, platform.AttemptCall) (platform.AttemptState, error)
+type haltCall func(context.Context, string, provider.AttemptCall) (provider.AttemptState, error)
 
 const (
 	firstWatchPause = 100 * time.Millisecond
@@ -42,7 +42,7 @@
 }
 
 // ask makes one call: List to a worker that is not known yet, else Renew.
-func (u *Unit) ask(w *workerState) (platform.Report, error) {
+func (u *Unit) ask(w *workerState) (provider.Report, error) {
 	call, forget, known := u.renewCall(w)
 	if !known {
 		ctx, cancel := context.WithTimeout(u.ctx, u.set.Call)
@@ -59,8 +59,8 @@
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		w.forget = append(w.forget, forget...)
-		var refused *platform.RefusedError
-		if errors.As(err, &refused) && refused.Reason == platform.RefusedBoot {
+		var refused *provider.RefusedError
+		if errors.As(err, &refused) && refused.Reason == provider.RefusedBoot {
 			w.boot = "" // ask anew what it runs
 		}
 	}
@@ -70,7 +70,7 @@
 // renewCall makes the call that renews every lease on a worker. No lease goes
 // beyond Sure plus the template's lease, so that it goes on through an outage of
 // the table for as long as that bound allows.
-func (u *Unit) renewCall(w *workerState) (call platform.RenewCall, forget []string, known bool) {
+func (u *Unit) renewCall(w *workerState) (call provider.RenewCall, forget []string, known bool) {
 	sure := u.deps.Sure()
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -81,7 +81,7 @@
 	}
 	now := time.Now()
 	from := earlier(now, sure)
-	call = platform.RenewCall{Boot: w.boot, Expires: now.Add(u.set.Call), Seen: w.seq, Wait: u.set.Watch}
+	call = provider.RenewCall{Boot: w.boot, Expires: now.Add(u.set.Call), Seen: w.seq, Wait: u.set.Watch}
 	if !w.silent.IsZero() || nudged {
 		call.Wait = 0 // ask for an answer at once
 	}
@@ -96,7 +96,7 @@
 		lease := t.grant.Lease
 		if until := from.Add(lease); until.Sub(t.until) > lease/(2*renewalsPerLease) {
 			t.until = until
-			call.Leases = append(call.Leases, platform.Lease{Attempt: attempt, Until: until})
+			call.Leases = append(call.Leases, provider.Lease{Attempt: attempt, Until: until})
 		}
 		call.Wait = min(call.Wait, lease/renewalsPerLease)
 	}
@@ -142,7 +142,7 @@
 }
 
 // heard takes in a worker's report, which was asked for at a time.
-func (u *Unit) heard(w *workerState, r platform.Report, asked time.Time) {
+func (u *Unit) heard(w *workerState, r provider.Report, asked time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.ctx.Err() != nil {
@@ -168,7 +168,7 @@
 }
 
 // reported takes in one attempt of a report.
-func (u *Unit) reported(w *workerState, state platform.AttemptState) {
+func (u *Unit) reported(w *workerState, state provider.AttemptState) {
 	if t := w.tasks[state.Attempt]; t != nil {
 		u.heardOf(w, t, state)
 		return
@@ -177,7 +177,7 @@
 	if err != nil || a.Job.Unit() != u.hold.Unit {
 		return // another unit's, or not ours at all
 	}
-	if state.Phase != platform.PhaseRunning {
+	if state.Phase != provider.PhaseRunning {
 		// Its end is on record, or it would have a grant.
 		w.forget = append(w.forget, state.Attempt)
 		return
@@ -186,21 +186,21 @@
 }
 
 // heardOf goes on with a task of whose attempt the worker spoke.
-func (u *Unit) heardOf(w *workerState, t *taskState, state platform.AttemptState) {
+func (u *Unit) heardOf(w *workerState, t *taskState, state provider.AttemptState) {
 	if t.committing() {
 		return
 	}
 	switch state.Phase {
-	case platform.PhaseRunning:
+	case provider.PhaseRunning:
 		u.runs(t, state)
-	case platform.PhaseEnded:
+	case provider.PhaseEnded:
 		u.ended(t, state)
-	case platform.PhaseStopped:
+	case provider.PhaseStopped:
 		u.gone(t, state.Checkpoint, "stopped")
 	}
 }
 
-func (u *Unit) runs(t *taskState, state platform.AttemptState) {
+func (u *Unit) runs(t *taskState, state provider.AttemptState) {
 	if state.Until.After(t.until) {
 		t.until = state.Until
 	}
@@ -227,7 +227,7 @@
 }
 
 // ended records an attempt that ran to its end.
-func (u *Unit) ended(t *taskState, state platform.AttemptState) {
+func (u *Unit) ended(t *taskState, state provider.AttemptState) {
 	u.Stats.Ended++
 	next := t.task.WithEnd(t.job.job.Template, state.OK, state.Result, time.Now())
 	if t.job.job.Stopped && next.State == job.Waiting {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"chutereach/codec"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/resource"
 )
 
@@ -28,16 +28,16 @@
 
 // Ledger is a worker and what it has granted.
 type Ledger struct {
-	worker platform.Worker
+	worker provider.Worker
 	grants []Grant
 	used   resource.Amount
 }
 
 // New returns the ledger of a worker that has granted nothing.
-func New(w platform.Worker) Ledger { return Ledger{worker: w} }
+func New(w provider.Worker) Ledger { return Ledger{worker: w} }
 
 // Worker returns the worker.
-func (l Ledger) Worker() platform.Worker { return l.worker }
+func (l Ledger) Worker() provider.Worker { return l.worker }
 
 // Grants returns the grants, which the caller must not change.
 func (l Ledger) Grants() []Grant { return l.grants }
@@ -109,7 +109,7 @@
 
 // WithWorker returns l for the worker as the platform describes it now. Grants
 // stay, even where the worker has shrunk below them: only their end frees room.
-func (l Ledger) WithWorker(w platform.Worker) Ledger {
+func (l Ledger) WithWorker(w provider.Worker) Ledger {
 	l.worker = w
 	return l
 }
@@ -131,7 +131,7 @@
 
 // row is a ledger as the table keeps it.
 type row struct {
-	Worker platform.Worker `cbor:"1,keyasint"`
+	Worker provider.Worker `cbor:"1,keyasint"`
 	Grants []Grant         `cbor:"2,keyasint"`
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -9,12 +9,12 @@
 
 	"pgregory.net/rapid"
 
-	"chutereach/platform"
 	"chutereach/proptest"
+	"chutereach/provider"
 	"chutereach/resource"
 )
 
-var worker = platform.Worker{Name: "w", Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30, Accelerators: 2}}
+var worker = provider.Worker{Name: "w", Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30, Accelerators: 2}}
 
 // Whatever is asked of a ledger, its grants never exceed the worker, it is the
 // sum of its grants, and its row reads back the same.
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -12,7 +12,7 @@
 
 	"chutereach/commit"
 	"chutereach/control"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/wait"
 )
 
@@ -157,9 +157,9 @@
 	row, version := k.self, k.version
 	k.mu.Unlock()
 	sent := time.Now()
-	t := platform.Txn{ID: xid.New().String()}.Put(row.Key(), version, control.Encode(row))
+	t := provider.Txn{ID: xid.New().String()}.Put(row.Key(), version, control.Encode(row))
 	next, err := k.sender.DoNow(ctx, t)
-	var conflict *platform.ConflictError
+	var conflict *provider.ConflictError
 	if errors.As(err, &conflict) {
 		fence(&FencedError{row.Incarnation})
 		return
@@ -247,7 +247,7 @@
 	row, version := k.self, k.version
 	k.mu.Unlock()
 	// The row may have been renewed meanwhile; then it lapses like any other.
-	gone := platform.Txn{ID: xid.New().String()}.Remove(row.Key(), version)
+	gone := provider.Txn{ID: xid.New().String()}.Remove(row.Key(), version)
 	k.sender.Do(ctx, gone)
 }
 
--- a/ownership/keeper_test.go
+++ b/ownership/keeper_test.go
@@ -15,7 +15,7 @@
 
 	"chutereach/commit"
 	"chutereach/control"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/standin"
 )
 
@@ -56,14 +56,14 @@
 	faults standin.Faults
 }
 
-func (c *cutTable) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
-	return standin.Through(ctx, &c.faults, platform.TableService, standin.OpCommit, "", func() (uint64, error) {
+func (c *cutTable) Commit(ctx context.Context, t provider.Txn) (uint64, error) {
+	return standin.Through(ctx, &c.faults, provider.TableService, standin.OpCommit, "", func() (uint64, error) {
 		return c.Table.Commit(ctx, t)
 	})
 }
 
-func (c *cutTable) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	return standin.Through(ctx, &c.faults, platform.TableService, standin.OpRange, "", func() ([]platform.Row, error) {
+func (c *cutTable) Range(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
+	return standin.Through(ctx, &c.faults, provider.TableService, standin.OpRange, "", func() ([]provider.Row, error) {
 		return c.Table.Range(ctx, prefix, after, limit)
 	})
 }
@@ -205,7 +205,7 @@
 		{"two killed at once", func(c *cell) { c.nodes[0].cancel(); c.nodes[1].cancel() }, 8 * time.Second},
 		{"leaves", func(c *cell) { c.nodes[0].Leave(context.Background()); c.nodes[0].cancel() }, 6 * time.Second},
 		{"cut off from the table", func(c *cell) {
-			c.nodes[0].cut.faults.Always(standin.Fault{Refuse: standin.Down(platform.TableService)})
+			c.nodes[0].cut.faults.Always(standin.Fault{Refuse: standin.Down(provider.TableService)})
 		}, 9 * time.Second},
 		{"its writes lose their answers", func(c *cell) { c.nodes[0].cut.faults.Always(lost) }, 9 * time.Second},
 		{"killed while the table is slow", func(c *cell) {
@@ -213,7 +213,7 @@
 			c.nodes[0].cancel()
 		}, 40 * time.Second},
 		{"the table is down for all, then back", func(c *cell) {
-			c.table.Faults.Always(standin.Fault{Refuse: standin.Down(platform.TableService)})
+			c.table.Faults.Always(standin.Fault{Refuse: standin.Down(provider.TableService)})
 			time.Sleep(time.Minute)
 			c.table.Faults.Clear()
 		}, 12 * time.Second},
@@ -242,7 +242,7 @@
 		defer c.stop()
 		c.watch(30 * time.Second)
 		n := c.nodes[0]
-		n.cut.faults.Always(standin.Fault{Refuse: standin.Down(platform.TableService)})
+		n.cut.faults.Always(standin.Fault{Refuse: standin.Down(provider.TableService)})
 		c.watch(20 * time.Second)
 		n.cut.faults.Clear()
 		err := <-n.ended
--- a/ownership/spread.go
+++ b/ownership/spread.go
@@ -9,7 +9,7 @@
 	"github.com/rs/xid"
 
 	"chutereach/control"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/rendezvous"
 )
 
@@ -199,7 +199,7 @@
 // date.
 func (k *Keeper) take(ctx context.Context, v control.View, units []string) (stale bool) {
 	now := time.Now()
-	t := platform.Txn{ID: xid.New().String()}
+	t := provider.Txn{ID: xid.New().String()}
 	rows := map[string]control.UnitRow{}
 	dead := map[control.Incarnation]bool{}
 	for _, unit := range units {
@@ -262,7 +262,7 @@
 func (k *Keeper) reap(ctx context.Context, v control.View) {
 	k.mu.Lock()
 	alive := k.alive(v)
-	t := platform.Txn{ID: xid.New().String()}
+	t := provider.Txn{ID: xid.New().String()}
 	for i, b := range v.Boxes {
 		if time.Since(k.seen[i].since) > reapAfter*k.set.Lapse {
 			t = t.Remove(b.Row.Key(), b.Version)
@@ -280,7 +280,7 @@
 // report logs why units did not change hands, and whether another box was
 // faster.
 func (k *Keeper) report(units []string, err error) (conflicted bool) {
-	var conflict *platform.ConflictError
+	var conflict *provider.ConflictError
 	if errors.As(err, &conflict) {
 		k.log.Debug().Strs("units", units).Msg("Another box was faster.")
 		return true
@@ -298,7 +298,7 @@
 	}
 	sure := k.drop(unit)
 	row := control.UnitRow{Epoch: h.Epoch, Sure: sure}
-	t := platform.Txn{ID: xid.New().String()}.Put(control.UnitKey(unit), h.Version, control.Encode(row))
+	t := provider.Txn{ID: xid.New().String()}.Put(control.UnitKey(unit), h.Version, control.Encode(row))
 	if _, err := k.sender.Do(ctx, t); err != nil {
 		k.report([]string{unit}, err)
 		return
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -4,7 +4,7 @@
 	"math/bits"
 	"slices"
 
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/resource"
 )
 
@@ -16,7 +16,7 @@
 	Avoid     map[string]string // labels that the worker must not have
 	// Crowd counts the task's siblings on a worker and in its rack; nil where
 	// there are none to keep apart.
-	Crowd func(w platform.Worker) (onWorker, inRack int)
+	Crowd func(w provider.Worker) (onWorker, inRack int)
 }
 
 // Scorer is a policy of choosing among workers that have room.
@@ -59,7 +59,7 @@
 // Choose returns the worker that s prefers for a task, or false if none has
 // room. Workers with accelerators to spare come last for a task that needs
 // none, whatever s prefers.
-func Choose[S Scorer](x *Index, s S, a Ask) (platform.Worker, bool) {
+func Choose[S Scorer](x *Index, s S, a Ask) (provider.Worker, bool) {
 	for acc := min(a.Need.Accelerators, accLevels-1); acc < accLevels; acc++ {
 		c := search[S]{scorer: s, ask: &a}
 		c.level(&x.levels[acc])
@@ -67,7 +67,7 @@
 			return c.best.worker, true
 		}
 	}
-	return platform.Worker{}, false
+	return provider.Worker{}, false
 }
 
 // search is one decision on one level of accelerators.
@@ -144,7 +144,7 @@
 }
 
 // allows reports whether the task's rules let it run on w.
-func (a *Ask) allows(w platform.Worker) bool {
+func (a *Ask) allows(w provider.Worker) bool {
 	for _, t := range w.Taints {
 		if !slices.Contains(a.Tolerates, t) {
 			return false
@@ -165,7 +165,7 @@
 
 // Scan is Choose without the index: it looks at every worker. It is what the
 // index is measured against, and what its tests compare it with.
-func Scan[S Scorer](x *Index, s S, a Ask) (platform.Worker, bool) {
+func Scan[S Scorer](x *Index, s S, a Ask) (provider.Worker, bool) {
 	c := search[S]{scorer: s, ask: &a}
 	for _, e := range x.byName {
 		if !e.closed && a.Need.Fits(e.free) && a.allows(e.worker) {
@@ -173,7 +173,7 @@
 		}
 	}
 	if c.best == nil {
-		return platform.Worker{}, false
+		return provider.Worker{}, false
 	}
 	return c.best.worker, true
 }
--- a/placement/index.go
+++ b/placement/index.go
@@ -3,7 +3,7 @@
 import (
 	"math/bits"
 
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/resource"
 )
 
@@ -34,7 +34,7 @@
 
 // entry is a worker in the index.
 type entry struct {
-	worker platform.Worker
+	worker provider.Worker
 	free   resource.Amount
 	closed bool // takes no new work
 	cell   cellKey
@@ -78,7 +78,7 @@
 
 // Set puts a worker, or what it has free, into the index. A closed worker keeps
 // its place but is never chosen.
-func (x *Index) Set(w platform.Worker, free resource.Amount, closed bool) {
+func (x *Index) Set(w provider.Worker, free resource.Amount, closed bool) {
 	e := x.byName[w.Name]
 	if e == nil {
 		e = &entry{}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -9,13 +9,13 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"pgregory.net/rapid"
 
-	"chutereach/platform"
 	"chutereach/proptest"
+	"chutereach/provider"
 	"chutereach/resource"
 )
 
-func worker(i int, cpu resource.MilliCPU, mem resource.Bytes, acc int64) platform.Worker {
-	return platform.Worker{
+func worker(i int, cpu resource.MilliCPU, mem resource.Bytes, acc int64) provider.Worker {
+	return provider.Worker{
 		Name: fmt.Sprintf("w%05d", i), Hall: "h", Rack: fmt.Sprintf("r%d", i/8),
 		Capacity: resource.Amount{CPU: cpu, Memory: mem, Accelerators: acc},
 	}
@@ -85,7 +85,7 @@
 		{"affinity", Ask{Need: small, Affinity: map[string]string{"bench": "yes"}}, fast.Name},
 		{"anti-affinity", Ask{Need: resource.Amount{CPU: 9000}, Avoid: map[string]string{"bench": "yes"}}, ""},
 		{"too large", Ask{Need: resource.Amount{CPU: 17_000}}, ""},
-		{"siblings are kept apart", Ask{Need: small, Tolerates: []string{"maintenance"}, Crowd: func(w platform.Worker) (int, int) {
+		{"siblings are kept apart", Ask{Need: small, Tolerates: []string{"maintenance"}, Crowd: func(w provider.Worker) (int, int) {
 			if w.Name == tainted.Name {
 				return 1, 1
 			}
@@ -116,10 +116,10 @@
 }
 
 // cluster is an index of n workers, nearly full of random tasks.
-func cluster(n int) (*Index, []platform.Worker, map[string]resource.Amount) {
+func cluster(n int) (*Index, []provider.Worker, map[string]resource.Amount) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	x, free := NewIndex(), map[string]resource.Amount{}
-	var all []platform.Worker
+	var all []provider.Worker
 	for i := range n {
 		var acc int64
 		if i%2 == 0 {
@@ -143,9 +143,9 @@
 	{CPU: 2000, Memory: 4 << 30}, {CPU: 4000, Memory: 8 << 30, Accelerators: 1},
 }
 
-func benchmark[S Scorer](b *testing.B, n int, s S, choose func(*Index, S, Ask) (platform.Worker, bool)) {
+func benchmark[S Scorer](b *testing.B, n int, s S, choose func(*Index, S, Ask) (provider.Worker, bool)) {
 	x, _, free := cluster(n)
-	byName := map[string]platform.Worker{}
+	byName := map[string]provider.Worker{}
 	for name, e := range x.byName {
 		byName[name] = e.worker
 	}
--- a/platformhttp/handler.go
+++ b/platformhttp/handler.go
@@ -5,14 +5,14 @@
 	"net/http"
 
 	"chutereach/codec"
-	"chutereach/platform"
+	"chutereach/provider"
 )
 
 // Handler serves a platform over HTTP. It is how the stand-in is reached.
-func Handler(p platform.Platform) http.Handler {
+func Handler(p provider.Platform) http.Handler {
 	mux := http.NewServeMux()
 	handle(mux, pathGet, p.Table.Get)
-	handle(mux, pathRange, func(ctx context.Context, r rangeRequest) ([]platform.Row, error) {
+	handle(mux, pathRange, func(ctx context.Context, r rangeRequest) ([]provider.Row, error) {
 		return p.Table.Range(ctx, r.Prefix, r.After, r.Limit)
 	})
 	handle(mux, pathCommit, p.Table.Commit)
@@ -23,9 +23,9 @@
 	handle(mux, pathObjectDel, func(ctx context.Context, name string) (none, error) {
 		return none{}, p.Objects.Delete(ctx, name)
 	})
-	handle(mux, pathBoxes, func(ctx context.Context, _ none) ([]platform.Box, error) { return p.Boxes.List(ctx) })
-	handle(mux, pathFleet, func(ctx context.Context, _ none) ([]platform.Worker, error) { return p.Workers.Fleet(ctx) })
-	handle(mux, pathList, func(ctx context.Context, r workerRequest[none]) (platform.Report, error) {
+	handle(mux, pathBoxes, func(ctx context.Context, _ none) ([]provider.Box, error) { return p.Boxes.List(ctx) })
+	handle(mux, pathFleet, func(ctx context.Context, _ none) ([]provider.Worker, error) { return p.Workers.Fleet(ctx) })
+	handle(mux, pathList, func(ctx context.Context, r workerRequest[none]) (provider.Report, error) {
 		return p.Workers.List(ctx, r.Worker)
 	})
 	handleWorker(mux, pathStart, p.Workers.Start)
--- a/platformhttp/wire.go
+++ b/platformhttp/wire.go
@@ -7,7 +7,7 @@
 	"errors"
 	"time"
 
-	"chutereach/platform"
+	"chutereach/provider"
 )
 
 // maxBody bounds what is read of a request or an answer.
@@ -54,13 +54,13 @@
 // failure is a platform error as it travels.
 type failure struct {
 	Kind       failureKind            `cbor:"1,keyasint"`
-	Service    platform.Service       `cbor:"2,keyasint"`
+	Service    provider.Service       `cbor:"2,keyasint"`
 	Reason     string                 `cbor:"3,keyasint,omitempty"`
 	Name       string                 `cbor:"4,keyasint,omitempty"`
 	Want       uint64                 `cbor:"5,keyasint,omitempty"`
-	Have       platform.Row           `cbor:"6,keyasint,omitempty"`
+	Have       provider.Row           `cbor:"6,keyasint,omitempty"`
 	RetryAfter time.Duration          `cbor:"7,keyasint,omitempty"`
-	Refusal    platform.RefusalReason `cbor:"8,keyasint,omitempty"`
+	Refusal    provider.RefusalReason `cbor:"8,keyasint,omitempty"`
 }
 
 type failureKind string
@@ -77,11 +77,11 @@
 // came, which travels as a cut connection.
 func pack(err error) (failure, bool) {
 	var (
-		unavailable *platform.UnavailableError
-		limited     *platform.LimitedError
-		conflict    *platform.ConflictError
-		missing     *platform.NotFoundError
-		refused     *platform.RefusedError
+		unavailable *provider.UnavailableError
+		limited     *provider.LimitedError
+		conflict    *provider.ConflictError
+		missing     *provider.NotFoundError
+		refused     *provider.RefusedError
 	)
 	switch {
 	case errors.As(err, &unavailable):
@@ -99,20 +99,20 @@
 }
 
 // unpack turns a failure back into the error that it was.
-func (f failure) unpack(s platform.Service) error {
+func (f failure) unpack(s provider.Service) error {
 	switch f.Kind {
 	case kindUnavailable:
-		return &platform.UnavailableError{Service: f.Service, Reason: f.Reason}
+		return &provider.UnavailableError{Service: f.Service, Reason: f.Reason}
 	case kindLimited:
-		return &platform.LimitedError{Service: f.Service, RetryAfter: f.RetryAfter}
+		return &provider.LimitedError{Service: f.Service, RetryAfter: f.RetryAfter}
 	case kindConflict:
-		return &platform.ConflictError{Key: f.Name, Want: f.Want, Have: f.Have}
+		return &provider.ConflictError{Key: f.Name, Want: f.Want, Have: f.Have}
 	case kindNotFound:
-		return &platform.NotFoundError{Service: f.Service, Name: f.Name}
+		return &provider.NotFoundError{Service: f.Service, Name: f.Name}
 	case kindRefused:
-		return &platform.RefusedError{Worker: f.Name, Reason: f.Refusal}
+		return &provider.RefusedError{Worker: f.Name, Reason: f.Refusal}
 	}
-	return &platform.UnknownError{Service: s, Cause: &FailureError{string(f.Kind)}}
+	return &provider.UnknownError{Service: s, Cause: &FailureError{string(f.Kind)}}
 }
 
 // FailureError says that the platform answered in a way that is not understood.
--- a/platformtest/contract_test.go
+++ b/platformtest/contract_test.go
@@ -6,13 +6,13 @@
 	"net/http/httptest"
 	"testing"
 
-	"chutereach/platform"
 	"chutereach/platformhttp"
+	"chutereach/provider"
 	"chutereach/standin"
 )
 
-func embedded(t *testing.T) (platform.Platform, *standin.Platform) {
-	s := standin.New([]platform.Worker{Worker})
+func embedded(t *testing.T) (provider.Platform, *standin.Platform) {
+	s := standin.New([]provider.Worker{Worker})
 	t.Cleanup(s.Fleet.Close)
 	return s.Interfaces(), s
 }
@@ -20,7 +20,7 @@
 func TestEmbeddedKeepsTheContract(t *testing.T) { Run(t, embedded) }
 
 func TestHTTPKeepsTheContract(t *testing.T) {
-	Run(t, func(t *testing.T) (platform.Platform, *standin.Platform) {
+	Run(t, func(t *testing.T) (provider.Platform, *standin.Platform) {
 		p, s := embedded(t)
 		server := httptest.NewUnstartedServer(platformhttp.Handler(p))
 		server.Config.ErrorLog = log.New(io.Discard, "", 0) // cut connections are meant
@@ -36,5 +36,5 @@
 	url := server.URL
 	server.Close()
 	_, err := platformhttp.Dial(url, "").Table.Commit(t.Context(), put("1", "a", 0, "x"))
-	want[*platform.UnavailableError](t, err)
+	want[*provider.UnavailableError](t, err)
 }
--- a/platform/doc.go
+++ b/provider/doc.go
@@ -1,4 +1,4 @@
-// Package platform names what chutereach asks of the platform beneath it: a
+// Package provider names what chutereach asks of the platform beneath it: a
 // transactional table, an object store, the list of boxes, and the workers.
 //
 // The interfaces are narrow on purpose. The platform publishes no wire format
@@ -21,4 +21,4 @@
 // call that arrives after the call's expiry, by its own clock; clocks differ by
 // at most the setting clock-error. It remembers attempts that ended until it is
 // told to forget them or reboots, and a reboot changes its boot id.
-package platform
+package provider
--- a/platform/table.go
+++ b/provider/table.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import "context"
 
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -21,7 +21,7 @@
 	"chutereach/config"
 	"chutereach/control"
 	"chutereach/peer"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/timeline"
 )
 
@@ -187,11 +187,11 @@
 	if err != nil {
 		return config.Revision{}, &control.RowError{Key: revisionKey(r.Number), Cause: err}
 	}
-	t := platform.Txn{ID: xid.New().String()}.
+	t := provider.Txn{ID: xid.New().String()}.
 		Put(control.HeadKey, head.Version, control.Encode(control.HeadRow{Revision: r.Number})).
 		Put(revisionKey(r.Number), 0, data)
 	_, err = p.sender.Do(ctx, t)
-	var conflict *platform.ConflictError
+	var conflict *provider.ConflictError
 	if errors.As(err, &conflict) {
 		return config.Revision{}, p.conflict(ctx, c, r.Number)
 	}
--- a/route/claim.go
+++ b/route/claim.go
@@ -9,7 +9,7 @@
 	"chutereach/codec"
 	"chutereach/commit"
 	"chutereach/control"
-	"chutereach/platform"
+	"chutereach/provider"
 )
 
 // claim is the row by which a request that may run once is claimed.
@@ -56,7 +56,7 @@
 	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	version, err := r.claims.Do(claiming, commit.Part{}.Insert(key, mine.encode()))
-	var conflict *platform.ConflictError
+	var conflict *provider.ConflictError
 	if errors.As(err, &conflict) {
 		return r.replay(req, mine, conflict.Have)
 	}
@@ -73,7 +73,7 @@
 }
 
 // replay answers an attempt whose key was claimed before.
-func (r *Router) replay(req *Request, mine claim, row platform.Row) (*Answer, error) {
+func (r *Router) replay(req *Request, mine claim, row provider.Row) (*Answer, error) {
 	var earlier claim
 	if err := codec.Unmarshal(row.Value, &earlier); err != nil {
 		return nil, &UnknownError{CauseEarlier}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -21,7 +21,7 @@
 	"chutereach/control"
 	"chutereach/hall"
 	"chutereach/member"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/standin"
 	"chutereach/timeline"
 )
@@ -349,7 +349,7 @@
 func TestTableDown(t *testing.T) {
 	u := fake(t)
 	b := newBench(t, u.Addr().String())
-	b.table.Faults.Always(standin.Fault{Refuse: standin.Down(platform.TableService)})
+	b.table.Faults.Always(standin.Fault{Refuse: standin.Down(provider.TableService)})
 	if _, err := b.send(request("x", config.SafeRepeat)); err != nil {
 		t.Errorf("lookup: %v", err)
 	}
--- a/standin/example.go
+++ b/standin/example.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/resource"
 )
 
@@ -23,18 +23,18 @@
 }
 
 // Manizales returns the workers of the utility: 50 in four halls, 6 to a rack.
-func Manizales() []platform.Worker {
+func Manizales() []provider.Worker {
 	return example([]site{{"chipre", 13}, {"palermo", 13}, {"villamaria", 12}, {"la-cabana", 12}}, 6, 0)
 }
 
 // Guild returns the workers of the Guild: 50 in three halls, 8 to a rack, one in
 // four with accelerators.
-func Guild() []platform.Worker {
+func Guild() []provider.Worker {
 	return example([]site{{"burnaby", 17}, {"surrey", 17}, {"richmond", 16}}, 8, guildAccs)
 }
 
 // Example returns the fleet called name: manizales, guild or both.
-func Example(name string) []platform.Worker {
+func Example(name string) []provider.Worker {
 	switch name {
 	case "manizales":
 		return Manizales()
@@ -44,11 +44,11 @@
 	return append(Manizales(), Guild()...)
 }
 
-func example(sites []site, perRack int, accs int64) []platform.Worker {
-	all := make([]platform.Worker, 0, exampleCount)
+func example(sites []site, perRack int, accs int64) []provider.Worker {
+	all := make([]provider.Worker, 0, exampleCount)
 	for _, s := range sites {
 		for i := range s.workers {
-			w := platform.Worker{
+			w := provider.Worker{
 				Name: fmt.Sprintf("%s-%02d", s.hall, i+1), Hall: s.hall, Rack: fmt.Sprintf("%s-rack-%d", s.hall, i/perRack+1),
 				Capacity: resource.Amount{CPU: exampleCPU, Memory: exampleMemory},
 			}
@@ -71,13 +71,13 @@
 }
 
 // New returns a stand-in with a fleet whose services really listen.
-func New(workers []platform.Worker) *Platform {
+func New(workers []provider.Worker) *Platform {
 	f := NewFleet(workers...)
 	f.Serve = true
 	return &Platform{Table: NewTable(), Objects: NewObjects(), Boxes: &BoxList{}, Fleet: f}
 }
 
 // Interfaces returns p as the platform that it stands in for.
-func (p *Platform) Interfaces() platform.Platform {
-	return platform.Platform{Table: p.Table, Objects: p.Objects, Boxes: p.Boxes, Workers: p.Fleet}
+func (p *Platform) Interfaces() provider.Platform {
+	return provider.Platform{Table: p.Table, Objects: p.Objects, Boxes: p.Boxes, Workers: p.Fleet}
 }
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/wait"
 )
 
@@ -67,11 +67,11 @@
 const limitedPause = 50 * time.Millisecond
 
 // Through carries out do as the faults decide.
-func Through[T any](ctx context.Context, f *Faults, s platform.Service, op Op, target string, do func() (T, error)) (T, error) {
+func Through[T any](ctx context.Context, f *Faults, s provider.Service, op Op, target string, do func() (T, error)) (T, error) {
 	var none T
 	fault, limit := f.next(op, target)
 	if limit != nil && !limit.Allow() {
-		return none, &platform.LimitedError{Service: s, RetryAfter: limitedPause}
+		return none, &provider.LimitedError{Service: s, RetryAfter: limitedPause}
 	}
 	if fault.Refuse != nil {
 		return none, fault.Refuse
@@ -82,22 +82,22 @@
 			// The caller has gone; the request takes effect all the same, late.
 			time.AfterFunc(time.Until(due), func() { do() })
 		}
-		return none, &platform.UnknownError{Service: s, Cause: ctx.Err()}
+		return none, &provider.UnknownError{Service: s, Cause: ctx.Err()}
 	}
 	if fault.Vanish {
-		return none, &platform.UnknownError{Service: s, Cause: errLost}
+		return none, &provider.UnknownError{Service: s, Cause: errLost}
 	}
 	v, err := do()
 	if wait.For(ctx, fault.AnswerLate) != nil {
-		return none, &platform.UnknownError{Service: s, Cause: ctx.Err()}
+		return none, &provider.UnknownError{Service: s, Cause: ctx.Err()}
 	}
 	if fault.Lose {
-		return none, &platform.UnknownError{Service: s, Cause: errLost}
+		return none, &provider.UnknownError{Service: s, Cause: errLost}
 	}
 	return v, err
 }
 
 // Down is the refusal of a service that is down.
-func Down(s platform.Service) error {
-	return &platform.UnavailableError{Service: s, Reason: "it is down"}
+func Down(s provider.Service) error {
+	return &provider.UnavailableError{Service: s, Reason: "it is down"}
 }
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"chutereach/platform"
+	"chutereach/provider"
 )
 
 // Fleet is a number of workers. Attempts on them understand these commands:
@@ -28,7 +28,7 @@
 }
 
 // NewFleet returns a fleet of workers.
-func NewFleet(workers ...platform.Worker) *Fleet {
+func NewFleet(workers ...provider.Worker) *Fleet {
 	f := &Fleet{Witness: newWitness(), workers: map[string]*worker{}, checkpoints: map[string]time.Duration{}}
 	for _, w := range workers {
 		f.Add(w)
@@ -37,7 +37,7 @@
 }
 
 // Add adds a worker.
-func (f *Fleet) Add(w platform.Worker) {
+func (f *Fleet) Add(w provider.Worker) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.order = append(f.order, w.Name)
@@ -71,24 +71,24 @@
 
 // on carries out do on the worker called name, as the faults decide.
 func on[T any](ctx context.Context, f *Fleet, name string, op Op, do func(*worker) (T, error)) (T, error) {
-	return Through(ctx, &f.Faults, platform.WorkerService, op, name, func() (T, error) {
+	return Through(ctx, &f.Faults, provider.WorkerService, op, name, func() (T, error) {
 		f.mu.Lock()
 		w := f.workers[name]
 		f.mu.Unlock()
 		if w == nil {
 			var none T
-			return none, &platform.NotFoundError{Service: platform.WorkerService, Name: name}
+			return none, &provider.NotFoundError{Service: provider.WorkerService, Name: name}
 		}
 		return do(w)
 	})
 }
 
-// Fleet implements platform.Workers.
-func (f *Fleet) Fleet(ctx context.Context) ([]platform.Worker, error) {
-	return Through(ctx, &f.Faults, platform.WorkerService, OpFleet, "", func() ([]platform.Worker, error) {
+// Fleet implements provider.Workers.
+func (f *Fleet) Fleet(ctx context.Context) ([]provider.Worker, error) {
+	return Through(ctx, &f.Faults, provider.WorkerService, OpFleet, "", func() ([]provider.Worker, error) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		var all []platform.Worker
+		var all []provider.Worker
 		for _, name := range f.order {
 			all = append(all, f.workers[name].info)
 		}
@@ -96,34 +96,34 @@
 	})
 }
 
-// List implements platform.Workers.
-func (f *Fleet) List(ctx context.Context, name string) (platform.Report, error) {
-	return on(ctx, f, name, OpList, func(w *worker) (platform.Report, error) { return w.list(), nil })
+// List implements provider.Workers.
+func (f *Fleet) List(ctx context.Context, name string) (provider.Report, error) {
+	return on(ctx, f, name, OpList, func(w *worker) (provider.Report, error) { return w.list(), nil })
 }
 
-// Start implements platform.Workers.
-func (f *Fleet) Start(ctx context.Context, name string, c platform.StartCall) (platform.AttemptState, error) {
-	return on(ctx, f, name, OpStart, func(w *worker) (platform.AttemptState, error) { return w.start(c) })
+// Start implements provider.Workers.
+func (f *Fleet) Start(ctx context.Context, name string, c provider.StartCall) (provider.AttemptState, error) {
+	return on(ctx, f, name, OpStart, func(w *worker) (provider.AttemptState, error) { return w.start(c) })
 }
 
-// Renew implements platform.Workers.
-func (f *Fleet) Renew(ctx context.Context, name string, c platform.RenewCall) (platform.Report, error) {
-	return on(ctx, f, name, OpRenew, func(w *worker) (platform.Report, error) { return w.renew(ctx, c) })
+// Renew implements provider.Workers.
+func (f *Fleet) Renew(ctx context.Context, name string, c provider.RenewCall) (provider.Report, error) {
+	return on(ctx, f, name, OpRenew, func(w *worker) (provider.Report, error) { return w.renew(ctx, c) })
 }
 
-// Stop implements platform.Workers.
-func (f *Fleet) Stop(ctx context.Context, name string, c platform.AttemptCall) (platform.AttemptState, error) {
-	return on(ctx, f, name, OpStop, func(w *worker) (platform.AttemptState, error) { return w.stop(c) })
+// Stop implements provider.Workers.
+func (f *Fleet) Stop(ctx context.Context, name string, c provider.AttemptCall) (provider.AttemptState, error) {
+	return on(ctx, f, name, OpStop, func(w *worker) (provider.AttemptState, error) { return w.stop(c) })
 }
 
-// Checkpoint implements platform.Workers.
-func (f *Fleet) Checkpoint(ctx context.Context, name string, c platform.AttemptCall) (platform.AttemptState, error) {
-	return on(ctx, f, name, OpCheckpoint, func(w *worker) (platform.AttemptState, error) { return w.checkpoint(c) })
+// Checkpoint implements provider.Workers.
+func (f *Fleet) Checkpoint(ctx context.Context, name string, c provider.AttemptCall) (provider.AttemptState, error) {
+	return on(ctx, f, name, OpCheckpoint, func(w *worker) (provider.AttemptState, error) { return w.checkpoint(c) })
 }
 
-// Throttle implements platform.Workers.
-func (f *Fleet) Throttle(ctx context.Context, name string, c platform.AttemptCall) (platform.AttemptState, error) {
-	return on(ctx, f, name, OpThrottle, func(w *worker) (platform.AttemptState, error) { return w.throttle(c) })
+// Throttle implements provider.Workers.
+func (f *Fleet) Throttle(ctx context.Context, name string, c provider.AttemptCall) (provider.AttemptState, error) {
+	return on(ctx, f, name, OpThrottle, func(w *worker) (provider.AttemptState, error) { return w.throttle(c) })
 }
 
 // command is what an attempt does.
@@ -144,7 +144,7 @@
 	d, err := time.ParseDuration(strings.TrimSpace(rest))
 	known := verb == "sleep" || verb == "fail" || verb == "serve"
 	if err != nil || !known {
-		return command{}, &platform.UnavailableError{Service: platform.WorkerService, Reason: (&CommandError{text}).Error()}
+		return command{}, &provider.UnavailableError{Service: provider.WorkerService, Reason: (&CommandError{text}).Error()}
 	}
 	return command{work: d, fails: verb == "fail", serves: verb == "serve"}, nil
 }
--- a/standin/table.go
+++ b/standin/table.go
@@ -7,7 +7,7 @@
 	"sync"
 	"sync/atomic"
 
-	"chutereach/platform"
+	"chutereach/provider"
 )
 
 // Operations of the table.
@@ -24,13 +24,13 @@
 	Commits, Reads, Bytes atomic.Int64
 
 	mu      sync.RWMutex
-	rows    map[string]platform.Row
+	rows    map[string]provider.Row
 	keys    []string // sorted
 	version uint64
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: map[string]platform.Row{}} }
+func NewTable() *Table { return &Table{rows: map[string]provider.Row{}} }
 
 // Calmly calls f while no fault befalls the table.
 func (t *Table) Calmly(f func()) {
@@ -42,9 +42,9 @@
 	f()
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
-	return Through(ctx, &t.Faults, platform.TableService, OpGet, key, func() (platform.Row, error) {
+// Get implements provider.Table.
+func (t *Table) Get(ctx context.Context, key string) (provider.Row, error) {
+	return Through(ctx, &t.Faults, provider.TableService, OpGet, key, func() (provider.Row, error) {
 		t.Reads.Add(1)
 		t.mu.RLock()
 		defer t.mu.RUnlock()
@@ -52,9 +52,9 @@
 	})
 }
 
-// Range implements platform.Table.
-func (t *Table) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	return Through(ctx, &t.Faults, platform.TableService, OpRange, prefix, func() ([]platform.Row, error) {
+// Range implements provider.Table.
+func (t *Table) Range(ctx context.Context, prefix, after string, limit int) ([]provider.Row, error) {
+	return Through(ctx, &t.Faults, provider.TableService, OpRange, prefix, func() ([]provider.Row, error) {
 		t.Reads.Add(1)
 		t.mu.RLock()
 		defer t.mu.RUnlock()
@@ -62,36 +62,36 @@
 	})
 }
 
-func (t *Table) scan(prefix, after string, limit int) []platform.Row {
+func (t *Table) scan(prefix, after string, limit int) []provider.Row {
 	i, found := slices.BinarySearch(t.keys, max(prefix, after))
 	if found && t.keys[i] == after {
 		i++
 	}
-	var rows []platform.Row
+	var rows []provider.Row
 	for ; i < len(t.keys) && len(rows) < limit && strings.HasPrefix(t.keys[i], prefix); i++ {
 		rows = append(rows, t.rows[t.keys[i]])
 	}
 	return rows
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements provider.Table.
+func (t *Table) Commit(ctx context.Context, txn provider.Txn) (uint64, error) {
 	target := ""
 	if len(txn.Writes) > 0 {
 		target = txn.Writes[0].Key
 	}
-	return Through(ctx, &t.Faults, platform.TableService, OpCommit, target, func() (uint64, error) {
+	return Through(ctx, &t.Faults, provider.TableService, OpCommit, target, func() (uint64, error) {
 		return t.apply(txn)
 	})
 }
 
-func (t *Table) apply(txn platform.Txn) (uint64, error) {
+func (t *Table) apply(txn provider.Txn) (uint64, error) {
 	t.Commits.Add(1)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range txn.Conds {
 		if have := t.rows[c.Key]; have.Version != c.Version {
-			return 0, &platform.ConflictError{Key: c.Key, Want: c.Version, Have: have}
+			return 0, &provider.ConflictError{Key: c.Key, Want: c.Version, Have: have}
 		}
 	}
 	t.version++
@@ -101,7 +101,7 @@
 	return t.version, nil
 }
 
-func (t *Table) write(w platform.Write, txn string) {
+func (t *Table) write(w provider.Write, txn string) {
 	i, found := slices.BinarySearch(t.keys, w.Key)
 	if w.Delete {
 		if found {
@@ -114,7 +114,7 @@
 		t.keys = slices.Insert(t.keys, i, w.Key)
 	}
 	t.Bytes.Add(int64(len(w.Value)))
-	t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version, Txn: txn}
+	t.rows[w.Key] = provider.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version, Txn: txn}
 }
 
 // Objects is an object store in memory.
@@ -134,9 +134,9 @@
 	OpDelete    Op = "delete"
 )
 
-// Put implements platform.Objects.
+// Put implements provider.Objects.
 func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
-	_, err := Through(ctx, &o.Faults, platform.ObjectService, OpPut, name, func() (struct{}, error) {
+	_, err := Through(ctx, &o.Faults, provider.ObjectService, OpPut, name, func() (struct{}, error) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.data[name] = slices.Clone(data)
@@ -145,22 +145,22 @@
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements provider.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
-	return Through(ctx, &o.Faults, platform.ObjectService, OpGetObject, name, func() ([]byte, error) {
+	return Through(ctx, &o.Faults, provider.ObjectService, OpGetObject, name, func() ([]byte, error) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		data, found := o.data[name]
 		if !found {
-			return nil, &platform.NotFoundError{Service: platform.ObjectService, Name: name}
+			return nil, &provider.NotFoundError{Service: provider.ObjectService, Name: name}
 		}
 		return data, nil
 	})
 }
 
-// Delete implements platform.Objects.
+// Delete implements provider.Objects.
 func (o *Objects) Delete(ctx context.Context, name string) error {
-	_, err := Through(ctx, &o.Faults, platform.ObjectService, OpDelete, name, func() (struct{}, error) {
+	_, err := Through(ctx, &o.Faults, provider.ObjectService, OpDelete, name, func() (struct{}, error) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		delete(o.data, name)
@@ -173,11 +173,11 @@
 type BoxList struct {
 	Faults Faults
 	mu     sync.Mutex
-	boxes  []platform.Box
+	boxes  []provider.Box
 }
 
 // Set replaces the list.
-func (b *BoxList) Set(boxes ...platform.Box) {
+func (b *BoxList) Set(boxes ...provider.Box) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.boxes = boxes
@@ -186,9 +186,9 @@
 // OpListBoxes is the operation of the box list.
 const OpListBoxes Op = "list-boxes"
 
-// List implements platform.BoxList.
-func (b *BoxList) List(ctx context.Context) ([]platform.Box, error) {
-	return Through(ctx, &b.Faults, platform.BoxListService, OpListBoxes, "", func() ([]platform.Box, error) {
+// List implements provider.BoxList.
+func (b *BoxList) List(ctx context.Context) ([]provider.Box, error) {
+	return Through(ctx, &b.Faults, provider.BoxListService, OpListBoxes, "", func() ([]provider.Box, error) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		return slices.Clone(b.boxes), nil
--- a/standin/witness.go
+++ b/standin/witness.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"chutereach/job"
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/resource"
 )
 
@@ -53,7 +53,7 @@
 	}
 }
 
-func (w *Witness) used(worker platform.Worker, sum resource.Amount) {
+func (w *Witness) used(worker provider.Worker, sum resource.Amount) {
 	kind, over := sum.Lacking(worker.Capacity)
 	if !over {
 		return
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"chutereach/platform"
+	"chutereach/provider"
 	"chutereach/resource"
 )
 
@@ -24,7 +24,7 @@
 // worker is one box that runs tasks. Its attempts only sleep, or serve.
 type worker struct {
 	fleet *Fleet
-	info  platform.Worker
+	info  provider.Worker
 
 	mu       sync.Mutex
 	boots    int
@@ -36,7 +36,7 @@
 
 // attempt is one attempt on a worker.
 type attempt struct {
-	state  platform.AttemptState
+	state  provider.AttemptState
 	need   resource.Amount
 	work   time.Duration // left when at full speed, as of since
 	rate   float64
@@ -48,7 +48,7 @@
 	serves bool
 }
 
-func newWorker(f *Fleet, info platform.Worker) *worker {
+func newWorker(f *Fleet, info provider.Worker) *worker {
 	return &worker{fleet: f, info: info, boots: 1, changed: make(chan struct{}), attempts: map[string]*attempt{}}
 }
 
@@ -57,29 +57,29 @@
 // admit checks what every call to a worker carries.
 func (w *worker) admit(boot string, expires time.Time) error {
 	if time.Now().After(expires) {
-		return &platform.RefusedError{Worker: w.info.Name, Reason: platform.RefusedLate}
+		return &provider.RefusedError{Worker: w.info.Name, Reason: provider.RefusedLate}
 	}
 	if boot != w.bootID() {
-		return &platform.RefusedError{Worker: w.info.Name, Reason: platform.RefusedBoot}
+		return &provider.RefusedError{Worker: w.info.Name, Reason: provider.RefusedBoot}
 	}
 	return nil
 }
 
-func (w *worker) start(c platform.StartCall) (platform.AttemptState, error) {
+func (w *worker) start(c provider.StartCall) (provider.AttemptState, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.admit(c.Boot, c.Expires); err != nil {
-		return platform.AttemptState{}, err
+		return provider.AttemptState{}, err
 	}
 	if a, known := w.attempts[c.Attempt]; known {
 		return a.state, nil
 	}
 	cmd, err := parseCommand(c.Command)
 	if err != nil {
-		return platform.AttemptState{}, err
+		return provider.AttemptState{}, err
 	}
 	a := &attempt{
-		state: platform.AttemptState{Attempt: c.Attempt, Phase: platform.PhaseRunning, Until: c.Until},
+		state: provider.AttemptState{Attempt: c.Attempt, Phase: provider.PhaseRunning, Until: c.Until},
 		need:  c.Need, work: cmd.work, rate: 1, since: time.Now(), good: !cmd.fails, serves: cmd.serves,
 	}
 	if left, resumed := w.fleet.checkpoint(c.Checkpoint); resumed {
@@ -87,7 +87,7 @@
 	}
 	if cmd.serves && w.fleet.Serve {
 		if err := a.listen(cmd.work); err != nil {
-			return platform.AttemptState{}, err
+			return provider.AttemptState{}, err
 		}
 	}
 	w.begin(a)
@@ -97,7 +97,7 @@
 func (a *attempt) listen(service time.Duration) error {
 	u, err := NewUpstream(service)
 	if err != nil {
-		return &platform.UnavailableError{Service: platform.WorkerService, Reason: err.Error()}
+		return &provider.UnavailableError{Service: provider.WorkerService, Reason: err.Error()}
 	}
 	a.server = u
 	a.state.Endpoint = u.Addr()
@@ -125,7 +125,7 @@
 }
 
 // over takes an attempt off the worker. The caller holds w.mu.
-func (w *worker) over(a *attempt, phase platform.Phase, ok bool) {
+func (w *worker) over(a *attempt, phase provider.Phase, ok bool) {
 	a.state.Phase, a.state.OK = phase, ok
 	a.lapse.Stop()
 	if a.end != nil {
@@ -143,49 +143,49 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	a := w.attempts[id]
-	if a == nil || a.state.Phase != platform.PhaseRunning {
+	if a == nil || a.state.Phase != provider.PhaseRunning {
 		return
 	}
 	if left := time.Until(a.state.Until); left > 0 {
 		a.lapse.Reset(left)
 		return
 	}
-	w.over(a, platform.PhaseStopped, false)
+	w.over(a, provider.PhaseStopped, false)
 }
 
 func (w *worker) finished(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	a := w.attempts[id]
-	if a == nil || a.state.Phase != platform.PhaseRunning {
+	if a == nil || a.state.Phase != provider.PhaseRunning {
 		return
 	}
 	a.state.Result = []byte("ran " + id)
-	w.over(a, platform.PhaseEnded, a.good)
+	w.over(a, provider.PhaseEnded, a.good)
 }
 
-func (w *worker) report() platform.Report {
-	r := platform.Report{Boot: w.bootID(), Seq: w.seq, Usage: w.used}
+func (w *worker) report() provider.Report {
+	r := provider.Report{Boot: w.bootID(), Seq: w.seq, Usage: w.used}
 	for _, a := range w.attempts {
 		r.Attempts = append(r.Attempts, a.state)
 	}
 	return r
 }
 
-func (w *worker) list() platform.Report {
+func (w *worker) list() provider.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.report()
 }
 
-func (w *worker) renew(ctx context.Context, c platform.RenewCall) (platform.Report, error) {
+func (w *worker) renew(ctx context.Context, c provider.RenewCall) (provider.Report, error) {
 	w.mu.Lock()
 	if err := w.admit(c.Boot, c.Expires); err != nil {
 		defer w.mu.Unlock()
 		if w.bootID() != c.Boot {
 			return w.report(), nil // the caller learns of the reboot
 		}
-		return platform.Report{}, err
+		return provider.Report{}, err
 	}
 	w.extend(c)
 	seq, changed := w.seq, w.changed
@@ -196,15 +196,15 @@
 	return w.list(), nil
 }
 
-func (w *worker) extend(c platform.RenewCall) {
+func (w *worker) extend(c provider.RenewCall) {
 	for _, l := range c.Leases {
 		a := w.attempts[l.Attempt]
-		if a != nil && a.state.Phase == platform.PhaseRunning && l.Until.After(a.state.Until) {
+		if a != nil && a.state.Phase == provider.PhaseRunning && l.Until.After(a.state.Until) {
 			a.state.Until = l.Until
 		}
 	}
 	for _, id := range c.Forget {
-		if a := w.attempts[id]; a != nil && a.state.Phase != platform.PhaseRunning {
+		if a := w.attempts[id]; a != nil && a.state.Phase != provider.PhaseRunning {
 			delete(w.attempts, id)
 		}
 	}
@@ -221,30 +221,30 @@
 }
 
 // onAttempt carries out do on a known attempt.
-func (w *worker) onAttempt(c platform.AttemptCall, do func(*attempt)) (platform.AttemptState, error) {
+func (w *worker) onAttempt(c provider.AttemptCall, do func(*attempt)) (provider.AttemptState, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.admit(c.Boot, c.Expires); err != nil {
-		return platform.AttemptState{}, err
+		return provider.AttemptState{}, err
 	}
 	a := w.attempts[c.Attempt]
 	if a == nil {
-		return platform.AttemptState{}, &platform.RefusedError{Worker: w.info.Name, Reason: platform.RefusedUnknown}
+		return provider.AttemptState{}, &provider.RefusedError{Worker: w.info.Name, Reason: provider.RefusedUnknown}
 	}
-	if a.state.Phase == platform.PhaseRunning {
+	if a.state.Phase == provider.PhaseRunning {
 		do(a)
 	}
 	return a.state, nil
 }
 
-func (w *worker) stop(c platform.AttemptCall) (platform.AttemptState, error) {
-	return w.onAttempt(c, func(a *attempt) { w.over(a, platform.PhaseStopped, false) })
+func (w *worker) stop(c provider.AttemptCall) (provider.AttemptState, error) {
+	return w.onAttempt(c, func(a *attempt) { w.over(a, provider.PhaseStopped, false) })
 }
 
-func (w *worker) checkpoint(c platform.AttemptCall) (platform.AttemptState, error) {
+func (w *worker) checkpoint(c provider.AttemptCall) (provider.AttemptState, error) {
 	return w.onAttempt(c, func(a *attempt) {
 		a.state.Checkpoint = w.fleet.save(c.Attempt, a.left())
-		w.over(a, platform.PhaseStopped, false)
+		w.over(a, provider.PhaseStopped, false)
 	})
 }
 
@@ -253,7 +253,7 @@
 	return a.work - time.Duration(float64(time.Since(a.since))*a.rate)
 }
 
-func (w *worker) throttle(c platform.AttemptCall) (platform.AttemptState, error) {
+func (w *worker) throttle(c provider.AttemptCall) (provider.AttemptState, error) {
 	return w.onAttempt(c, func(a *attempt) {
 		a.work, a.since = a.left(), time.Now()
 		a.rate = float64(max(c.Percent, 1)) / 100
@@ -268,8 +268,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, a := range w.attempts {
-		if a.state.Phase == platform.PhaseRunning {
-			w.over(a, platform.PhaseStopped, false)
+		if a.state.Phase == provider.PhaseRunning {
+			w.over(a, provider.PhaseStopped, false)
 		}
 		delete(w.attempts, id)
 	}
