--- a/cmd/chutereachd/main.go
+++ b/cmd/chutereachd/main.go
@@ -1,4 +1,5 @@
-// Chutereachd runs one entry box of a chutereach cell.
+// Chutereachd runs one entry box of a chutereach cell, or with the argument
+// "node" one node of a system on the users' platform.
 package main
 
 import (
@@ -10,6 +11,7 @@
 	"syscall"
 
 	"chutereach/box"
+	"chutereach/daemon"
 	"chutereach/logs"
 	"chutereach/settings"
 )
@@ -20,7 +22,16 @@
 	exitSettings = 2
 )
 
-func main() { os.Exit(run(os.Args[1:])) }
+// nodeCommand is the argument that selects the users' platform.
+const nodeCommand = "node"
+
+func main() {
+	args := os.Args[1:]
+	if len(args) > 0 && args[0] == nodeCommand {
+		os.Exit(daemon.Main(args[1:]))
+	}
+	os.Exit(run(args))
+}
 
 func run(args []string) int {
 	set, err := settings.Load(args)
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,218 @@
+// Package daemon runs a node of a system on the users' platform as a process:
+// its listeners, its metrics, its logs and its signals.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chutereach/logs"
+	"chutereach/node"
+	"chutereach/peer"
+	"chutereach/platform"
+	"chutereach/scheduler"
+	"chutereach/settings"
+	"chutereach/wait"
+)
+
+const (
+	// shard is the name of the only shard.
+	shard = "main"
+	// balancerNotices is how long new connections still come after the node has
+	// called itself not ready.
+	balancerNotices = 2200 * time.Millisecond
+	// stopReserve is kept of the grace for the end of the process.
+	stopReserve = 700 * time.Millisecond
+	headerWait  = 5 * time.Second
+	metricsPath = "/metrics"
+)
+
+// ListenError says that a setting names an address that cannot be used.
+type ListenError struct {
+	Setting string
+	Cause   error
+}
+
+func (e *ListenError) Error() string { return fmt.Sprintf("%s: %v", e.Setting, e.Cause) }
+
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Daemon is one process.
+type Daemon struct {
+	settings *settings.Node
+	log      zerolog.Logger
+	store    *platform.Store
+	advisor  *platform.Advisor
+	node     *node.Node
+	front    *http.Server
+	peers    *peer.PlainServer
+	servers  []*http.Server
+	serving  sync.WaitGroup
+}
+
+// New makes a daemon listen on all its addresses.
+func New(set *settings.Node, log zerolog.Logger, missed expvar.Var) (*Daemon, error) {
+	d := &Daemon{settings: set, log: log}
+	d.store = platform.NewStore(set.Store.Address)
+	d.advisor = platform.NewAdvisor(set.Advice.Address)
+	directory := platform.NewDirectory(d.store, logs.For(log, logs.Store))
+	metrics := scheduler.NewMetrics()
+	d.node = node.New(node.Config{
+		Self: node.Member{Node: set.Self.Name, Address: set.Self.Peer, Zone: set.Self.Zone},
+		Scheduler: scheduler.Config{
+			Shard: shard, Lease: set.Times.Lease, KeepFinal: set.Times.KeepFinal,
+		},
+	}, node.Platform{
+		Store: d.store, Workers: platform.NewWorkers(), Advisor: d.advisor,
+		FollowWorkers: directory.FollowWorkers, FollowTable: directory.FollowTable,
+	}, metrics, logs.For(log, logs.Node))
+	return d, d.listen(metrics, missed)
+}
+
+func (d *Daemon) listen(metrics *scheduler.Metrics, missed expvar.Var) (err error) {
+	if d.peers, err = peer.ListenPlain(d.settings.Self.Peer, d.node.Mux()); err != nil {
+		return &ListenError{"node.peer", err}
+	}
+	d.serving.Go(func() { d.peers.Serve() })
+	if d.front, err = d.serve("node.front", d.settings.Self.Front, platform.NewIngress(d.node)); err != nil {
+		return err
+	}
+	if _, err = d.serve("node.ready", d.settings.Self.Ready, platform.ReadyHandler(d.node.Ready)); err != nil {
+		return err
+	}
+	if d.settings.Self.Metrics == "" {
+		return nil
+	}
+	expvar.Publish("scheduler", metrics.Var())
+	expvar.Publish("log_lines_left_out", missed)
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, expvar.Handler())
+	_, err = d.serve("node.metrics", d.settings.Self.Metrics, mux)
+	return err
+}
+
+func (d *Daemon) serve(setting, address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &ListenError{setting, err}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerWait}
+	d.servers = append(d.servers, server)
+	d.serving.Go(func() { server.Serve(listener) })
+	return server, nil
+}
+
+// Run serves until the process is told to stop.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	var living sync.WaitGroup
+	living.Go(func() { d.node.Run(ctx) })
+	d.log.Info().Str("node", d.settings.Self.Name).Str("front", d.settings.Self.Front).Msg("started")
+	for {
+		select {
+		case <-ctx.Done():
+		case received := <-signals:
+			if received == syscall.SIGHUP {
+				d.reload()
+				continue
+			}
+			d.stop()
+		}
+		break
+	}
+	cancel()
+	for _, server := range d.servers {
+		server.Close()
+	}
+	d.peers.Close()
+	living.Wait()
+	d.serving.Wait()
+	d.log.Info().Msg("stopped")
+	return nil
+}
+
+// stop hands over, goes on serving until the balancer has noticed, and lets the
+// requests in hand end.
+func (d *Daemon) stop() {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Times.Grace-stopReserve)
+	defer cancel()
+	d.node.Stop(ctx)
+	d.front.SetKeepAlivesEnabled(false)
+	wait.For(ctx, balancerNotices-time.Since(begun))
+	if err := d.front.Shutdown(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("requests were still in hand at the stop")
+	}
+}
+
+// reload reads the settings again. Listeners stay where they are; a bad file
+// leaves everything as it was.
+func (d *Daemon) reload() {
+	next, err := settings.LoadNode([]string{"--config", d.settings.Config})
+	if err != nil {
+		d.log.Error().Err(err).Msg("settings are bad and stay as they were")
+		return
+	}
+	d.store.SetAddress(next.Store.Address)
+	d.advisor.SetAddress(next.Advice.Address)
+	d.log.Info().Msg("settings read again")
+}
+
+// Exit codes of a process.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// logLines is how many log lines may wait to be written before some are left out.
+const logLines = 4096
+
+// gcPercent trades a little processor time for memory.
+const gcPercent = 50
+
+// Main runs a node with the arguments of a command line and returns the
+// process's exit code.
+func Main(args []string) int {
+	set, err := settings.LoadNode(args)
+	var help *settings.HelpError
+	switch {
+	case errors.As(err, &help):
+		fmt.Println(help.Text)
+		return 0
+	case err != nil:
+		fmt.Fprintf(os.Stderr, "chutereachd node: %v\n", err)
+		return exitSettings
+	case set.Check:
+		fmt.Print(set.Print())
+		return 0
+	}
+	debug.SetGCPercent(gcPercent)
+	writer, missed := logs.Bounded(os.Stdout, logLines)
+	defer writer.Close()
+	d, err := New(set, logs.New(writer, true, set.Level()), missed)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "chutereachd node: %v\n", err)
+		return exitSettings
+	}
+	if err := d.Run(context.Background()); err != nil {
+		fmt.Fprintf(os.Stderr, "chutereachd node: %v\n", err)
+		return exitFailed
+	}
+	return 0
+}
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -22,6 +22,8 @@
 	Route     Part = "route"
 	Peer      Part = "peer"
 	Publish   Part = "publish"
+	Node      Part = "node"
+	Store     Part = "store"
 )
 
 const partField = "part"
--- /dev/null
+++ b/node/beat.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"chutereach/peer"
+	"chutereach/routing"
+	"chutereach/wait"
+)
+
+const (
+	beatEvery   = 150 * time.Millisecond
+	beatTimeout = 400 * time.Millisecond
+	// memberLost is after how long without an answer a node gets no advice calls.
+	memberLost = time.Second
+	// lostPause spares a node that does not answer most heartbeats.
+	lostPause = time.Second
+	// storeFailing is after how long without the store an owner hands over.
+	storeFailing = time.Second
+)
+
+// beatLoop sends heartbeats while this node owns the shard.
+func (n *Node) beatLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait.For(ctx, beatEvery)
+		n.announce()
+		n.checkStore(ctx)
+	}
+}
+
+// announce sends one heartbeat to each other node.
+func (n *Node) announce() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.own == nil {
+		return
+	}
+	table, _ := n.routes.Current()
+	message := beat{Owner: n.owner, TableVersion: table.Version, Members: append(n.others(), n.config.Self)}
+	for _, member := range n.others() {
+		state := n.peers[member.Node]
+		if state.lost && time.Since(state.failed) < lostPause {
+			continue
+		}
+		n.tasks.Go(func() { n.sendBeat(member, message) })
+	}
+}
+
+func (n *Node) sendBeat(member Member, message beat) {
+	ctx, cancel := context.WithTimeout(n.ctx, beatTimeout)
+	defer cancel()
+	answer, err := peer.Call[beatAnswer](ctx, n.client, member.Address, beatPath, message)
+	now := time.Now()
+	n.mu.Lock()
+	state := n.peers[member.Node]
+	wasLost := state.lost
+	if err == nil {
+		state = peerState{heard: now, storeOK: answer.StoreOK}
+	} else {
+		state.failed = now
+		state.lost = now.Sub(state.heard) > memberLost
+	}
+	n.peers[member.Node] = state
+	n.mu.Unlock()
+	if wasLost != state.lost {
+		n.log.Info().Str("node", member.Node).Bool("lost", state.lost).Msg("node lost or back")
+		n.setLanes()
+	}
+	if err != nil {
+		return
+	}
+	if answer.Owner.Token > message.Owner.Token {
+		n.believe(answer.Owner)
+	}
+	if answer.TableVersion > message.TableVersion {
+		n.fetchTable(member.Address)
+	}
+}
+
+// takeBeat takes in an owner's heartbeat.
+func (n *Node) takeBeat(_ context.Context, message beat) (beatAnswer, error) {
+	n.heard(message.Owner)
+	table, _ := n.routes.Current()
+	if message.TableVersion > table.Version {
+		n.tasks.Go(func() { n.fetchTable(message.Owner.Address) })
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, member := range message.Members {
+		n.members[member.Node] = member
+	}
+	return beatAnswer{n.owner, n.reachesStore() && !n.stopping, table.Version}, nil
+}
+
+// heard notes a sign of life of an owner, unless a later one is known.
+func (n *Node) heard(owner ownership) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if owner.Token < n.owner.Token {
+		return
+	}
+	n.beatAt = time.Now()
+	n.followLocked(owner)
+}
+
+// believe notes that another node owns the shard, without a sign of its life.
+func (n *Node) believe(owner ownership) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if owner.Token > n.owner.Token {
+		n.followLocked(owner)
+	}
+}
+
+func (n *Node) followLocked(owner ownership) {
+	if owner == n.owner {
+		return
+	}
+	n.owner = owner
+	n.log.Info().Str("owner", owner.Node).Uint64("token", owner.Token).Msg("owner")
+	if n.own != nil && n.own.Token() < owner.Token && n.endOwn != nil {
+		n.endOwn()
+	}
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+func (n *Node) answerPing(context.Context, nothing) (pingAnswer, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return pingAnswer{n.owner, n.own != nil}, nil
+}
+
+// fetchTable reads the table of routes from another node, for a node that the
+// store does not serve.
+func (n *Node) fetchTable(address string) {
+	ctx, cancel := context.WithTimeout(n.ctx, beatTimeout)
+	defer cancel()
+	table, err := peer.Call[tableAnswer](ctx, n.client, address, tablePath, nothing{})
+	if err == nil {
+		n.routes.Offer(table)
+	}
+}
+
+func (n *Node) answerTable(context.Context, nothing) (routing.Table, error) {
+	table, ok := n.routes.Current()
+	if !ok {
+		return routing.Table{}, &NoTableError{}
+	}
+	return table, nil
+}
+
+// checkStore hands the shard over when the store does not answer this node but
+// answers others.
+func (n *Node) checkStore(ctx context.Context) {
+	n.mu.Lock()
+	own := n.own
+	n.mu.Unlock()
+	if own == nil {
+		return
+	}
+	since := own.Reign().FailingSince()
+	if since.IsZero() || time.Since(since) < storeFailing {
+		return
+	}
+	n.handOver(ctx, "the store does not answer this node")
+}
+
+// isRefused reports whether a machine answered that nobody listens there.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/node/messages.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"errors"
+	"time"
+
+	"chutereach/peer"
+	"chutereach/routing"
+	"chutereach/scheduler"
+	"chutereach/workload"
+)
+
+// Paths of the calls between nodes.
+const (
+	beatPath     = "/v1/beat"
+	pingPath     = "/v1/ping"
+	takeoverPath = "/v1/takeover"
+	submitPath   = "/v1/submit"
+	cancelPath   = "/v1/cancel"
+	statePath    = "/v1/state"
+	pendingPath  = "/v1/pending"
+	advisePath   = "/v1/advise"
+	tablePath    = "/v1/table"
+)
+
+// Member is a node as the others know it.
+type Member struct {
+	Node    string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"` // for the other nodes
+	Zone    string `cbor:"3,keyasint"`
+}
+
+// ownership is who owns the shard, as a node believes. Tokens order beliefs.
+type ownership struct {
+	Node    string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	Token   uint64 `cbor:"3,keyasint"`
+}
+
+// beat is what an owner tells each node.
+type beat struct {
+	Owner        ownership `cbor:"1,keyasint"`
+	TableVersion uint64    `cbor:"2,keyasint"`
+	Members      []Member  `cbor:"3,keyasint"`
+}
+
+// beatAnswer is what a node tells the owner.
+type beatAnswer struct {
+	Owner        ownership `cbor:"1,keyasint"` // whom the node follows now
+	StoreOK      bool      `cbor:"2,keyasint"` // it has reached the store of late
+	TableVersion uint64    `cbor:"3,keyasint"`
+}
+
+// pingAnswer tells whom a node follows, and whether it is the owner itself.
+type pingAnswer struct {
+	Owner ownership `cbor:"1,keyasint"`
+	Owns  bool      `cbor:"2,keyasint"`
+}
+
+type takeoverCall struct {
+	From string `cbor:"1,keyasint"`
+}
+
+type submitCall struct {
+	ID     string          `cbor:"1,keyasint"`
+	Record workload.Record `cbor:"2,keyasint"`
+	Within time.Duration   `cbor:"3,keyasint"`
+}
+
+type jobCall struct {
+	ID     string        `cbor:"1,keyasint"`
+	Within time.Duration `cbor:"2,keyasint"`
+}
+
+type pendingCall struct {
+	Queue string `cbor:"1,keyasint"`
+}
+
+type adviseCall struct {
+	Step    string        `cbor:"1,keyasint"`
+	Workers []string      `cbor:"2,keyasint"`
+	Within  time.Duration `cbor:"3,keyasint"`
+}
+
+type adviseAnswer struct {
+	Tickets map[string]string `cbor:"1,keyasint"`
+	Valid   time.Duration     `cbor:"2,keyasint"`
+}
+
+type nothing struct{}
+
+// Codes of the failures that nodes tell each other.
+const (
+	codeNotOwner    peer.Code = "not-owner"
+	codeOverloaded  peer.Code = "overloaded"
+	codeUnknownJob  peer.Code = "no-such-job"
+	codeUnconfirmed peer.Code = "unconfirmed"
+	codeNoTable     peer.Code = "no-table"
+)
+
+// NotOwnerError says that the node asked does not own the shard; nothing was
+// done.
+type NotOwnerError struct{}
+
+func (e *NotOwnerError) Error() string { return "this node does not own the shard" }
+
+// Code is how peers tell the error.
+func (e *NotOwnerError) Code() peer.Code { return codeNotOwner }
+
+// NoTableError says that a node has no table of routes yet.
+type NoTableError struct{}
+
+func (e *NoTableError) Error() string { return "this node has no configuration yet" }
+
+// Code is how peers tell the error.
+func (e *NoTableError) Code() peer.Code { return codeNoTable }
+
+// coded is a scheduler's error with a code for peers.
+type coded struct {
+	error
+	code peer.Code
+}
+
+func (c coded) Code() peer.Code { return c.code }
+
+func (c coded) Unwrap() error { return c.error }
+
+// encodeError gives a scheduler's error its code.
+func encodeError(err error) error {
+	var (
+		overloaded  *scheduler.OverloadedError
+		notJob      *scheduler.NotJobError
+		unconfirmed *scheduler.UnconfirmedError
+		deposed     *scheduler.DeposedError
+	)
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &overloaded):
+		return coded{err, codeOverloaded}
+	case errors.As(err, &notJob):
+		return coded{err, codeUnknownJob}
+	case errors.As(err, &unconfirmed):
+		return coded{err, codeUnconfirmed}
+	case errors.As(err, &deposed):
+		return &NotOwnerError{}
+	}
+	return err
+}
+
+// retryAfter is when a caller that was refused by another node may come again.
+const retryAfter = time.Second
+
+// decodeError turns a peer's failure back into the scheduler's error.
+func decodeError(id string, err error) error {
+	var failure *peer.Failure
+	if !errors.As(err, &failure) {
+		return err
+	}
+	switch failure.Code {
+	case codeOverloaded:
+		return &scheduler.OverloadedError{Why: failure.Message, RetryAfter: retryAfter}
+	case codeUnknownJob:
+		return &scheduler.NotJobError{ID: id}
+	case codeUnconfirmed:
+		return &scheduler.UnconfirmedError{Cause: failure}
+	case codeNotOwner:
+		return &NotOwnerError{}
+	}
+	return err
+}
+
+// Table is sent between nodes as it is.
+type tableAnswer = routing.Table
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,201 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chutereach/fleet"
+	"chutereach/peer"
+	"chutereach/routing"
+	"chutereach/rowstore"
+	"chutereach/scheduler"
+	"chutereach/wait"
+)
+
+// Config is what a node goes by.
+type Config struct {
+	Self      Member
+	Scheduler scheduler.Config
+}
+
+// Platform is what a node needs of the platform beneath it.
+type Platform struct {
+	Store   rowstore.Store
+	Workers fleet.Client
+	Advisor fleet.Advisor
+	// FollowWorkers calls changed with the workers that discovery names, after
+	// the first read and after each change, until ctx ends.
+	FollowWorkers func(ctx context.Context, changed func([]fleet.Worker))
+	// FollowTable calls changed with each table of routes, until ctx ends, and
+	// failed with each failure to reach the store.
+	FollowTable func(ctx context.Context, changed func(routing.Table), failed func(error))
+}
+
+// Node is one machine of the system.
+type Node struct {
+	config   Config
+	platform Platform
+	client   *peer.Client
+	log      zerolog.Logger
+	metrics  *scheduler.Metrics
+	routes   routing.Newest
+
+	mu       sync.Mutex
+	owner    ownership // the one with the highest token that was heard of
+	beatAt   time.Time // when the owner was last heard
+	changed  chan struct{}
+	members  map[string]Member
+	peers    map[string]peerState
+	own      *scheduler.Scheduler // while this node owns the shard
+	endOwn   context.CancelFunc
+	storeOK  time.Time
+	storeBad bool
+	stopping bool
+
+	takeMu sync.Mutex // one takeover at a time
+	ctx    context.Context
+	tasks  sync.WaitGroup
+}
+
+// peerState is what the owner has heard of a node.
+type peerState struct {
+	heard   time.Time
+	storeOK bool
+	lost    bool
+	failed  time.Time
+}
+
+// New returns a Node; Run makes it live.
+func New(config Config, platform Platform, metrics *scheduler.Metrics, log zerolog.Logger) *Node {
+	n := &Node{
+		config: config, platform: platform, client: peer.NewPlainClient(), log: log, metrics: metrics,
+		changed: make(chan struct{}), members: map[string]Member{config.Self.Node: config.Self},
+		peers: map[string]peerState{},
+	}
+	n.routes.OnChange(n.tableChanged)
+	return n
+}
+
+// Run lives until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	n.ctx = ctx
+	n.tasks.Go(func() {
+		n.platform.FollowTable(ctx, func(table routing.Table) {
+			n.storeAnswers()
+			n.routes.Offer(table)
+		}, n.storeFails)
+	})
+	n.tasks.Go(func() { n.register(ctx) })
+	n.tasks.Go(func() { n.watchOwner(ctx) })
+	n.tasks.Go(func() { n.beatLoop(ctx) })
+	<-ctx.Done()
+	n.tasks.Wait()
+	n.client.Close()
+}
+
+func (n *Node) tableChanged(table routing.Table) {
+	n.log.Info().Uint64("version", table.Version).Int("routes", len(table.Routes)).Msg("configuration in force")
+	n.mu.Lock()
+	own := n.own
+	n.mu.Unlock()
+	if own != nil {
+		own.SetQueues(table.Queues())
+	}
+}
+
+// Routes returns the table of routes in force.
+func (n *Node) Routes() (routing.Table, bool) { return n.routes.Current() }
+
+// storeAnswers and storeFails note whether the store can be reached.
+func (n *Node) storeAnswers() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.storeOK = time.Now()
+	if n.storeBad {
+		n.storeBad = false
+		n.log.Info().Msg("store answers again")
+	}
+}
+
+func (n *Node) storeFails(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.storeBad {
+		n.storeBad = true
+		n.log.Warn().Err(err).Msg("store does not answer")
+	}
+}
+
+// storeFresh is how recent an answer of the store must be for a node to count as
+// reaching it: a feed without news answers about this often.
+const storeFresh = 3 * time.Second
+
+func (n *Node) reachesStore() bool {
+	return !n.storeBad && time.Since(n.storeOK) < storeFresh
+}
+
+// ownerSilent is after which silence an owner is doubted.
+const ownerSilent = 500 * time.Millisecond
+
+// Ready returns nil if the node can serve callers.
+func (n *Node) Ready() error {
+	if _, ok := n.routes.Current(); !ok {
+		return &NoTableError{}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stopping {
+		return &StoppingError{}
+	}
+	if n.own == nil && time.Since(n.beatAt) > unreadyAfter {
+		return &NotOwnerError{}
+	}
+	return nil
+}
+
+// unreadyAfter is how long a node without word from an owner still counts as
+// ready; a takeover fits in it.
+const unreadyAfter = 4 * time.Second
+
+// StoppingError says that the node is about to stop.
+type StoppingError struct{}
+
+func (e *StoppingError) Error() string { return "this node is stopping" }
+
+// Mux answers the calls of the other nodes.
+func (n *Node) Mux() http.Handler {
+	mux := http.NewServeMux()
+	peer.Handle(mux, beatPath, n.takeBeat)
+	peer.Handle(mux, pingPath, n.answerPing)
+	peer.Handle(mux, takeoverPath, n.answerTakeover)
+	peer.Handle(mux, submitPath, n.answerSubmit)
+	peer.Handle(mux, cancelPath, n.answerCancel)
+	peer.Handle(mux, statePath, n.answerState)
+	peer.Handle(mux, pendingPath, n.answerPending)
+	peer.Handle(mux, advisePath, n.answerAdvise)
+	peer.Handle(mux, tablePath, n.answerTable)
+	return mux
+}
+
+// Stop hands the shard over, if this node owns it, so that callers do not wait
+// for a successor to notice. The node still answers until Run's ctx ends.
+func (n *Node) Stop(ctx context.Context) {
+	n.mu.Lock()
+	n.stopping = true
+	own := n.own
+	n.mu.Unlock()
+	n.log.Info().Bool("owner", own != nil).Msg("stopping")
+	if own == nil {
+		return
+	}
+	own.Pause()
+	wait.For(ctx, pauseBeforeHandover)
+	n.handOver(ctx, "this node is stopping")
+}
+
+// pauseBeforeHandover lets starts and transactions under way end.
+const pauseBeforeHandover = 50 * time.Millisecond
--- /dev/null
+++ b/node/serve.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chutereach/peer"
+	"chutereach/scheduler"
+	"chutereach/wait"
+	"chutereach/workload"
+)
+
+const (
+	// patience is how long a call waits for an owner, at most.
+	patience = 1400 * time.Millisecond
+	// ownerCall is how long one call to the owner may take.
+	ownerCall = 1200 * time.Millisecond
+	ownerWait = 25 * time.Millisecond
+)
+
+// Submit takes a job to the owner and returns once it is in the store. Besides
+// the scheduler's errors it returns none: OverloadedError says that the job was
+// not taken, UnconfirmedError that it may have been.
+func (n *Node) Submit(ctx context.Context, id string, record workload.Record) error {
+	return n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
+		return own.Submit(ctx, id, record)
+	}, func(ctx context.Context, address string, within time.Duration) error {
+		_, err := peer.Call[nothing](ctx, n.client, address, submitPath, submitCall{id, record, within})
+		return err
+	})
+}
+
+// Cancel cancels a job and returns once that is in the store.
+func (n *Node) Cancel(ctx context.Context, id string) error {
+	return n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
+		return own.Cancel(ctx, id)
+	}, func(ctx context.Context, address string, within time.Duration) error {
+		_, err := peer.Call[nothing](ctx, n.client, address, cancelPath, jobCall{id, within})
+		return err
+	})
+}
+
+// State returns a job's state.
+func (n *Node) State(ctx context.Context, id string) (state workload.State, err error) {
+	err = n.serve(ctx, id, func(_ context.Context, own *scheduler.Scheduler) error {
+		state, err = own.State(id)
+		return err
+	}, func(ctx context.Context, address string, within time.Duration) error {
+		state, err = peer.Call[workload.State](ctx, n.client, address, statePath, jobCall{id, within})
+		return err
+	})
+	return state, err
+}
+
+// Pending counts a queue's jobs of which no task has begun.
+func (n *Node) Pending(ctx context.Context, queue string) (count int, err error) {
+	err = n.serve(ctx, queue, func(_ context.Context, own *scheduler.Scheduler) error {
+		count = own.Pending(queue)
+		return nil
+	}, func(ctx context.Context, address string, _ time.Duration) error {
+		count, err = peer.Call[int](ctx, n.client, address, pendingPath, pendingCall{queue})
+		return err
+	})
+	return count, err
+}
+
+// serve does a call at the owner, here or at another node, and waits for one if
+// there is none. A call that was not carried out for certain is tried again, and
+// so is one that may have been: every call may be repeated.
+func (n *Node) serve(ctx context.Context, id string, here func(context.Context, *scheduler.Scheduler) error, there func(context.Context, string, time.Duration) error) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	var unsettled error // what a try that may have been carried out came to
+	for {
+		err := n.serveOnce(ctx, id, here, there)
+		var (
+			notOwner    *NotOwnerError
+			unreachable *peer.UnreachableError
+			lost        *peer.LostError
+			unconfirmed *scheduler.UnconfirmedError
+			overloaded  *scheduler.OverloadedError
+		)
+		switch {
+		case errors.As(err, &notOwner), errors.As(err, &unreachable):
+		case errors.As(err, &lost), errors.As(err, &unconfirmed):
+			unsettled = err
+		case errors.As(err, &overloaded) && unsettled != nil:
+			return &scheduler.UnconfirmedError{Cause: unsettled}
+		default:
+			return err
+		}
+		if wait.For(ctx, ownerWait) != nil {
+			if unsettled != nil {
+				return &scheduler.UnconfirmedError{Cause: unsettled}
+			}
+			return &scheduler.OverloadedError{Why: "no owner: " + err.Error(), RetryAfter: retryAfter}
+		}
+	}
+}
+
+func (n *Node) serveOnce(ctx context.Context, id string, here func(context.Context, *scheduler.Scheduler) error, there func(context.Context, string, time.Duration) error) error {
+	n.mu.Lock()
+	own, owner, changed := n.own, n.owner, n.changed
+	n.mu.Unlock()
+	if own != nil {
+		return n.serveHere(ctx, own, here)
+	}
+	if owner.Address == "" || owner.Address == n.config.Self.Address {
+		return &NotOwnerError{}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, ownerCall)
+	defer cancel()
+	go func() { // a new owner ends the call to the former one
+		select {
+		case <-changed:
+			cancel()
+		case <-callCtx.Done():
+		}
+	}()
+	return decodeError(id, there(callCtx, owner.Address, ownerCall))
+}
+
+// serveHere does a call at this node's scheduler, once that has loaded.
+func (n *Node) serveHere(ctx context.Context, own *scheduler.Scheduler, here func(context.Context, *scheduler.Scheduler) error) error {
+	select {
+	case <-own.Loaded:
+	case <-ctx.Done():
+		return &NotOwnerError{}
+	}
+	err := here(ctx, own)
+	var deposed *scheduler.DeposedError
+	if errors.As(err, &deposed) {
+		return &NotOwnerError{}
+	}
+	return err
+}
+
+// atOwner does another node's call, if this node owns the shard.
+func (n *Node) atOwner(ctx context.Context, within time.Duration, here func(context.Context, *scheduler.Scheduler) error) error {
+	n.mu.Lock()
+	own := n.own
+	n.mu.Unlock()
+	if own == nil {
+		return &NotOwnerError{}
+	}
+	if within > 0 {
+		limited, cancel := context.WithTimeout(ctx, within)
+		defer cancel()
+		ctx = limited
+	}
+	return encodeError(n.serveHere(ctx, own, here))
+}
+
+func (n *Node) answerSubmit(ctx context.Context, call submitCall) (nothing, error) {
+	return nothing{}, n.atOwner(ctx, call.Within, func(ctx context.Context, own *scheduler.Scheduler) error {
+		return own.Submit(ctx, call.ID, call.Record)
+	})
+}
+
+func (n *Node) answerCancel(ctx context.Context, call jobCall) (nothing, error) {
+	return nothing{}, n.atOwner(ctx, call.Within, func(ctx context.Context, own *scheduler.Scheduler) error {
+		return own.Cancel(ctx, call.ID)
+	})
+}
+
+func (n *Node) answerState(ctx context.Context, call jobCall) (state workload.State, err error) {
+	err = n.atOwner(ctx, call.Within, func(_ context.Context, own *scheduler.Scheduler) error {
+		state, err = own.State(call.ID)
+		return err
+	})
+	return state, err
+}
+
+func (n *Node) answerPending(ctx context.Context, call pendingCall) (count int, err error) {
+	err = n.atOwner(ctx, 0, func(_ context.Context, own *scheduler.Scheduler) error {
+		count = own.Pending(call.Queue)
+		return nil
+	})
+	return count, err
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -80,7 +80,9 @@
 
 // Client makes calls to peers.
 type Client struct {
-	transport *http3.Transport
+	transport http.RoundTripper
+	scheme    string
+	close     func() error
 	// Sent and Received count the bytes of calls and answers, without headers and
 	// what QUIC adds.
 	Sent, Received atomic.Int64
@@ -88,13 +90,14 @@
 
 // NewClient returns a Client.
 func NewClient(keys *tls.Config) *Client {
-	return &Client{transport: &http3.Transport{
+	transport := &http3.Transport{
 		TLSClientConfig: keys.Clone(), QUICConfig: quicConfig(), DisableCompression: true,
-	}}
+	}
+	return &Client{transport: transport, scheme: "https", close: transport.Close}
 }
 
 // Close ends every connection.
-func (c *Client) Close() error { return c.transport.Close() }
+func (c *Client) Close() error { return c.close() }
 
 // UnreachableError says that a call was not carried out, for certain: the peer
 // could not be reached.
@@ -139,7 +142,7 @@
 	if err != nil {
 		return answer, &UnreachableError{address, err}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+address+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.scheme+"://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return answer, &UnreachableError{address, err}
 	}
@@ -175,6 +178,10 @@
 		handshake *quic.HandshakeTimeoutError
 		transport *quic.TransportError
 	)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return &UnreachableError{address, err}
+	}
 	if errors.As(err, &handshake) || errors.As(err, &transport) && transport.ErrorCode.IsCryptoError() {
 		return &UnreachableError{address, err}
 	}
--- /dev/null
+++ b/scheduler/commit.go
@@ -0,0 +1,135 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"chutereach/rowstore"
+	"chutereach/workload"
+)
+
+// Tables of a shard's partition.
+const (
+	recordTable   = "jobs"
+	progressTable = "progress"
+)
+
+// maxJobsPerCommit keeps a transaction below the store's bound: each job takes
+// up to two entries, and the owner's row two.
+const maxJobsPerCommit = (rowstore.MaxEntries - 4) / 2
+
+// idleCommit is how often an owner without changes shows that it lives.
+const idleCommit = 500 * time.Millisecond
+
+// change queues a job for the next transaction. The lock is held.
+func (s *Scheduler) change(j *job) {
+	j.generation++
+	if !j.queued {
+		j.queued = true
+		s.dirty = append(s.dirty, j)
+	}
+	wake(s.commitWake)
+}
+
+// onceSaved does something once the job as it is now is in the store. The lock
+// is held, now and then.
+func (j *job) onceSaved(do func()) {
+	j.afterSave = append(j.afterSave, saveAction{j.generation, do})
+}
+
+// commitLoop writes changes until ctx ends or the reign does.
+func (s *Scheduler) commitLoop(ctx context.Context) error {
+	idle := time.NewTimer(idleCommit)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.commitWake:
+		case <-idle.C:
+		}
+		if err := s.commitOnce(ctx); err != nil {
+			return err
+		}
+		idle.Reset(idleCommit)
+	}
+}
+
+// written is what one transaction says of a job.
+type written struct {
+	job        *job
+	generation uint64
+	state      workload.State
+}
+
+func (s *Scheduler) commitOnce(ctx context.Context) error {
+	batch, puts, deletes := s.takeDirty()
+	begun := time.Now()
+	if err := s.reign.Commit(ctx, puts, deletes); err != nil {
+		return err
+	}
+	s.metrics.commit(time.Since(begun), len(batch))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range batch {
+		s.markSaved(w)
+	}
+	for _, w := range s.workers {
+		w.advanceNoted()
+	}
+	if len(s.dirty) > 0 {
+		wake(s.commitWake)
+	}
+	return nil
+}
+
+// takeDirty takes jobs off the queue and encodes their rows.
+func (s *Scheduler) takeDirty() ([]written, []rowstore.Put, []rowstore.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := min(len(s.dirty), maxJobsPerCommit)
+	batch := make([]written, 0, count)
+	var puts []rowstore.Put
+	var deletes []rowstore.Key
+	for _, j := range s.dirty[:count] {
+		j.queued = false
+		batch = append(batch, written{j, j.generation, j.state})
+		if j.forgotten {
+			deletes = append(deletes, s.key(progressTable, j.id))
+			continue
+		}
+		puts = append(puts, rowstore.Put{Key: s.key(progressTable, j.id), Value: j.progress().Encode()})
+		switch {
+		case j.state.Final() && j.inserted:
+			deletes = append(deletes, s.key(recordTable, j.id))
+		case !j.state.Final() && !j.inserted:
+			puts = append(puts, rowstore.Put{Key: s.key(recordTable, j.id), Value: j.record.Encode()})
+		}
+		j.inserted = !j.state.Final()
+	}
+	s.dirty = append(s.dirty[:0], s.dirty[count:]...)
+	return batch, puts, deletes
+}
+
+func (s *Scheduler) key(table, name string) rowstore.Key {
+	return rowstore.Key{Table: table, Partition: s.shard, Name: name}
+}
+
+func (s *Scheduler) markSaved(w written) {
+	j := w.job
+	j.saved = max(j.saved, w.generation)
+	j.savedState = w.state
+	rest := j.afterSave[:0]
+	var due []saveAction
+	for _, action := range j.afterSave {
+		if action.generation <= j.saved {
+			due = append(due, action)
+		} else {
+			rest = append(rest, action)
+		}
+	}
+	j.afterSave = rest
+	for _, action := range due {
+		action.do()
+	}
+}
--- /dev/null
+++ b/scheduler/end.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/workload"
+)
+
+// failurePause holds a task back after a failure, so that a broken worker does
+// not burn its attempts in an instant.
+const failurePause = 50 * time.Millisecond
+
+// endAttempt takes in that a task's attempt is over. The lock is held.
+func (s *Scheduler) endAttempt(t *task, outcome fleet.Outcome, checkpoint, why string) {
+	w, st := t.worker, t.step
+	j := st.job
+	stopping := t.state == taskStopping
+	if checkpoint != "" && st.spec.Checkpoints {
+		t.checkpoint = checkpoint
+	}
+	s.logEnd(t, outcome, why)
+	s.metrics.end(outcome)
+	w.health.ended(t, outcome, stopping, time.Now())
+	w.release(t)
+	t.ticket, t.recovered = "", false
+	if t.state != taskDone {
+		t.state = taskWaiting
+	}
+	wake(s.dispatchWake)
+	s.change(j)
+	if j.state.Final() || t.state == taskDone {
+		return
+	}
+	switch {
+	case outcome == fleet.Done && !st.spec.Lasting:
+		s.taskDone(t)
+	case outcome == fleet.Failed && !st.spec.Lasting:
+		s.taskFailed(t)
+	case outcome == fleet.Failed:
+		st.retryAt = time.Now().Add(failurePause)
+	}
+	if st.spec.Gang && !st.done() && !j.state.Final() {
+		s.breakGang(st, t.attempt)
+	}
+}
+
+func (s *Scheduler) logEnd(t *task, outcome fleet.Outcome, why string) {
+	event := s.log.Info()
+	if outcome == fleet.Done {
+		event = s.log.Debug()
+	}
+	event.Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).
+		Str("worker", t.worker.info.ID).Str("outcome", string(outcome)).Str("why", why).
+		Int("failures", t.failures).Msg("attempt over")
+}
+
+// taskDone takes in that a task is done; a gang is done with its first member.
+func (s *Scheduler) taskDone(t *task) {
+	st := t.step
+	if st.spec.Gang {
+		for _, member := range st.tasks {
+			member.markDone()
+		}
+	} else {
+		t.markDone()
+	}
+	j := st.job
+	if j.left == 0 {
+		s.finish(j, workload.Completed, "every task is done")
+	}
+}
+
+// taskFailed counts a failure, and gives the job up after the last one.
+func (s *Scheduler) taskFailed(t *task) {
+	st := t.step
+	t.failures++
+	if st.spec.Gang {
+		for _, member := range st.tasks {
+			member.failures = t.failures
+		}
+	}
+	st.retryAt = time.Now().Add(failurePause)
+	if t.failures >= st.job.record.Queue.Attempts {
+		s.finish(st.job, workload.Failed, "a task has failed "+t.id().String())
+	}
+}
+
+// breakGang recalls the other members of a gang's attempt.
+func (s *Scheduler) breakGang(st *step, attempt int) {
+	for _, member := range st.tasks {
+		if member.hosted() && member.attempt == attempt {
+			s.stop(member, "another member of the gang ended")
+		}
+	}
+}
+
+// finish makes a job final and recalls what still runs of it.
+func (s *Scheduler) finish(j *job, state workload.State, why string) {
+	if j.state.Final() {
+		return
+	}
+	j.state, j.finalAt = state, time.Now().UnixMilli()
+	delete(s.active, j.id)
+	late := time.Until(j.deadline) < 0
+	s.log.Info().Str("job", j.id).Str("queue", j.record.Queue.Name).Str("state", string(state)).Str("why", why).
+		Dur("age", time.Since(j.arrived)).Bool("late", late).Msg("job is final")
+	s.metrics.final(state, late, time.Since(j.arrived))
+	j.eachTask(func(t *task) {
+		if t.hosted() && t.state != taskDone {
+			s.stop(t, "its job is "+string(state))
+		}
+	})
+	s.change(j)
+}
--- /dev/null
+++ b/scheduler/job.go
@@ -0,0 +1,256 @@
+package scheduler
+
+import (
+	"time"
+
+	"chutereach/workload"
+)
+
+// taskState is where a task stands.
+type taskState int
+
+const (
+	taskWaiting  taskState = iota
+	taskGranted            // has room on a worker; the grant is being written
+	taskStarting           // the worker is being told
+	taskRunning
+	taskStopping // the attempt is unwanted or in doubt, and not yet known to be over
+	taskDone
+)
+
+// task is one task of a step.
+type task struct {
+	step       *step
+	index      int
+	state      taskState
+	attempt    int
+	failures   int
+	worker     *worker // where the attempt may be; nil: nowhere
+	checkpoint string
+	ticket     string
+	begunAt    time.Time // when the worker confirmed the attempt
+	stoppedAt  time.Time // when the worker confirmed a stop
+	recovered  bool      // granted by a former owner; not yet seen
+	percent    int
+	movedAt    time.Time // when percent last rose
+}
+
+func (t *task) id() workload.TaskID {
+	return workload.TaskID{Job: t.step.job.id, Round: t.step.round, Step: t.step.index, Index: t.index}
+}
+
+// hosted reports whether the task takes room on a worker.
+func (t *task) hosted() bool { return t.worker != nil }
+
+// step is one step of one round.
+type step struct {
+	job    *job
+	round  int
+	index  int
+	spec   *workload.Step
+	tasks  []*task
+	left   int // tasks not done
+	advice adviceState
+	// onWorker counts the step's tasks on each worker.
+	onWorker map[*worker]int
+	// retryAt holds the step back after a refusal.
+	retryAt time.Time
+}
+
+func (st *step) done() bool { return st.left == 0 }
+
+// waiting returns the tasks that could be placed.
+func (st *step) waiting() []*task {
+	var list []*task
+	for _, t := range st.tasks {
+		if t.state == taskWaiting {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// idle reports whether no task of the step is on a worker.
+func (st *step) idle() bool {
+	for _, t := range st.tasks {
+		if t.hosted() {
+			return false
+		}
+	}
+	return true
+}
+
+// round is one run of a job's steps.
+type round struct {
+	due   int64 // ms since 1970; 0: at once
+	steps []*step
+	left  int // steps not done
+}
+
+// job is a job in the owner's memory.
+type job struct {
+	id       string
+	record   workload.Record
+	rounds   []*round
+	left     int // rounds not done
+	state    workload.State
+	begun    bool
+	finalAt  int64
+	arrived  time.Time
+	deadline time.Time // by which it should be completed
+
+	// generation counts changes, saved the last one that is in the store.
+	generation uint64
+	saved      uint64
+	savedState workload.State
+	queued     bool // for the next transaction
+	inserted   bool // the record's row is in the store
+	forgotten  bool // its rows are to be deleted
+	afterSave  []saveAction
+}
+
+// saveAction is done, under the lock, once a generation is in the store.
+type saveAction struct {
+	generation uint64
+	do         func()
+}
+
+func newJob(id string, record workload.Record, now time.Time) *job {
+	j := &job{id: id, record: record, state: workload.Queued, savedState: workload.Queued}
+	age := now.Sub(time.UnixMilli(record.Accepted))
+	j.arrived = now.Add(-max(0, age))
+	j.deadline = j.arrived.Add(record.Queue.Objective(record.Request))
+	for number := range record.Request.RoundCount() {
+		r := &round{due: record.Request.Due(number)}
+		for i := range record.Request.Steps {
+			st := &step{job: j, round: number, index: i, spec: &record.Request.Steps[i], onWorker: map[*worker]int{}}
+			st.left = st.spec.Count
+			for index := range st.spec.Count {
+				st.tasks = append(st.tasks, &task{step: st, index: index})
+			}
+			r.steps = append(r.steps, st)
+		}
+		r.left = len(r.steps)
+		j.rounds = append(j.rounds, r)
+	}
+	j.left = len(j.rounds)
+	return j
+}
+
+// ready reports whether the steps that a step depends on are done.
+func (r *round) ready(st *step) bool {
+	for _, earlier := range st.spec.After {
+		if !r.steps[earlier].done() {
+			return false
+		}
+	}
+	return true
+}
+
+// find returns a task, or nil.
+func (j *job) find(id workload.TaskID) *task {
+	if id.Round >= len(j.rounds) || id.Step >= len(j.rounds[id.Round].steps) {
+		return nil
+	}
+	st := j.rounds[id.Round].steps[id.Step]
+	if id.Index >= len(st.tasks) {
+		return nil
+	}
+	return st.tasks[id.Index]
+}
+
+// eachTask calls f for every task.
+func (j *job) eachTask(f func(*task)) {
+	for _, r := range j.rounds {
+		for _, st := range r.steps {
+			for _, t := range st.tasks {
+				f(t)
+			}
+		}
+	}
+}
+
+// markDone notes that a task is done.
+func (t *task) markDone() {
+	if t.state == taskDone {
+		return
+	}
+	t.state = taskDone
+	st := t.step
+	st.left--
+	if st.left > 0 {
+		return
+	}
+	r := st.job.rounds[st.round]
+	r.left--
+	if r.left == 0 {
+		st.job.left--
+	}
+}
+
+// progress returns what must last of the job.
+func (j *job) progress() workload.Progress {
+	p := workload.Progress{State: j.state, Begun: j.begun, FinalAt: j.finalAt}
+	if j.state.Final() {
+		return p
+	}
+	for _, r := range j.rounds {
+		for _, st := range r.steps {
+			if sp, any := st.progress(); any {
+				p.Steps = append(p.Steps, sp)
+			}
+		}
+	}
+	return p
+}
+
+func (st *step) progress() (workload.StepProgress, bool) {
+	sp := workload.StepProgress{Round: st.round, Step: st.index}
+	if st.done() {
+		sp.All = true
+		return sp, true
+	}
+	for _, t := range st.tasks {
+		switch {
+		case t.state == taskDone:
+			sp.Done = workload.SetBit(sp.Done, t.index)
+		case t.attempt > 0 || t.checkpoint != "":
+			tp := workload.TaskProgress{Index: t.index, Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint}
+			if t.worker != nil {
+				tp.Worker = t.worker.info.ID
+			}
+			sp.Tasks = append(sp.Tasks, tp)
+		}
+	}
+	return sp, sp.Done != nil || sp.Tasks != nil
+}
+
+// restore applies what lasted of the job. hosts returns the worker of an id.
+func (j *job) restore(p workload.Progress, hosts func(id string) *worker) {
+	j.state, j.savedState, j.begun, j.finalAt = p.State, p.State, p.Begun, p.FinalAt
+	for _, sp := range p.Steps {
+		if sp.Round >= len(j.rounds) || sp.Step >= len(j.rounds[sp.Round].steps) {
+			continue
+		}
+		j.rounds[sp.Round].steps[sp.Step].restore(sp, hosts)
+	}
+}
+
+func (st *step) restore(sp workload.StepProgress, hosts func(id string) *worker) {
+	for _, t := range st.tasks {
+		if sp.All || workload.HasBit(sp.Done, t.index) {
+			t.markDone()
+		}
+	}
+	for _, tp := range sp.Tasks {
+		if tp.Index >= len(st.tasks) || st.tasks[tp.Index].state == taskDone {
+			continue
+		}
+		t := st.tasks[tp.Index]
+		t.attempt, t.failures, t.checkpoint = tp.Attempt, tp.Failures, tp.Checkpoint
+		if tp.Worker != "" {
+			hosts(tp.Worker).host(t, taskStarting)
+			t.recovered = true
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/order.go
@@ -0,0 +1,228 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/wait"
+)
+
+const (
+	// startWithin bounds how late a start may be carried out.
+	startWithin = 1500 * time.Millisecond
+	// orderTimeout is how long one call with an order may take.
+	orderTimeout = 250 * time.Millisecond
+	orderPause   = 30 * time.Millisecond
+	// busyPause keeps new tasks from a worker that refused one for now.
+	busyPause = 500 * time.Millisecond
+)
+
+// begin tells a worker to start an attempt whose grant is in the store. The lock
+// is held.
+func (s *Scheduler) begin(t *task, number int) {
+	if t.state != taskGranted || t.attempt != number {
+		return
+	}
+	t.state = taskStarting
+	s.running.Go(func() { s.start(s.ctx, t, number) })
+}
+
+// start calls the worker until it answers or the order is void.
+func (s *Scheduler) start(ctx context.Context, t *task, number int) {
+	void := time.Now().Add(startWithin)
+	for ctx.Err() == nil {
+		info, order, ok := s.startOrder(t, number, void)
+		if !ok {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		begun := time.Now()
+		clock, err := s.client.Start(callCtx, info, order)
+		cancel()
+		s.metrics.start(time.Since(begun), err)
+		if s.startAnswered(t, number, clock, err, void) {
+			return
+		}
+		wait.For(ctx, orderPause)
+	}
+}
+
+// startOrder returns the order, unless the start is no longer wanted.
+func (s *Scheduler) startOrder(t *task, number int, void time.Time) (fleet.Worker, fleet.StartOrder, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.state != taskStarting || t.attempt != number || t.worker == nil {
+		return fleet.Worker{}, fleet.StartOrder{}, false
+	}
+	w := t.worker
+	w.extends(void, 0)
+	return w.info, fleet.StartOrder{
+		Task: t.id().String(), Number: number, Spec: t.step.job.record.Request.Spec,
+		Checkpoint: t.checkpoint, Ticket: t.ticket, Token: s.reign.Token(), Deadline: w.clockNow(void),
+	}, true
+}
+
+// startAnswered takes in the answer to a start, and tells whether that settles
+// it.
+func (s *Scheduler) startAnswered(t *task, number int, clock fleet.Clock, err error, void time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if t.attempt != number || t.worker == nil {
+		return true
+	}
+	w := t.worker
+	if err == nil {
+		w.sawClock(clock, now)
+		if t.state == taskStarting {
+			s.began(t, now)
+		}
+		return true
+	}
+	var (
+		refused  *fleet.RefusedError
+		replaced *fleet.ReplacedError
+		busy     *fleet.BusyError
+	)
+	switch {
+	case errors.As(err, &refused):
+		w.sawClock(refused.Clock, now)
+		s.startRefused(t, refused.Reason)
+	case errors.As(err, &replaced):
+		s.endLife(w, "another life answers at its address")
+	case errors.As(err, &busy):
+		w.blockedUntil = now.Add(busyPause)
+		s.notStarted(t, "busy")
+	case t.state != taskStarting:
+		return true
+	case now.After(void):
+		s.log.Warn().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", number).
+			Str("worker", w.info.ID).Err(err).Msg("start has no answer")
+		s.stop(t, "its start has no answer")
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Scheduler) startRefused(t *task, reason fleet.Reason) {
+	if t.state == taskRunning || t.state == taskDone {
+		return // a report has shown it since
+	}
+	w := t.worker
+	switch reason {
+	case fleet.Fenced:
+		s.deposeLocked("worker " + w.info.ID + " has seen a higher token")
+	case fleet.NoRoom:
+		w.blockedUntil = time.Now().Add(busyPause)
+	case fleet.NoTicket:
+		t.step.advice.drop(w.info.ID)
+	}
+	s.notStarted(t, string(reason))
+}
+
+// notStarted takes back a grant whose start the worker has refused. The lock is
+// held.
+func (s *Scheduler) notStarted(t *task, reason string) {
+	s.log.Info().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).
+		Str("worker", t.worker.info.ID).Str("reason", reason).Msg("start refused")
+	s.metrics.refused(reason)
+	s.endAttempt(t, fleet.Stopped, "", "refused: "+reason)
+}
+
+// began takes in that an attempt runs. The lock is held.
+func (s *Scheduler) began(t *task, now time.Time) {
+	t.state, t.begunAt, t.movedAt, t.percent = taskRunning, now, now, 0
+	t.recovered = false
+	t.step.job.begun = true
+	s.log.Debug().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).
+		Str("worker", t.worker.info.ID).Msg("started")
+}
+
+// stop ends an attempt that is unwanted or in doubt. The lock is held.
+func (s *Scheduler) stop(t *task, why string) {
+	switch t.state {
+	case taskGranted:
+		s.endAttempt(t, fleet.Stopped, "", why)
+		return
+	case taskStarting, taskRunning:
+	default:
+		return
+	}
+	t.state = taskStopping
+	t.stoppedAt = time.Time{}
+	s.metrics.stops.Add(1)
+	s.log.Info().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).
+		Str("worker", t.worker.info.ID).Str("why", why).Msg("stopping")
+	if s.ctx == nil {
+		return
+	}
+	w, number := t.worker, t.attempt
+	s.running.Go(func() { s.sendStop(s.ctx, w, t, number) })
+}
+
+// sendStop calls the worker until it confirms the stop or the attempt is over.
+func (s *Scheduler) sendStop(ctx context.Context, w *worker, t *task, number int) {
+	order := fleet.StopOrder{Task: t.id().String(), Number: number, Token: s.reign.Token()}
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		wanted := t.worker == w && t.attempt == number && t.state == taskStopping
+		info := w.info
+		s.mu.Unlock()
+		if !wanted {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		_, err := s.client.Stop(callCtx, info, order)
+		cancel()
+		if s.stopAnswered(w, t, number, err) {
+			return
+		}
+		wait.For(ctx, holdPause)
+	}
+}
+
+func (s *Scheduler) stopAnswered(w *worker, t *task, number int, err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var (
+		refused  *fleet.RefusedError
+		replaced *fleet.ReplacedError
+	)
+	switch {
+	case err == nil:
+		if t.worker == w && t.attempt == number {
+			t.stoppedAt = time.Now()
+		}
+		return true
+	case errors.As(err, &refused) && refused.Reason == fleet.Fenced:
+		s.deposeLocked("worker " + w.info.ID + " has seen a higher token")
+		return true
+	case errors.As(err, &replaced):
+		s.endLife(w, "another life answers at its address")
+		return true
+	}
+	return false
+}
+
+// stopForeign stops an attempt that the worker should not run.
+func (s *Scheduler) stopForeign(w *worker, run fleet.Attempt) {
+	key := run.Task + "#" + w.info.ID
+	if s.stopping[key] || s.ctx == nil {
+		return
+	}
+	s.stopping[key] = true
+	s.log.Warn().Str("task", run.Task).Int("attempt", run.Number).Str("worker", w.info.ID).Msg("stopping a stray attempt")
+	info := w.info
+	order := fleet.StopOrder{Task: run.Task, Number: run.Number, Token: s.reign.Token()}
+	s.running.Go(func() {
+		callCtx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+		defer cancel()
+		s.client.Stop(callCtx, info, order) // the next report tells whether it helped
+		s.mu.Lock()
+		delete(s.stopping, key)
+		s.mu.Unlock()
+	})
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,328 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chutereach/fleet"
+	"chutereach/leadership"
+	"chutereach/rowstore"
+	"chutereach/workload"
+)
+
+const (
+	// confirmedFor is how long an owner goes on extending leases after the store
+	// last confirmed its reign.
+	confirmedFor = 2 * time.Second
+	// tickEvery is how often the owner looks for work that time alone makes due,
+	// dispatchGap how long it collects news between two looks.
+	tickEvery   = 25 * time.Millisecond
+	dispatchGap = 2 * time.Millisecond
+	// housekeeping is how often final jobs and lost workers are looked for.
+	housekeeping = time.Second
+)
+
+// Config is what a Scheduler goes by.
+type Config struct {
+	Shard string
+	// Lease is for how long a worker runs on without word from the owner.
+	Lease time.Duration
+	// KeepFinal is how long the state of a final job can be asked for.
+	KeepFinal time.Duration
+}
+
+// Scheduler runs one shard's jobs for the time of one reign.
+type Scheduler struct {
+	// Loaded is closed, by who calls Load, once the shard may be asked.
+	Loaded chan struct{}
+
+	shard     string
+	lease     time.Duration
+	keepFinal time.Duration
+	store     rowstore.Store
+	client    fleet.Client
+	reign     *leadership.Reign
+	log       zerolog.Logger
+	metrics   *Metrics
+
+	mu      sync.Mutex
+	jobs    map[string]*job // all whose state can be asked for
+	active  map[string]*job // those that are not final
+	workers map[string]*worker
+	dirty   []*job
+	queues  map[string]workload.Queue
+	lanes   []*lane
+	// formerLeasesEnd is when everything that a former owner started has ended on
+	// a worker that was not reached since.
+	formerLeasesEnd time.Time
+	stopping        map[string]bool // stray attempts that are being stopped
+	deposed         error
+	paused          bool
+
+	ctx          context.Context
+	end          context.CancelCauseFunc
+	running      sync.WaitGroup
+	commitWake   chan struct{}
+	dispatchWake chan struct{}
+}
+
+// New returns a Scheduler for a reign. Load must follow, then Run.
+func New(config Config, store rowstore.Store, client fleet.Client, reign *leadership.Reign, metrics *Metrics, log zerolog.Logger) *Scheduler {
+	widest := confirmedFor + config.Lease + time.Duration(float64(config.Lease)*clockDrift) + clockSlack
+	return &Scheduler{
+		shard: config.Shard, lease: config.Lease, keepFinal: config.KeepFinal,
+		store: store, client: client, reign: reign, log: log.With().Uint64("token", reign.Token()).Logger(), metrics: metrics,
+		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
+		queues: map[string]workload.Queue{}, stopping: map[string]bool{},
+		formerLeasesEnd: time.Now().Add(widest), Loaded: make(chan struct{}),
+		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1),
+	}
+}
+
+// wake makes a loop look again soon.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Token returns the fencing token of the reign.
+func (s *Scheduler) Token() uint64 { return s.reign.Token() }
+
+// Reign returns the reign.
+func (s *Scheduler) Reign() *leadership.Reign { return s.reign }
+
+// DeposedError says that the reign is over.
+type DeposedError struct{ Why string }
+
+func (e *DeposedError) Error() string { return "the reign is over: " + e.Why }
+
+func (s *Scheduler) depose(why string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deposeLocked(why)
+}
+
+func (s *Scheduler) deposeLocked(why string) {
+	if s.deposed != nil {
+		return
+	}
+	s.deposed = &DeposedError{why}
+	if s.end != nil {
+		s.end(s.deposed)
+	}
+}
+
+// Run runs the shard until ctx ends or the reign does. It returns why.
+func (s *Scheduler) Run(parent context.Context) error {
+	ctx, end := context.WithCancelCause(parent)
+	defer end(nil)
+	s.mu.Lock()
+	s.ctx, s.end = ctx, end
+	for _, w := range s.workers {
+		if w.known {
+			s.setWorker(w.info)
+		}
+	}
+	deposed := s.deposed
+	s.mu.Unlock()
+	if deposed != nil {
+		return deposed
+	}
+	s.running.Go(func() { s.dispatchLoop(ctx) })
+	err := s.commitLoop(ctx)
+	end(err)
+	s.running.Wait()
+	s.failWaiters()
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return err
+}
+
+// Pause keeps new tasks from starting, before a planned handover.
+func (s *Scheduler) Pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = true
+}
+
+// failWaiters lets callers know that their changes were not confirmed.
+func (s *Scheduler) failWaiters() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deposeLocked("stopped")
+}
+
+// SetQueues tells the policies of the queues in force. Jobs whose queue is gone
+// keep the policy that they came with.
+func (s *Scheduler) SetQueues(queues []workload.Queue) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.queues)
+	for _, queue := range queues {
+		s.queues[queue.Name] = queue
+	}
+	for _, j := range s.active {
+		s.applyQueue(j)
+	}
+	wake(s.dispatchWake)
+}
+
+func (s *Scheduler) applyQueue(j *job) {
+	queue, ok := s.queues[j.record.Queue.Name]
+	if !ok {
+		return
+	}
+	j.record.Queue = queue
+	j.deadline = j.arrived.Add(queue.Objective(j.record.Request))
+}
+
+// OverloadedError says that a job was not taken and never will be under this
+// handing in.
+type OverloadedError struct {
+	Why        string
+	RetryAfter time.Duration
+}
+
+func (e *OverloadedError) Error() string { return "not taken: " + e.Why }
+
+// NotJobError says that there is no such job.
+type NotJobError struct{ ID string }
+
+func (e *NotJobError) Error() string { return fmt.Sprintf("there is no job %s", e.ID) }
+
+// UnconfirmedError says that the store has not confirmed a change in time; it
+// may come to be.
+type UnconfirmedError struct{ Cause error }
+
+func (e *UnconfirmedError) Error() string { return fmt.Sprintf("not confirmed: %v", e.Cause) }
+
+func (e *UnconfirmedError) Unwrap() error { return e.Cause }
+
+// refuseAfter is how long the store may fail before new jobs are refused.
+const refuseAfter = 400 * time.Millisecond
+
+// Submit takes a job in, and returns once it is in the store. A job that is
+// known already is the same job.
+func (s *Scheduler) Submit(ctx context.Context, id string, record workload.Record) error {
+	s.mu.Lock()
+	j := s.jobs[id]
+	if j == nil {
+		if err := s.admit(record); err != nil {
+			s.mu.Unlock()
+			s.log.Info().Str("job", id).Err(err).Msg("refused")
+			s.metrics.admission("refused")
+			return err
+		}
+		j = newJob(id, record, time.Now())
+		s.jobs[id], s.active[id] = j, j
+		s.applyQueue(j)
+		s.change(j)
+		s.log.Info().Str("job", id).Str("queue", record.Queue.Name).Int("steps", len(record.Request.Steps)).Msg("accepted")
+		s.metrics.admission("accepted")
+		wake(s.dispatchWake)
+	} else {
+		s.metrics.admission("known")
+	}
+	return s.confirm(ctx, j)
+}
+
+// admit decides whether a new job is taken. The lock is held.
+func (s *Scheduler) admit(record workload.Record) error {
+	if s.deposed != nil {
+		return s.deposed
+	}
+	if since := s.reign.FailingSince(); !since.IsZero() && time.Since(since) > refuseAfter {
+		return &OverloadedError{"the store does not answer", time.Second}
+	}
+	return nil
+}
+
+// confirm waits until a job as it is now is in the store. It releases the lock.
+func (s *Scheduler) confirm(ctx context.Context, j *job) error {
+	if j.saved >= j.generation || (j.saved > 0 && j.savedState == j.state) {
+		s.mu.Unlock()
+		return nil
+	}
+	done := make(chan struct{})
+	j.onceSaved(func() { close(done) })
+	own := s.ctx
+	s.mu.Unlock()
+	if own == nil {
+		own = context.Background()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return &UnconfirmedError{ctx.Err()}
+	case <-own.Done():
+		return &UnconfirmedError{context.Cause(own)}
+	}
+}
+
+// Cancel cancels a job and returns once that is in the store.
+func (s *Scheduler) Cancel(ctx context.Context, id string) error {
+	s.mu.Lock()
+	j := s.jobs[id]
+	if j == nil {
+		s.mu.Unlock()
+		return &NotJobError{id}
+	}
+	if !j.state.Final() {
+		s.finish(j, workload.Cancelled, "its caller cancelled it")
+	}
+	return s.confirm(ctx, j)
+}
+
+// State returns a job's state as the store has it.
+func (s *Scheduler) State(id string) (workload.State, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[id]
+	switch {
+	case j == nil || j.saved == 0:
+		return "", &NotJobError{id}
+	case j.savedState.Final():
+		return j.savedState, nil
+	case j.begun:
+		return workload.Running, nil
+	}
+	return workload.Queued, nil
+}
+
+// Pending counts a queue's jobs of which no task has begun.
+func (s *Scheduler) Pending(queue string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, j := range s.active {
+		if j.record.Queue.Name == queue && !j.begun && !j.record.Request.Timed() && j.saved > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// forgetOld drops final jobs whose state need not be told any more. The lock is
+// held.
+func (s *Scheduler) forgetOld(now time.Time) {
+	for id, j := range s.jobs {
+		if j.forgotten && j.saved >= j.generation {
+			delete(s.jobs, id)
+			continue
+		}
+		if !j.state.Final() || j.forgotten || now.Sub(time.UnixMilli(j.finalAt)) < s.keepFinal {
+			continue
+		}
+		j.forgotten = true
+		s.change(j)
+	}
+}
--- /dev/null
+++ b/settings/node.go
@@ -0,0 +1,175 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"chutereach/ini"
+)
+
+// Node is everything that the daemon can be told when it runs as a node of a
+// system on the users' platform.
+type Node struct {
+	Config string `short:"c" long:"config" env:"CHUTEREACH_SETTINGS" no-ini:"true" description:"INI file with settings" value-name:"FILE"`
+	Check  bool   `long:"check" no-ini:"true" description:"check the settings, print those in effect, and exit"`
+
+	Self   NodeSelf   `group:"node" namespace:"node"`
+	Store  NodeStore  `group:"store" namespace:"store"`
+	Advice NodeAdvice `group:"advice" namespace:"advice"`
+	Times  NodeTimes  `group:"times" namespace:"times"`
+	Log    NodeLog    `group:"log" namespace:"log"`
+
+	file *ini.File
+}
+
+// NodeSelf is who the node is and where it listens.
+type NodeSelf struct {
+	Name    string `long:"name" ini-name:"name" description:"name of this node"`
+	Zone    string `long:"zone" ini-name:"zone" description:"zone of this node"`
+	Front   string `long:"front" ini-name:"front" description:"address for callers"`
+	Ready   string `long:"ready" ini-name:"ready" description:"address for readiness checks"`
+	Peer    string `long:"peer" ini-name:"peer" description:"address for the other nodes"`
+	Metrics string `long:"metrics" ini-name:"metrics" description:"address for metrics; empty: none"`
+}
+
+// NodeStore is where the store of rows is.
+type NodeStore struct {
+	Address string `long:"address" ini-name:"address" description:"address of the store"`
+}
+
+// NodeAdvice is where the advice service is.
+type NodeAdvice struct {
+	Address string `long:"address" ini-name:"address" description:"address of the advice service; empty: there is none"`
+}
+
+// NodeTimes are the times by which nodes go.
+type NodeTimes struct {
+	Lease     time.Duration `long:"lease" ini-name:"lease" default:"6s" description:"for which a worker runs on without word from the owner"`
+	KeepFinal time.Duration `long:"keep-final" ini-name:"keep-final" default:"120s" description:"for which the state of a final job can be asked for"`
+	Grace     time.Duration `long:"grace" ini-name:"grace" default:"6s" description:"between the order to stop and the kill"`
+}
+
+// NodeLog is how the node logs.
+type NodeLog struct {
+	Level string `long:"level" ini-name:"level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
+}
+
+// LoadNode reads a node's settings from args and the file that they or the
+// environment name.
+func LoadNode(args []string) (*Node, error) {
+	s := &Node{}
+	parser := newNodeParser(s, flags.HelpFlag)
+	file, err := nodeFile(args)
+	if err != nil {
+		return nil, err
+	}
+	if file != nil {
+		if err := file.Apply(parser); err != nil {
+			return nil, err
+		}
+	}
+	rest, err := parser.ParseArgs(args)
+	var flagsError *flags.Error
+	switch {
+	case errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp:
+		return nil, &HelpError{flagsError.Message}
+	case err != nil:
+		return nil, &Error{Key: "command line", Reason: err.Error()}
+	case len(rest) > 0:
+		return nil, &Error{Key: "command line", Reason: fmt.Sprintf("%q is not understood", rest[0])}
+	}
+	s.file = file
+	return s, s.check()
+}
+
+func newNodeParser(s *Node, options flags.Options) *flags.Parser {
+	parser := flags.NewNamedParser("chutereachd node", options)
+	parser.ShortDescription = "one node of a system on the users' platform"
+	parser.LongDescription = "Runs one node. Every node is alike; one of them owns the shard and schedules. " +
+		"SIGTERM hands over and stops, SIGHUP reads the settings again.\n\n" +
+		"Examples:\n  chutereachd node --config node.ini\n  chutereachd node --check --config node.ini"
+	if _, err := parser.AddGroup("daemon", "", s); err != nil {
+		panic(err) // the struct's tags are constant
+	}
+	return parser
+}
+
+func nodeFile(args []string) (*ini.File, error) {
+	var s Node
+	if _, err := newNodeParser(&s, flags.IgnoreUnknown).ParseArgs(args); err != nil {
+		return nil, nil // the full parse tells better what is wrong
+	}
+	if s.Config == "" {
+		return nil, nil
+	}
+	return ini.Read(s.Config)
+}
+
+func (s *Node) fault(section, key, reason string) error {
+	if s.file == nil {
+		return &Error{Key: section + "." + key, Reason: reason}
+	}
+	return s.file.At(section, key, reason)
+}
+
+// minLease is the shortest lease with which an owner can keep up.
+const minLease = time.Second
+
+// check applies the rules between settings.
+func (s *Node) check() error {
+	if s.Self.Name == "" {
+		return s.fault("node", "name", "must not be empty")
+	}
+	addresses := []struct {
+		section, key, value string
+		optional            bool
+	}{
+		{"node", "front", s.Self.Front, false},
+		{"node", "ready", s.Self.Ready, false},
+		{"node", "peer", s.Self.Peer, false},
+		{"node", "metrics", s.Self.Metrics, true},
+		{"store", "address", s.Store.Address, false},
+		{"advice", "address", s.Advice.Address, true},
+	}
+	for _, a := range addresses {
+		if a.optional && a.value == "" {
+			continue
+		}
+		if reason := addressError(a.value); reason != "" {
+			return s.fault(a.section, a.key, reason)
+		}
+	}
+	switch {
+	case s.Times.Lease < minLease:
+		return s.fault("times", "lease", fmt.Sprintf("must be at least %v", minLease))
+	case s.Times.KeepFinal < 0:
+		return s.fault("times", "keep-final", "must not be negative")
+	case s.Times.Grace <= 0:
+		return s.fault("times", "grace", "must be more than 0")
+	}
+	return nil
+}
+
+// Level returns the least level that is logged.
+func (s *Node) Level() zerolog.Level {
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		return zerolog.InfoLevel // check admits only known levels
+	}
+	return level
+}
+
+// Print returns the settings in effect as an INI file.
+func (s *Node) Print() string {
+	var b bytes.Buffer
+	shown := *s
+	eachOption(newNodeParser(&shown, flags.None), func(g *flags.Group, o *flags.Option) {
+		printOption(&b, g, o)
+	})
+	return b.String()
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -253,19 +253,22 @@
 	var b bytes.Buffer
 	shown := *s
 	p := newParser(&shown, flags.None)
-	eachOption(p, func(g *flags.Group, o *flags.Option) {
-		key := o.Field().Tag.Get("ini-name")
-		if key == "" {
-			return
-		}
-		if g.Options()[0] == o {
-			fmt.Fprintf(&b, "[%s]\n", g.ShortDescription)
-		}
-		value := fmt.Sprint(o.Value())
-		if o.Field().Tag.Get("secret") != "" && value != "" {
-			value = masked
-		}
-		fmt.Fprintf(&b, "%s = %s\n", key, value)
-	})
+	eachOption(p, func(g *flags.Group, o *flags.Option) { printOption(&b, g, o) })
 	return b.String()
 }
+
+// printOption writes one setting, after its section's name if it is the first.
+func printOption(b *bytes.Buffer, g *flags.Group, o *flags.Option) {
+	key := o.Field().Tag.Get("ini-name")
+	if key == "" {
+		return
+	}
+	if g.Options()[0] == o {
+		fmt.Fprintf(b, "[%s]\n", g.ShortDescription)
+	}
+	value := fmt.Sprint(o.Value())
+	if o.Field().Tag.Get("secret") != "" && value != "" {
+		value = masked
+	}
+	fmt.Fprintf(b, "%s = %s\n", key, value)
+}
