scheduler: looks at room that grew, reports settle doubtful starts

(3) an heir could not take a shard that its owner went on writing. (4) a node that was called before it ran had no context.

Change: a refusal after a call without answer waits for a report; steps look only at workers that grew since, and rest three times as long as a look took; an owner holds its transactions while it hands over; the context is New's.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,7 @@
 // Daemon is one process.
 type Daemon struct {
 	settings *settings.Node
+	cancel   context.CancelFunc // ends the node
 	log      zerolog.Logger
 	store    *platform.Store
 	advisor  *platform.Advisor
@@ -63,13 +64,14 @@
 }
 
 // New makes a daemon listen on all its addresses.
-func New(set *settings.Node, log zerolog.Logger, missed expvar.Var) (*Daemon, error) {
-	d := &Daemon{settings: set, log: log}
+func New(ctx context.Context, set *settings.Node, log zerolog.Logger, missed expvar.Var) (*Daemon, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	d := &Daemon{settings: set, log: log, cancel: cancel}
 	d.store = platform.NewStore(set.Store.Address)
 	d.advisor = platform.NewAdvisor(set.Advice.Address)
 	directory := platform.NewDirectory(d.store, logs.For(log, logs.Store))
 	metrics := scheduler.NewMetrics()
-	d.node = node.New(node.Config{
+	d.node = node.New(ctx, node.Config{
 		Self: node.Member{Node: set.Self.Name, Address: set.Self.Peer, Zone: set.Self.Zone},
 		Scheduler: scheduler.Config{
 			Shard: shard, Lease: set.Times.Lease, KeepFinal: set.Times.KeepFinal,
@@ -116,13 +118,11 @@
 
 // Run serves until the process is told to stop.
 func (d *Daemon) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	var living sync.WaitGroup
-	living.Go(func() { d.node.Run(ctx) })
+	living.Go(d.node.Run)
 	d.log.Info().Str("node", d.settings.Self.Name).Str("front", d.settings.Self.Front).Msg("started")
 	for {
 		select {
@@ -136,7 +136,7 @@
 		}
 		break
 	}
-	cancel()
+	d.cancel()
 	for _, server := range d.servers {
 		server.Close()
 	}
@@ -205,7 +205,7 @@
 	debug.SetGCPercent(gcPercent)
 	writer, missed := logs.Bounded(os.Stdout, logLines)
 	defer writer.Close()
-	d, err := New(set, logs.New(writer, true, set.Level()), missed)
+	d, err := New(context.Background(), set, logs.New(writer, true, set.Level()), missed)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "chutereachd node: %v\n", err)
 		return exitSettings
--- a/node/node.go
+++ b/node/node.go
@@ -69,10 +69,10 @@
 	failed  time.Time
 }
 
-// New returns a Node; Run makes it live.
-func New(config Config, platform Platform, metrics *scheduler.Metrics, log zerolog.Logger) *Node {
+// New returns a Node that may answer calls until ctx ends; Run makes it live.
+func New(ctx context.Context, config Config, platform Platform, metrics *scheduler.Metrics, log zerolog.Logger) *Node {
 	n := &Node{
-		config: config, platform: platform, client: peer.NewPlainClient(), log: log, metrics: metrics,
+		ctx: ctx, config: config, platform: platform, client: peer.NewPlainClient(), log: log, metrics: metrics,
 		changed: make(chan struct{}), members: map[string]Member{config.Self.Node: config.Self},
 		peers: map[string]peerState{},
 	}
@@ -80,9 +80,9 @@
 	return n
 }
 
-// Run lives until ctx ends.
-func (n *Node) Run(ctx context.Context) {
-	n.ctx = ctx
+// Run lives until New's ctx ends.
+func (n *Node) Run() {
+	ctx := n.ctx
 	n.tasks.Go(func() {
 		n.platform.FollowTable(ctx, func(table routing.Table) {
 			n.storeAnswers()
--- a/node/owner.go
+++ b/node/owner.go
@@ -26,6 +26,11 @@
 	rankDelay    = 120 * time.Millisecond
 	loadTimeout  = 3 * time.Second
 	registerWait = 200 * time.Millisecond
+	// holdTimeout is how long a handover waits for a transaction under way; a
+	// store that does not answer keeps it for longer.
+	holdTimeout = 200 * time.Millisecond
+	// heirTries is how often an heir tries to take a shard that still changes.
+	heirTries = 3
 )
 
 // register writes the node's row, so that owners find it, and reads the others'.
@@ -335,6 +340,12 @@
 	if own == nil {
 		return
 	}
+	holdCtx, cancelHold := context.WithTimeout(ctx, holdTimeout)
+	release, err := own.Hold(holdCtx)
+	cancelHold()
+	if err == nil {
+		defer release()
+	}
 	for _, heir := range heirs {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		_, err := peer.Call[nothing](callCtx, n.client, heir.Address, takeoverPath, takeoverCall{n.config.Self.Node})
@@ -355,12 +366,23 @@
 func (n *Node) answerTakeover(ctx context.Context, call takeoverCall) (nothing, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	seen, err := leadership.Look(callCtx, n.platform.Store, n.config.Scheduler.Shard)
+	var err error
+	for range heirTries {
+		if err = n.inherit(callCtx, call.From); err == nil {
+			break
+		}
+	}
+	return nothing{}, err
+}
+
+// inherit takes the shard from a node that hands it over.
+func (n *Node) inherit(ctx context.Context, from string) error {
+	seen, err := leadership.Look(ctx, n.platform.Store, n.config.Scheduler.Shard)
 	if err != nil {
-		return nothing{}, err
+		return err
 	}
-	if seen.Version != 0 && seen.Node != call.From {
-		return nothing{}, &NotOwnerError{}
+	if seen.Version != 0 && seen.Node != from && seen.Node != n.config.Self.Node {
+		return &NotOwnerError{}
 	}
-	return nothing{}, n.take(ctx, seen, "handed over by "+call.From)
+	return n.take(ctx, seen, "handed over by "+from)
 }
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -49,7 +49,10 @@
 	healthy map[string]bool // those of them that may run the step; this never changes
 	tickets map[string]ticket
 	asking  bool
-	retryAt time.Time
+	// Nothing need be asked before checkAt, unless the list of workers is another
+	// than at fleetSerial.
+	checkAt     time.Time
+	fleetSerial uint64
 }
 
 // drop forgets a ticket that a worker has refused.
@@ -120,14 +123,19 @@
 // what is known will last. The lock is held.
 func (s *Scheduler) askAdvice(st *step, now time.Time) {
 	a := &st.advice
-	if a.asking || now.Before(a.retryAt) {
+	if a.asking || now.Before(a.checkAt) && a.fleetSerial == s.fleetSerial {
+		return
+	}
+	policy := st.job.record.Queue.Advice
+	if s.chooseLane(policy.Cost(1), now) == nil {
 		return
 	}
 	names := s.adviceNames(st, now)
 	if len(names) == 0 {
+		a.checkAt, a.fleetSerial = now.Add(adviceCheck), s.fleetSerial
 		return
 	}
-	cost := st.job.record.Queue.Advice.Cost(len(names))
+	cost := policy.Cost(len(names))
 	l := s.chooseLane(cost, now)
 	if l == nil {
 		return
@@ -138,6 +146,9 @@
 	s.running.Go(func() { s.fetchAdvice(st, l, name, names, cost) })
 }
 
+// adviceCheck is how long a step whose advice lasts is not looked at again.
+const adviceCheck = 20 * time.Millisecond
+
 func (st *step) stepName() string { return st.tasks[0].id().StepName() }
 
 // adviceNames returns the workers to ask about: those that were never asked
@@ -213,6 +224,7 @@
 		l.until = now.Add(lanePause)
 	} else {
 		st.advice.take(names, advice, now)
+		st.tried = 0
 	}
 	wake(s.dispatchWake)
 }
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -48,7 +48,14 @@
 		case <-s.commitWake:
 		case <-idle.C:
 		}
-		if err := s.commitOnce(ctx); err != nil {
+		select {
+		case s.commitTurn <- struct{}{}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		err := s.commitOnce(ctx)
+		<-s.commitTurn
+		if err != nil {
 			return err
 		}
 		idle.Reset(idleCommit)
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -29,10 +29,14 @@
 			s.expireUnseen(now)
 		}
 		s.mu.Unlock()
-		wait.For(ctx, dispatchGap)
+		wait.For(ctx, max(dispatchGap, dispatchRest*time.Since(now)))
 	}
 }
 
+// dispatchRest is how many times as long as a look takes the owner does other
+// things before the next one.
+const dispatchRest = 3
+
 // urgency orders steps; lower goes first.
 type urgency int
 
@@ -59,9 +63,26 @@
 // pass is one look at all that could be placed.
 type pass struct {
 	now     time.Time
+	serial  uint64
+	grew    map[string]uint64    // the latest growth of a worker, by service
 	pools   map[string][]*worker // usable workers by service
 	blocked map[*worker]bool     // kept free for a gang that waits
 	gangs   int                  // that wait with workers kept free
+	held    bool                 // the candidate at hand was kept off a worker
+}
+
+// add puts a worker into its pool, if it is usable.
+func (p *pass) add(w *worker) {
+	usable := w.usable(p.now)
+	if usable && (!w.wasUsable || w.freed) {
+		w.grew = p.serial
+	}
+	w.wasUsable, w.freed = usable, false
+	if usable {
+		service := w.info.Service
+		p.pools[service] = append(p.pools[service], w)
+		p.grew[service] = max(p.grew[service], w.grew)
+	}
 }
 
 // maxBlockingGangs bounds how many waiting gangs have workers kept free.
@@ -76,11 +97,10 @@
 	if len(list) == 0 {
 		return
 	}
-	p := &pass{now: now, pools: map[string][]*worker{}, blocked: map[*worker]bool{}}
+	s.serial++
+	p := &pass{now: now, serial: s.serial, pools: map[string][]*worker{}, grew: map[string]uint64{}, blocked: map[*worker]bool{}}
 	for _, w := range s.workers {
-		if w.usable(now) {
-			p.pools[w.info.Service] = append(p.pools[w.info.Service], w)
-		}
+		p.add(w)
 	}
 	for _, c := range list {
 		s.place(p, c)
@@ -135,8 +155,7 @@
 	if st.spec.Lasting || j.record.Request.Timed() {
 		return inTime
 	}
-	steps := j.rounds[st.round].steps
-	rest := j.record.Request.Chain(func(i int) bool { return steps[i].done() })
+	rest := j.rounds[st.round].chainLeft(&j.record.Request)
 	objective := j.deadline.Sub(j.arrived)
 	switch {
 	case now.Add(rest).Before(j.deadline):
@@ -162,21 +181,34 @@
 		s.placeTogether(p, c)
 		return
 	}
+	if st.tried >= p.grew[st.job.record.Queue.Service] {
+		return
+	}
+	p.held = false
 	for _, t := range c.tasks {
 		w := s.bestWorker(p, c)
 		if w == nil {
+			st.noRoom(p)
 			return
 		}
 		s.grant(t, w, t.attempt+1, p.now)
 	}
 }
 
+// noRoom notes that no worker takes more of the step, until one has more room or
+// there is new advice. Workers that are kept free say nothing.
+func (st *step) noRoom(p *pass) {
+	if !p.held {
+		st.tried = p.serial
+	}
+}
+
 // bestWorker returns the worker for one task of a step, or nil.
 func (s *Scheduler) bestWorker(p *pass, c candidate) *worker {
 	var best *worker
 	bestScore := 0.0
 	for _, w := range p.pools[c.step.job.record.Queue.Service] {
-		if p.slots(c, w) < 1 {
+		if w.grew <= c.step.tried || p.slots(c, w) < 1 {
 			continue
 		}
 		if score := scoreOf(c.step, w, p.now); best == nil || score < bestScore {
@@ -192,7 +224,11 @@
 // slots returns how many tasks of the step the worker can take now.
 func (p *pass) slots(c candidate, w *worker) int {
 	st := c.step
-	if !st.allows(w) || (p.blocked[w] && c.urgency != urgentInTime) {
+	if !st.allows(w) {
+		return 0
+	}
+	if len(p.blocked) > 0 && c.urgency != urgentInTime && p.blocked[w] {
+		p.held = true
 		return 0
 	}
 	if st.job.record.Queue.Advice.Needed() {
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -33,11 +33,17 @@
 // placeTogether places all waiting tasks of a step or none: a gang, or a step
 // that wants a single rack.
 func (s *Scheduler) placeTogether(p *pass, c candidate) {
+	if c.step.tried >= p.grew[c.step.job.record.Queue.Service] {
+		s.keepFree(p, c)
+		return
+	}
+	p.held = false
 	shares := s.shares(p, c)
 	if c.step.spec.SameRack {
 		shares = oneRack(shares, len(c.tasks))
 	}
 	if shares = enough(shares, len(c.tasks), c, p); shares == nil {
+		c.step.noRoom(p)
 		s.keepFree(p, c)
 		return
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -55,6 +55,8 @@
 	onWorker map[*worker]int
 	// retryAt holds the step back after a refusal.
 	retryAt time.Time
+	// tried is the serial of the last look that found no room for more tasks.
+	tried uint64
 }
 
 func (st *step) done() bool { return st.left == 0 }
@@ -84,7 +86,9 @@
 type round struct {
 	due   int64 // ms since 1970; 0: at once
 	steps []*step
-	left  int // steps not done
+	left  int           // steps not done
+	rest  time.Duration // estimated work of the longest chain that is left
+	known bool          // rest is as the steps are
 }
 
 // job is a job in the owner's memory.
@@ -147,6 +151,14 @@
 	return true
 }
 
+// chainLeft returns the estimated work of the longest chain that is left.
+func (r *round) chainLeft(request *workload.Request) time.Duration {
+	if !r.known {
+		r.rest, r.known = request.Chain(func(i int) bool { return r.steps[i].done() }), true
+	}
+	return r.rest
+}
+
 // find returns a task, or nil.
 func (j *job) find(id workload.TaskID) *task {
 	if id.Round >= len(j.rounds) || id.Step >= len(j.rounds[id.Round].steps) {
@@ -183,6 +195,7 @@
 	}
 	r := st.job.rounds[st.round]
 	r.left--
+	r.known = false
 	if r.left == 0 {
 		st.job.left--
 	}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -32,6 +32,7 @@
 // start calls the worker until it answers or the order is void.
 func (s *Scheduler) start(ctx context.Context, t *task, number int) {
 	void := time.Now().Add(startWithin)
+	doubtful := false // an earlier call had no answer and may have been carried out
 	for ctx.Err() == nil {
 		info, order, ok := s.startOrder(t, number, void)
 		if !ok {
@@ -42,9 +43,10 @@
 		clock, err := s.client.Start(callCtx, info, order)
 		cancel()
 		s.metrics.start(time.Since(begun), err)
-		if s.startAnswered(t, number, clock, err, void) {
+		if s.startAnswered(t, number, startResult{clock, err, void, doubtful}) {
 			return
 		}
+		doubtful = true
 		wait.For(ctx, orderPause)
 	}
 }
@@ -64,9 +66,18 @@
 	}, true
 }
 
+// startResult is what came of one call with a start.
+type startResult struct {
+	clock    fleet.Clock
+	err      error
+	void     time.Time // when the order is void
+	doubtful bool
+}
+
 // startAnswered takes in the answer to a start, and tells whether that settles
 // it.
-func (s *Scheduler) startAnswered(t *task, number int, clock fleet.Clock, err error, void time.Time) bool {
+func (s *Scheduler) startAnswered(t *task, number int, result startResult) bool {
+	err := result.err
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -75,7 +86,7 @@
 	}
 	w := t.worker
 	if err == nil {
-		w.sawClock(clock, now)
+		w.sawClock(result.clock, now)
 		if t.state == taskStarting {
 			s.began(t, now)
 		}
@@ -89,15 +100,15 @@
 	switch {
 	case errors.As(err, &refused):
 		w.sawClock(refused.Clock, now)
-		s.startRefused(t, refused.Reason)
+		s.startRefused(t, refused.Reason, result.doubtful)
 	case errors.As(err, &replaced):
 		s.endLife(w, "another life answers at its address")
 	case errors.As(err, &busy):
 		w.blockedUntil = now.Add(busyPause)
-		s.notStarted(t, "busy")
+		s.notStarted(t, "busy", result.doubtful)
 	case t.state != taskStarting:
 		return true
-	case now.After(void):
+	case now.After(result.void):
 		s.log.Warn().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", number).
 			Str("worker", w.info.ID).Err(err).Msg("start has no answer")
 		s.stop(t, "its start has no answer")
@@ -107,9 +118,9 @@
 	return true
 }
 
-func (s *Scheduler) startRefused(t *task, reason fleet.Reason) {
-	if t.state == taskRunning || t.state == taskDone {
-		return // a report has shown it since
+func (s *Scheduler) startRefused(t *task, reason fleet.Reason, doubtful bool) {
+	if t.state != taskStarting {
+		return // a report has shown it since, or it is being stopped
 	}
 	w := t.worker
 	switch reason {
@@ -120,15 +131,20 @@
 	case fleet.NoTicket:
 		t.step.advice.drop(w.info.ID)
 	}
-	s.notStarted(t, string(reason))
+	s.notStarted(t, string(reason), doubtful || reason == fleet.Outdated)
 }
 
-// notStarted takes back a grant whose start the worker has refused. The lock is
-// held.
-func (s *Scheduler) notStarted(t *task, reason string) {
+// notStarted takes back a grant whose start the worker has refused. If an earlier
+// call had no answer, the attempt may have begun, and even ended: then only a
+// later report tells. The lock is held.
+func (s *Scheduler) notStarted(t *task, reason string, doubtful bool) {
 	s.log.Info().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).
-		Str("worker", t.worker.info.ID).Str("reason", reason).Msg("start refused")
+		Str("worker", t.worker.info.ID).Str("reason", reason).Bool("doubtful", doubtful).Msg("start refused")
 	s.metrics.refused(reason)
+	if doubtful {
+		s.stop(t, "refused after a call without answer")
+		return
+	}
 	s.endAttempt(t, fleet.Stopped, "", "refused: "+reason)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -61,8 +61,13 @@
 	// a worker that was not reached since.
 	formerLeasesEnd time.Time
 	stopping        map[string]bool // stray attempts that are being stopped
-	deposed         error
-	paused          bool
+	// serial counts looks at what could be placed, fleetSerial changes of the list
+	// of workers.
+	serial      uint64
+	fleetSerial uint64
+	commitTurn  chan struct{} // holds a token while a transaction is under way
+	deposed     error
+	paused      bool
 
 	ctx          context.Context
 	end          context.CancelCauseFunc
@@ -80,7 +85,7 @@
 		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
 		queues: map[string]workload.Queue{}, stopping: map[string]bool{},
 		formerLeasesEnd: time.Now().Add(widest), Loaded: make(chan struct{}),
-		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1),
+		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
 	}
 }
 
@@ -153,6 +158,17 @@
 	s.paused = true
 }
 
+// Hold lets the transaction under way end and starts no other until release is
+// called, so that an heir can take the shard over.
+func (s *Scheduler) Hold(ctx context.Context) (release func(), err error) {
+	select {
+	case s.commitTurn <- struct{}{}:
+		return func() { <-s.commitTurn }, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // failWaiters lets callers know that their changes were not confirmed.
 func (s *Scheduler) failWaiters() {
 	s.mu.Lock()
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -48,7 +48,11 @@
 	pending  []pendingNote
 	noteWake chan struct{}
 
-	foreign      int // attempts in the last report that are not this owner's
+	foreign int // attempts in the last report that are not this owner's
+	// grew is the serial at which the worker last could take more than before.
+	grew         uint64
+	wasUsable    bool
+	freed        bool // since the last look
 	blockedUntil time.Time
 	drainingFrom time.Time
 	health       health
@@ -85,6 +89,7 @@
 		delete(t.step.onWorker, w)
 	}
 	t.worker = nil
+	w.freed = true
 }
 
 // need is what a task of the step takes of a worker's room. Steps that fill
@@ -336,14 +341,16 @@
 		return
 	}
 	t := j.find(id)
-	if t == nil || t.hosted() || t.state == taskDone {
+	if t == nil || t.state == taskDone {
 		return
 	}
-	if end.Checkpoint != "" && t.step.spec.Checkpoints {
-		t.checkpoint = end.Checkpoint
-	}
+	s.log.Warn().Str("job", j.id).Str("task", end.Task).Int("attempt", end.Number).Str("outcome", string(end.Outcome)).
+		Msg("end of an attempt that was given up")
 	if end.Outcome == fleet.Done && !t.step.spec.Lasting {
+		s.stop(t, "an earlier attempt is done")
 		s.taskDone(t)
+	} else if end.Checkpoint != "" && t.step.spec.Checkpoints && !t.hosted() {
+		t.checkpoint = end.Checkpoint
 	}
 	s.change(j)
 }
@@ -383,6 +390,7 @@
 	for id, w := range s.workers {
 		if !named[id] && w.known {
 			w.known = false
+			s.fleetSerial++
 			s.log.Info().Str("worker", id).Int("attempts", len(w.tasks)).Msg("worker is no longer listed")
 		}
 	}
@@ -400,6 +408,7 @@
 		s.log.Info().Str("worker", info.ID).Dur("remaining", info.Remaining).Msg("worker drains")
 	}
 	w.info, w.known = info, true
+	s.fleetSerial++
 	if w.cancel == nil && s.ctx != nil {
 		ctx, cancel := context.WithCancel(s.ctx)
 		w.cancel = cancel
