--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -143,6 +143,7 @@
 		Puts:       append([]rowstore.Put{{Key: keyOf(r.shard), Value: codec.MustMarshal(next)}}, puts...),
 		Deletes:    deletes,
 	}
+	begun := time.Now()
 	for {
 		version, err := r.try(ctx, transaction, next)
 		if err == nil {
@@ -153,7 +154,7 @@
 		if errors.As(err, &deposed) {
 			return err
 		}
-		r.failed.CompareAndSwap(0, time.Now().UnixNano())
+		r.failed.CompareAndSwap(0, begun.UnixNano())
 		if err := wait.For(ctx, retryPause); err != nil {
 			return err
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -31,8 +31,8 @@
 	// the first read and after each change, until ctx ends.
 	FollowWorkers func(ctx context.Context, changed func([]fleet.Worker))
 	// FollowTable calls changed with each table of routes, until ctx ends, and
-	// failed with each failure to reach the store.
-	FollowTable func(ctx context.Context, changed func(routing.Table), failed func(error))
+	// tells reach how its calls to the store go.
+	FollowTable func(ctx context.Context, changed func(routing.Table), reach rowstore.Reach)
 }
 
 // Node is one machine of the system.
@@ -84,10 +84,8 @@
 func (n *Node) Run() {
 	ctx := n.ctx
 	n.tasks.Go(func() {
-		n.platform.FollowTable(ctx, func(table routing.Table) {
-			n.storeAnswers()
-			n.routes.Offer(table)
-		}, n.storeFails)
+		offer := func(table routing.Table) { n.routes.Offer(table) }
+		n.platform.FollowTable(ctx, offer, rowstore.Reach{Answered: n.storeAnswers, Failed: n.storeFails})
 	})
 	n.tasks.Go(func() { n.register(ctx) })
 	n.tasks.Go(func() { n.watchOwner(ctx) })
--- a/node/owner.go
+++ b/node/owner.go
@@ -247,7 +247,7 @@
 				rowstore.Follow(ctx, n.platform.Store, nodesTable, "", func(rows map[string]rowstore.Row) {
 					n.setMembers(rows)
 					n.setLanes()
-				}, nil)
+				}, rowstore.Reach{})
 			})
 			close(own.Loaded)
 			err = own.Run(ctx)
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -18,20 +18,33 @@
 	readTimeout = time.Second
 )
 
+// Reach is told how calls to a store go. The zero Reach tells nobody.
+type Reach struct {
+	Answered func()
+	Failed   func(error)
+}
+
+func (r Reach) tell(err error) {
+	switch {
+	case err == nil && r.Answered != nil:
+		r.Answered()
+	case err != nil && r.Failed != nil:
+		r.Failed(err)
+	}
+}
+
 // Follow keeps a partition of a table in memory and calls changed with all its
-// rows after the first read and after each change, until ctx ends. Failures are
-// passed to failed, which may be nil, and tried again.
-func Follow(ctx context.Context, store Store, table, partition string, changed func(map[string]Row), failed func(error)) {
+// rows after the first read and after each change, until ctx ends. Failed calls
+// are tried again.
+func Follow(ctx context.Context, store Store, table, partition string, changed func(map[string]Row), reach Reach) {
 	f := follower{store: store, table: table, partition: partition}
 	for ctx.Err() == nil {
 		news, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		reach.tell(err)
 		if err != nil {
-			if failed != nil {
-				failed(err)
-			}
 			wait.For(ctx, followPause)
 			continue
 		}
