--- /dev/null
+++ b/scheduler/cell_test.go
@@ -0,0 +1,189 @@
+package scheduler_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chutereach/fleet"
+	"chutereach/fleet/fleettest"
+	"chutereach/leadership"
+	"chutereach/resource"
+	"chutereach/rowstore/memory"
+	"chutereach/scheduler"
+	"chutereach/workload"
+)
+
+const (
+	testShard   = "main"
+	testService = "desk"
+	gigabyte    = 1 << 30
+)
+
+// cell is a store, workers, and at most one owner that is meant to rule.
+type cell struct {
+	t     *testing.T
+	ctx   context.Context
+	store *memory.Store
+	fleet *fleettest.Fleet
+	queue workload.Queue
+}
+
+// owner is one node's reign in a test.
+type owner struct {
+	*scheduler.Scheduler
+	caller *memory.Caller
+	client *pausableClient
+	kill   context.CancelFunc
+	ended  chan error
+}
+
+// pausableClient lets a test keep an owner's calls to workers back, as a machine
+// that stands still does.
+type pausableClient struct {
+	fleet.Client
+	paused chan struct{} // closed: calls go through
+}
+
+func (c *pausableClient) wait(ctx context.Context) error {
+	select {
+	case <-c.paused:
+		return nil
+	case <-ctx.Done():
+		return &fleet.UnansweredError{Cause: ctx.Err()}
+	}
+}
+
+func (c *pausableClient) Start(ctx context.Context, w fleet.Worker, o fleet.StartOrder) (fleet.Clock, error) {
+	if err := c.wait(ctx); err != nil {
+		return 0, err
+	}
+	return c.Client.Start(ctx, w, o)
+}
+
+func (c *pausableClient) Hold(ctx context.Context, w fleet.Worker, o fleet.HoldOrder) (fleet.Report, error) {
+	if err := c.wait(ctx); err != nil {
+		return fleet.Report{}, err
+	}
+	return c.Client.Hold(ctx, w, o)
+}
+
+// inCell runs a test in a bubble with its own clock.
+func inCell(t *testing.T, workers int, test func(*cell)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &cell{
+			t: t, ctx: ctx, store: memory.New(), fleet: fleettest.New(),
+			queue: workload.Queue{Name: "diagnostics", Service: testService, Priority: 1, Attempts: 3, Stretch: 2, Target: time.Second},
+		}
+		for i := range workers {
+			c.fleet.Add(fleet.Worker{
+				ID: fmt.Sprintf("w-%02d", i), Service: testService, Rack: fmt.Sprintf("r1-%d", i/2), Labels: []string{"a"},
+				Capacity: resource.Amount{CPU: 16_000, Memory: 64 * gigabyte},
+			})
+		}
+		test(c)
+		cancel()
+		synctest.Wait()
+		for _, broken := range c.fleet.Broken() {
+			t.Error(broken)
+		}
+		time.Sleep(time.Minute) // late calls end within the bubble
+	})
+}
+
+// rule makes a new node the owner.
+func (c *cell) rule() *owner {
+	c.t.Helper()
+	caller := c.store.Caller()
+	for {
+		seen, err := leadership.Look(c.ctx, caller, testShard)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		reign, err := leadership.Take(c.ctx, caller, testShard, "node", "address", seen)
+		var deposed *leadership.DeposedError
+		if errors.As(err, &deposed) {
+			continue // the former owner wrote in between
+		}
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		return c.run(caller, reign)
+	}
+}
+
+func (c *cell) run(caller *memory.Caller, reign *leadership.Reign) *owner {
+	c.t.Helper()
+	ctx, kill := context.WithCancel(c.ctx)
+	client := &pausableClient{c.fleet, make(chan struct{})}
+	close(client.paused)
+	config := scheduler.Config{Shard: testShard, Lease: fleettest.MostLease, KeepFinal: 2 * time.Minute}
+	o := &owner{
+		Scheduler: scheduler.New(config, caller, client, reign, scheduler.NewMetrics(), zerolog.Nop()),
+		caller:    caller, client: client, kill: kill, ended: make(chan error, 1),
+	}
+	if err := o.Load(ctx); err != nil {
+		c.t.Fatal(err)
+	}
+	o.SetQueues([]workload.Queue{c.queue})
+	o.SetLanes([]scheduler.Lane{{Node: "node", Self: true, Advisor: c.fleet}})
+	o.SetWorkers(c.fleet.List())
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(500 * time.Millisecond)
+			o.SetWorkers(c.fleet.List())
+		}
+	}()
+	go func() { o.ended <- o.Run(ctx) }()
+	return o
+}
+
+// submit hands a job in as the test's caller.
+func (c *cell) submit(o *owner, id string, request workload.Request, plan func(workload.TaskID, int) fleettest.Plan) error {
+	c.know(id, request, plan)
+	ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
+	defer cancel()
+	return o.Submit(ctx, id, workload.Record{Request: request, Queue: c.queue, Accepted: time.Now().UnixMilli()})
+}
+
+func (c *cell) know(id string, request workload.Request, plan func(workload.TaskID, int) fleettest.Plan) {
+	c.fleet.Know(id, fleettest.Kind{Request: request, Attempts: c.queue.Attempts, Advised: c.queue.Advice.Needed(), Plan: plan})
+}
+
+// await waits until a job is in a state.
+func (c *cell) await(o *owner, id string, want workload.State, within time.Duration) {
+	c.t.Helper()
+	state := workload.State("")
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		state, _ = o.State(id)
+		if state == want {
+			return
+		}
+	}
+	c.t.Errorf("job %s is %q after %v, want %q", id, state, within, want)
+}
+
+// jobOf returns a request with one step.
+func jobOf(count int, cpu resource.MilliCPU) workload.Request {
+	return workload.Request{Spec: "spec", Steps: []workload.Step{step(count, cpu)}}
+}
+
+func step(count int, cpu resource.MilliCPU) workload.Step {
+	return workload.Step{Count: count, Need: resource.Amount{CPU: cpu, Memory: gigabyte}, Estimate: time.Second}
+}
+
+// work returns a plan in which every attempt takes a time and ends well.
+func work(d time.Duration) func(workload.TaskID, int) fleettest.Plan {
+	return func(workload.TaskID, int) fleettest.Plan { return fleettest.Plan{Work: d} }
+}
+
+func (o *owner) capacity() resource.Amount {
+	return resource.Amount{CPU: 16_000, Memory: 64 * gigabyte}
+}
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,320 @@
+package scheduler_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/fleet/fleettest"
+	"chutereach/rowstore"
+	"chutereach/rowstore/memory"
+	"chutereach/scheduler"
+	"chutereach/workload"
+)
+
+func TestCompletesJobs(t *testing.T) {
+	chain := jobOf(4, 1000)
+	second := step(3, 2000)
+	second.After = []int{0}
+	third := step(2, 500)
+	third.After = []int{0, 1}
+	chain.Steps = append(chain.Steps, second, third)
+
+	gang := jobOf(6, 4500)
+	gang.Steps[0].Gang = true
+
+	spread := jobOf(8, 500)
+	spread.Steps[0].PerWorker = 2
+
+	labelled := jobOf(2, 500)
+	labelled.Steps[0].Label = "a"
+
+	oneRack := jobOf(4, 4000)
+	oneRack.Steps[0].SameRack = true
+
+	wide := jobOf(60, 4000) // more than there is room for at once
+
+	cases := []struct {
+		name    string
+		request workload.Request
+		within  time.Duration
+	}{
+		{"one step", jobOf(3, 1000), 2 * time.Second},
+		{"a chain of steps", chain, 5 * time.Second},
+		{"a gang", gang, 2 * time.Second},
+		{"spread over workers", spread, 2 * time.Second},
+		{"with a label", labelled, 2 * time.Second},
+		{"in one rack", oneRack, 2 * time.Second},
+		{"wider than the fleet", wide, 6 * time.Second},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			inCell(t, 6, func(c *cell) {
+				o := c.rule()
+				if err := c.submit(o, "job", test.request, work(time.Second)); err != nil {
+					t.Fatal(err)
+				}
+				c.await(o, "job", workload.Completed, test.within)
+			})
+		})
+	}
+}
+
+func TestTicketsAreAskedAheadAndShown(t *testing.T) {
+	inCell(t, 9, func(c *cell) {
+		c.queue.Advice = workload.AdvicePolicy{Decision: 5 * time.Millisecond, Each: time.Millisecond, Valid: 2 * time.Second}
+		o := c.rule()
+		if err := c.submit(o, "job", jobOf(40, 4000), work(3*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		c.await(o, "job", workload.Completed, 20*time.Second)
+	})
+}
+
+func TestAnAcceptedJobIsInTheStore(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		o := c.rule()
+		if err := c.submit(o, "job", jobOf(1, 1000), work(time.Minute)); err != nil {
+			t.Fatal(err)
+		}
+		if _, ok := c.store.Row(rowstore.Key{Table: "jobs", Partition: testShard, Name: "job"}); !ok {
+			t.Error("the job was accepted and is not in the store")
+		}
+	})
+}
+
+func TestTheSameIDIsOneJob(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		o := c.rule()
+		for range 3 {
+			if err := c.submit(o, "job", jobOf(1, 1000), work(time.Second)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.await(o, "job", workload.Completed, 3*time.Second)
+		if err := c.submit(o, "job", jobOf(1, 1000), work(time.Second)); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(3 * time.Second)
+		if got := c.fleet.Starts(); got != 1 {
+			t.Errorf("%d starts, want 1", got)
+		}
+	})
+}
+
+func TestFailures(t *testing.T) {
+	fails := func(upTo int) func(workload.TaskID, int) fleettest.Plan {
+		return func(_ workload.TaskID, attempt int) fleettest.Plan {
+			if attempt <= upTo {
+				return fleettest.Plan{Work: 100 * time.Millisecond, Outcome: fleet.Failed}
+			}
+			return fleettest.Plan{Work: 100 * time.Millisecond}
+		}
+	}
+	gang := jobOf(4, 1000)
+	gang.Steps[0].Gang = true
+	cases := []struct {
+		name    string
+		request workload.Request
+		failing int
+		want    workload.State
+	}{
+		{"fewer than the attempts", jobOf(2, 1000), 2, workload.Completed},
+		{"as many as the attempts", jobOf(2, 1000), 3, workload.Failed},
+		{"of a gang, fewer", gang, 2, workload.Completed},
+		{"of a gang, as many", gang, 3, workload.Failed},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			inCell(t, 3, func(c *cell) {
+				o := c.rule()
+				if err := c.submit(o, "job", test.request, fails(test.failing)); err != nil {
+					t.Fatal(err)
+				}
+				c.await(o, "job", test.want, 5*time.Second)
+			})
+		})
+	}
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		o := c.rule()
+		if err := c.submit(o, "job", jobOf(10, 4000), work(time.Minute)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if err := o.Cancel(c.ctx, "job"); err != nil {
+			t.Fatal(err)
+		}
+		c.await(o, "job", workload.Cancelled, time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		if running := c.fleet.Running(); running != 0 {
+			t.Errorf("%d attempts still run", running)
+		}
+		var notJob *scheduler.NotJobError
+		if err := o.Cancel(c.ctx, "other"); !errors.As(err, &notJob) {
+			t.Errorf("cancelling an unknown job: %v", err)
+		}
+	})
+}
+
+func TestACheckpointIsCarriedOn(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		request := jobOf(1, 1000)
+		request.Steps[0].Checkpoints = true
+		o := c.rule()
+		if err := c.submit(o, "job", request, work(8*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		for _, w := range c.fleet.List() {
+			c.fleet.Crash(w.ID) // the one that runs it, and the other
+		}
+		c.fleet.Add(fleet.Worker{ID: "w-9", Service: testService, Capacity: o.capacity()})
+		// The lease of the dead worker must run out first; then some three seconds
+		// of work are left.
+		c.await(o, "job", workload.Completed, 13*time.Second)
+	})
+}
+
+func TestPendingCountsJobsThatHaveNotBegun(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		o := c.rule()
+		for _, id := range []string{"a", "b", "c"} {
+			if err := c.submit(o, id, jobOf(1, 16_000), work(2*time.Second)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		if got := o.Pending("diagnostics"); got != 2 {
+			t.Errorf("%d pending, want 2", got)
+		}
+		if got := o.Pending("others"); got != 0 {
+			t.Errorf("%d pending of another queue, want 0", got)
+		}
+	})
+}
+
+func TestRoundsBeginWhenTheyAreDue(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		request := jobOf(2, 1000)
+		request.Rounds, request.Interval = 3, 2*time.Second
+		request.First = time.Now().Add(time.Second).UnixMilli()
+		o := c.rule()
+		if err := c.submit(o, "job", request, work(500*time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range []int{0, 2, 4, 6} {
+			time.Sleep(800 * time.Millisecond)
+			if got := c.fleet.Starts(); got != want {
+				t.Errorf("%d starts, want %d", got, want)
+			}
+			if want > 0 {
+				time.Sleep(1200 * time.Millisecond)
+			} else {
+				time.Sleep(800 * time.Millisecond)
+			}
+		}
+		c.await(o, "job", workload.Completed, 2*time.Second)
+	})
+}
+
+func TestALastingStepIsStartedAgain(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		request := jobOf(1, 1000)
+		request.Steps[0].Lasting = true
+		o := c.rule()
+		plan := func(workload.TaskID, int) fleettest.Plan {
+			return fleettest.Plan{Work: time.Second, Outcome: fleet.Failed}
+		}
+		c.queue.Attempts = 1 << 20
+		if err := c.submit(o, "job", request, plan); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		if got := c.fleet.Starts(); got < 8 {
+			t.Errorf("%d starts in 10 s, want 8 or more", got)
+		}
+		c.await(o, "job", workload.Running, time.Second)
+	})
+}
+
+func TestADrainingWorkerGetsNothingNew(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		o := c.rule()
+		c.fleet.SetDraining("w-00")
+		time.Sleep(time.Second)
+		if err := c.submit(o, "job", jobOf(4, 4000), work(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		c.fleet.SetFault(func(call fleettest.Call, worker string) fleettest.Fault {
+			if call == fleettest.CallStart && worker == "w-00" {
+				t.Error("a draining worker was told to start something")
+			}
+			return fleettest.Fault{}
+		})
+		c.await(o, "job", workload.Completed, 3*time.Second)
+	})
+}
+
+func TestRefusesWhileTheStoreIsDown(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		o := c.rule()
+		time.Sleep(time.Second)
+		o.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Refuse: true} })
+		time.Sleep(3 * time.Second)
+		begun := time.Now()
+		err := c.submit(o, "job", jobOf(1, 1000), work(time.Second))
+		var overloaded *scheduler.OverloadedError
+		if !errors.As(err, &overloaded) || overloaded.RetryAfter <= 0 {
+			t.Errorf("got %v, want to be told when to come back", err)
+		}
+		if took := time.Since(begun); took > 10*time.Millisecond {
+			t.Errorf("refused after %v, want at once", took)
+		}
+		o.caller.SetFault(nil)
+		time.Sleep(3 * time.Second)
+		if got := c.fleet.Starts(); got != 0 {
+			t.Errorf("a refused job was started %d times", got)
+		}
+	})
+}
+
+func TestUnconfirmedIsNotRefused(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		o := c.rule()
+		time.Sleep(time.Second)
+		o.caller.SetFault(func(write bool) memory.Fault { return memory.Fault{Mute: write} })
+		c.know("job", jobOf(1, 1000), work(time.Second))
+		ctx, cancel := context.WithTimeout(c.ctx, 500*time.Millisecond)
+		defer cancel()
+		err := o.Submit(ctx, "job", workload.Record{Request: jobOf(1, 1000), Queue: c.queue, Accepted: time.Now().UnixMilli()})
+		var unconfirmed *scheduler.UnconfirmedError
+		if !errors.As(err, &unconfirmed) {
+			t.Errorf("got %v, want UnconfirmedError", err)
+		}
+	})
+}
+
+func TestFinalJobsAreForgottenAfterTheirTime(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		o := c.rule()
+		if err := c.submit(o, "job", jobOf(1, 1000), work(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		c.await(o, "job", workload.Completed, 3*time.Second)
+		time.Sleep(100 * time.Second)
+		c.await(o, "job", workload.Completed, time.Millisecond)
+		time.Sleep(time.Minute)
+		var notJob *scheduler.NotJobError
+		if _, err := o.State("job"); !errors.As(err, &notJob) {
+			t.Errorf("after its time: %v", err)
+		}
+		if _, ok := c.store.Row(rowstore.Key{Table: "progress", Partition: testShard, Name: "job"}); ok {
+			t.Error("its row is still in the store")
+		}
+	})
+}
