--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,12 +48,28 @@
 // that stands still does.
 type pausableClient struct {
 	fleet.Client
-	paused chan struct{} // closed: calls go through
+	mu   sync.Mutex
+	open chan struct{} // closed: calls go through
+}
+
+func (c *pausableClient) pause() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open = make(chan struct{})
+}
+
+func (c *pausableClient) resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.open)
 }
 
 func (c *pausableClient) wait(ctx context.Context) error {
+	c.mu.Lock()
+	open := c.open
+	c.mu.Unlock()
 	select {
-	case <-c.paused:
+	case <-open:
 		return nil
 	case <-ctx.Done():
 		return &fleet.UnansweredError{Cause: ctx.Err()}
@@ -122,8 +139,8 @@
 func (c *cell) run(caller *memory.Caller, reign *leadership.Reign) *owner {
 	c.t.Helper()
 	ctx, kill := context.WithCancel(c.ctx)
-	client := &pausableClient{c.fleet, make(chan struct{})}
-	close(client.paused)
+	client := &pausableClient{Client: c.fleet, open: make(chan struct{})}
+	client.resume()
 	config := scheduler.Config{Shard: testShard, Lease: fleettest.MostLease, KeepFinal: 2 * time.Minute}
 	o := &owner{
 		Scheduler: scheduler.New(config, caller, client, reign, scheduler.NewMetrics(), zerolog.Nop()),
