node, peer: tests of takeovers over a network in memory

Change: peertest is a network whose links can be cut; node tests kill, cut off, starve and stop the owner, start all nodes anew, and look at refusals.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -79,7 +79,7 @@
 	}, node.Platform{
 		Store: d.store, Workers: platform.NewWorkers(), Advisor: d.advisor,
 		FollowWorkers: directory.FollowWorkers, FollowTable: directory.FollowTable,
-	}, metrics, logs.For(log, logs.Node))
+	}, peer.NewPlainClient(), metrics, logs.For(log, logs.Node))
 	return d, d.listen(metrics, missed)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -70,9 +70,9 @@
 }
 
 // New returns a Node that may answer calls until ctx ends; Run makes it live.
-func New(ctx context.Context, config Config, platform Platform, metrics *scheduler.Metrics, log zerolog.Logger) *Node {
+func New(ctx context.Context, config Config, platform Platform, client *peer.Client, metrics *scheduler.Metrics, log zerolog.Logger) *Node {
 	n := &Node{
-		ctx: ctx, config: config, platform: platform, client: peer.NewPlainClient(), log: log, metrics: metrics,
+		ctx: ctx, config: config, platform: platform, client: client, log: log, metrics: metrics,
 		changed: make(chan struct{}), members: map[string]Member{config.Self.Node: config.Self},
 		peers: map[string]peerState{},
 	}
@@ -197,3 +197,10 @@
 
 // pauseBeforeHandover lets starts and transactions under way end.
 const pauseBeforeHandover = 50 * time.Millisecond
+
+// Owns reports whether this node owns the shard, as far as it knows.
+func (n *Node) Owns() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.own != nil
+}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,320 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chutereach/fleet"
+	"chutereach/fleet/fleettest"
+	"chutereach/node"
+	"chutereach/peer"
+	"chutereach/peer/peertest"
+	"chutereach/resource"
+	"chutereach/routing"
+	"chutereach/rowstore"
+	"chutereach/rowstore/memory"
+	"chutereach/scheduler"
+	"chutereach/workload"
+)
+
+const service = "desk"
+
+var queue = workload.Queue{Name: "lookups", Service: service, Attempts: 3, Stretch: 1.5, Target: time.Second}
+
+// cell is some nodes, their network, their store and the workers.
+type cell struct {
+	t       *testing.T
+	ctx     context.Context
+	network *peertest.Network
+	store   *memory.Store
+	fleet   *fleettest.Fleet
+	nodes   []*member
+}
+
+// member is one node.
+type member struct {
+	*node.Node
+	name    string
+	caller  *memory.Caller
+	servers *peer.PlainServer
+	kill    context.CancelFunc
+	done    chan struct{}
+	lives   int
+}
+
+func inCell(t *testing.T, count int, test func(*cell)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &cell{t: t, ctx: ctx, network: peertest.New(), store: memory.New(), fleet: fleettest.New()}
+		for i := range 4 {
+			c.fleet.Add(fleet.Worker{
+				ID: fmt.Sprintf("w-%d", i), Service: service, Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30},
+			})
+		}
+		for i := range count {
+			m := &member{name: fmt.Sprintf("node-%d", i)}
+			c.nodes = append(c.nodes, m)
+			c.start(m)
+		}
+		time.Sleep(2 * time.Second)
+		test(c)
+		for _, m := range c.nodes {
+			c.stop(m)
+		}
+		cancel()
+		for _, broken := range c.fleet.Broken() {
+			t.Error(broken)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// start gives a node a new life.
+func (c *cell) start(m *member) {
+	ctx, kill := context.WithCancel(c.ctx)
+	m.kill, m.done, m.caller = kill, make(chan struct{}), c.store.Caller()
+	m.lives++
+	caller := m.caller
+	platform := node.Platform{
+		Store: caller, Workers: c.fleet, Advisor: c.fleet,
+		FollowWorkers: func(ctx context.Context, changed func([]fleet.Worker)) {
+			for ctx.Err() == nil {
+				changed(c.fleet.List())
+				time.Sleep(500 * time.Millisecond)
+			}
+		},
+		FollowTable: func(ctx context.Context, changed func(routing.Table), reach rowstore.Reach) {
+			rowstore.Follow(ctx, caller, "config", "", func(rows map[string]rowstore.Row) {
+				version := uint64(1 + len(rows))
+				changed(routing.Table{Version: version, Routes: []routing.Route{{Host: "h", Prefix: "/p/", Queue: queue}}})
+			}, reach)
+		},
+	}
+	config := node.Config{
+		Self:      node.Member{Node: m.name, Address: m.name, Zone: "z"},
+		Scheduler: scheduler.Config{Shard: "main", Lease: fleettest.MostLease, KeepFinal: time.Minute},
+	}
+	m.Node = node.New(ctx, config, platform, peer.NewPlainClientOver(c.network.Dial(m.name)), scheduler.NewMetrics(), zerolog.Nop())
+	m.servers = peer.NewPlainServer(c.network.Listen(m.name), m.Mux())
+	go m.servers.Serve()
+	done := m.done
+	go func() {
+		m.Run()
+		close(done)
+	}()
+}
+
+// stop ends a node's life at once.
+func (c *cell) stop(m *member) {
+	c.network.Kill(m.name)
+	m.servers.Close()
+	m.kill()
+	<-m.done
+}
+
+func request() workload.Request {
+	need := resource.Amount{CPU: 1000, Memory: 1 << 30}
+	return workload.Request{Spec: "s", Steps: []workload.Step{{Count: 2, Need: need, Estimate: time.Second}}}
+}
+
+// submit hands a job in at a node, once.
+func (c *cell) submit(m *member, id string) error {
+	c.fleet.Know(id, fleettest.Kind{Request: request(), Attempts: 3})
+	ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
+	defer cancel()
+	return m.Submit(ctx, id, workload.Record{Request: request(), Queue: queue, Accepted: time.Now().UnixMilli()})
+}
+
+// await waits until a node shows a job as completed.
+func (c *cell) await(m *member, id string, within time.Duration) {
+	c.t.Helper()
+	var state workload.State
+	var err error
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		state, err = m.State(c.ctx, id)
+		if state == workload.Completed {
+			return
+		}
+	}
+	c.t.Errorf("job %s is %q (%v) at %s after %v", id, state, err, m.name, within)
+}
+
+// owner returns the node that owns the shard.
+func (c *cell) owner() *member {
+	for _, m := range c.nodes {
+		if m.Owns() {
+			return m
+		}
+	}
+	return nil
+}
+
+func TestEveryNodeServes(t *testing.T) {
+	inCell(t, 3, func(c *cell) {
+		for i, m := range c.nodes {
+			id := fmt.Sprintf("job-%d", i)
+			if err := c.submit(m, id); err != nil {
+				t.Fatalf("%s: %v", m.name, err)
+			}
+			for _, other := range c.nodes {
+				c.await(other, id, 3*time.Second)
+			}
+			if err := m.Ready(); err != nil {
+				t.Errorf("%s: %v", m.name, err)
+			}
+		}
+		var notJob *scheduler.NotJobError
+		for _, m := range c.nodes {
+			if _, err := m.State(c.ctx, "unknown"); !errors.As(err, &notJob) {
+				t.Errorf("%s: an unknown job: %v", m.name, err)
+			}
+			if count, err := m.Pending(c.ctx, "lookups"); err != nil || count != 0 {
+				t.Errorf("%s: pending %d, %v", m.name, count, err)
+			}
+		}
+	})
+}
+
+// ways are how an owner can be lost, and what brings it back.
+var ways = []struct {
+	name   string
+	lose   func(*cell, *member)
+	within time.Duration // until another node owns the shard
+}{
+	{"it is killed", func(c *cell, m *member) { c.stop(m); c.start(m) }, 2 * time.Second},
+	{"its machine loses power", func(c *cell, m *member) {
+		for _, other := range c.nodes {
+			c.network.Cut(m.name, other.name)
+			c.network.Cut(other.name, m.name)
+		}
+		m.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
+	}, 3 * time.Second},
+	{"the store refuses it", func(_ *cell, m *member) {
+		m.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Refuse: true} })
+	}, 3 * time.Second},
+	{"the store does not answer it", func(_ *cell, m *member) {
+		m.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
+	}, 4 * time.Second},
+	{"it is stopped in order", func(c *cell, m *member) { m.Stop(c.ctx) }, 500 * time.Millisecond},
+}
+
+func TestAnOwnerIsSucceeded(t *testing.T) {
+	for _, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			inCell(t, 3, func(c *cell) {
+				former := c.owner()
+				if err := c.submit(former, "before"); err != nil {
+					t.Fatal(err)
+				}
+				life := former.Node
+				way.lose(c, former)
+				begun := time.Now()
+				for c.owner() == nil || c.owner().Node == life {
+					if time.Since(begun) > way.within {
+						t.Fatalf("no successor within %v", way.within)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				for _, m := range c.nodes {
+					if m != former {
+						c.await(m, "before", 12*time.Second)
+					}
+				}
+				if err := c.submit(c.owner(), "after"); err != nil {
+					t.Error(err)
+				}
+				c.await(c.owner(), "after", 5*time.Second)
+			})
+		})
+	}
+}
+
+func TestAJobIsServedThroughATakeover(t *testing.T) {
+	inCell(t, 3, func(c *cell) {
+		former := c.owner()
+		var asked *member
+		for _, m := range c.nodes {
+			if m != former {
+				asked = m
+			}
+		}
+		former.Stop(c.ctx)
+		if err := c.submit(asked, "job"); err != nil {
+			t.Error(err)
+		}
+		c.await(asked, "job", 3*time.Second)
+	})
+}
+
+func TestAllNodesStartAnewAtOnce(t *testing.T) {
+	inCell(t, 3, func(c *cell) {
+		if err := c.submit(c.nodes[1], "job"); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range c.nodes {
+			c.stop(m)
+		}
+		time.Sleep(time.Second)
+		for _, m := range c.nodes {
+			c.start(m)
+		}
+		begun := time.Now()
+		for c.owner() == nil && time.Since(begun) < 5*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took := time.Since(begun); took > time.Second {
+			t.Errorf("no owner for %v after the start", took)
+		}
+		c.await(c.nodes[2], "job", 12*time.Second)
+	})
+}
+
+func TestWithoutAnOwnerTheRefusalSaysWhenToComeBack(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		m := c.nodes[0]
+		c.stop(m)
+		c.start(m)
+		m.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Refuse: true} })
+		begun := time.Now()
+		err := c.submit(m, "job")
+		var overloaded *scheduler.OverloadedError
+		if !errors.As(err, &overloaded) || overloaded.RetryAfter <= 0 {
+			t.Errorf("got %v, want to be told when to come back", err)
+		}
+		if took := time.Since(begun); took > 1500*time.Millisecond {
+			t.Errorf("refused after %v", took)
+		}
+		m.caller.SetFault(nil)
+		time.Sleep(3 * time.Second)
+		if got := c.fleet.Starts(); got != 0 {
+			t.Errorf("a refused job was started %d times", got)
+		}
+	})
+}
+
+func TestANodeWithoutTheStoreHearsOfTheConfiguration(t *testing.T) {
+	inCell(t, 3, func(c *cell) {
+		var apart *member
+		for _, m := range c.nodes {
+			if !m.Owns() {
+				apart = m
+			}
+		}
+		apart.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Refuse: true} })
+		put := rowstore.Put{Key: rowstore.Key{Table: "config", Name: "x"}, Value: []byte("x")}
+		if _, err := c.store.Commit(c.ctx, rowstore.Transaction{Puts: []rowstore.Put{put}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if table, _ := apart.Routes(); table.Version != 2 {
+			t.Errorf("version %d is in force, want 2", table.Version)
+		}
+	})
+}
--- a/peer/plain.go
+++ b/peer/plain.go
@@ -28,7 +28,12 @@
 	if err != nil {
 		return nil, &ListenError{address, err}
 	}
-	return &PlainServer{listener, &http.Server{Handler: mux, ReadHeaderTimeout: plainIdle}}, nil
+	return NewPlainServer(listener, mux), nil
+}
+
+// NewPlainServer returns a PlainServer on a listener.
+func NewPlainServer(listener net.Listener, mux http.Handler) *PlainServer {
+	return &PlainServer{listener, &http.Server{Handler: mux, ReadHeaderTimeout: plainIdle}}
 }
 
 // Addr returns the address on which the server listens.
@@ -40,16 +45,22 @@
 // Close ends the server and cuts what is under way.
 func (s *PlainServer) Close() error { return s.server.Close() }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewPlainClient returns a Client for PlainServers.
 func NewPlainClient() *Client {
 	dialer := &net.Dialer{Timeout: plainDial, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: plainKeepAlive, Interval: plainKeepAlive, Count: 2,
 	}}
+	return NewPlainClientOver(dialer.DialContext)
+}
+
+// NewPlainClientOver returns a Client for PlainServers whose connections dial
+// opens.
+func NewPlainClientOver(dial Dial) *Client {
 	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, network, address)
-		},
-		MaxIdleConnsPerHost: plainIdleConns, IdleConnTimeout: plainIdle, DisableCompression: true,
+		DialContext: dial, MaxIdleConnsPerHost: plainIdleConns, IdleConnTimeout: plainIdle, DisableCompression: true,
 	}
 	return &Client{transport: transport, scheme: "http", close: func() error {
 		transport.CloseIdleConnections()
