--- a/node/node.go
+++ b/node/node.go
@@ -58,7 +58,7 @@
 
 	takeMu sync.Mutex // one takeover at a time
 	ctx    context.Context
-	tasks  sync.WaitGroup
+	tasks  wait.Group
 }
 
 // peerState is what the owner has heard of a node.
@@ -91,7 +91,7 @@
 	n.tasks.Go(func() { n.watchOwner(ctx) })
 	n.tasks.Go(func() { n.beatLoop(ctx) })
 	<-ctx.Done()
-	n.tasks.Wait()
+	n.tasks.Close()
 	n.client.Close()
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"chutereach/fleet"
 	"chutereach/leadership"
 	"chutereach/rowstore"
+	"chutereach/wait"
 	"chutereach/workload"
 )
 
@@ -71,7 +72,7 @@
 
 	ctx          context.Context
 	end          context.CancelCauseFunc
-	running      sync.WaitGroup
+	running      wait.Group
 	commitWake   chan struct{}
 	dispatchWake chan struct{}
 }
@@ -143,7 +144,7 @@
 	s.running.Go(func() { s.dispatchLoop(ctx) })
 	err := s.commitLoop(ctx)
 	end(err)
-	s.running.Wait()
+	s.running.Close()
 	s.failWaiters()
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		return cause
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -195,7 +195,7 @@
 func (s *Scheduler) holdFailed(w *worker, err error) bool {
 	var refused *fleet.RefusedError
 	if errors.As(err, &refused) && refused.Reason == fleet.Fenced {
-		s.depose("worker " + w.info.ID + " has seen a higher token")
+		s.depose("a worker has seen a higher token")
 		return true
 	}
 	s.mu.Lock()
