scheduler: who asks for a job under way waits 60 ms for its end

Cause: callers ask when the last task has ended, before its worker's report has come; they heard 'running' and asked again much later.

--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -102,6 +102,7 @@
 	}
 	j.state, j.finalAt = state, time.Now().UnixMilli()
 	delete(s.active, j.id)
+	close(j.ended)
 	late := time.Until(j.deadline) < 0
 	s.log.Info().Str("job", j.id).Str("queue", j.record.Queue.Name).Str("state", string(state)).Str("why", why).
 		Dur("age", time.Since(j.arrived)).Bool("late", late).Msg("job is final")
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -111,6 +111,7 @@
 	inserted   bool // the record's row is in the store
 	forgotten  bool // its rows are to be deleted
 	afterSave  []saveAction
+	ended      chan struct{} // closed once the job is final in memory
 }
 
 // saveAction is done, under the lock, once a generation is in the store.
@@ -120,7 +121,7 @@
 }
 
 func newJob(id string, record workload.Record, now time.Time) *job {
-	j := &job{id: id, record: record, state: workload.Queued, savedState: workload.Queued}
+	j := &job{id: id, record: record, state: workload.Queued, savedState: workload.Queued, ended: make(chan struct{})}
 	age := now.Sub(time.UnixMilli(record.Accepted))
 	j.arrived = now.Add(-max(0, age))
 	j.deadline = j.arrived.Add(record.Queue.Objective(record.Request))
@@ -151,6 +152,23 @@
 	return true
 }
 
+// underWay reports whether every task that is not done runs.
+func (j *job) underWay() bool {
+	if j.state.Final() || !j.begun {
+		return false
+	}
+	for _, r := range j.rounds {
+		for _, st := range r.steps {
+			for _, t := range st.tasks {
+				if t.state != taskDone && t.state != taskRunning {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
 // chainLeft returns the estimated work of the longest chain that is left.
 func (r *round) chainLeft(request *workload.Request) time.Duration {
 	if !r.known {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -305,6 +305,18 @@
 func (s *Scheduler) State(ctx context.Context, id string) (workload.State, error) {
 	s.mu.Lock()
 	j := s.jobs[id]
+	if j != nil && j.underWay() {
+		ended := j.ended
+		s.mu.Unlock()
+		timer := time.NewTimer(endWait)
+		select {
+		case <-ended:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		s.mu.Lock()
+	}
 	if j != nil && j.state.Final() && !j.savedState.Final() {
 		limited, cancel := context.WithTimeout(ctx, finalWait)
 		defer cancel()
@@ -323,6 +335,10 @@
 	return workload.Queued, nil
 }
 
+// endWait is how long a caller is kept waiting whose job has all its last tasks
+// under way: the end of one may be on its way here.
+const endWait = 60 * time.Millisecond
+
 // finalWait is how long a caller that asks for a state is kept waiting.
 const finalWait = 300 * time.Millisecond
 
