--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -96,10 +96,12 @@
 }
 
 // Bounds of the time that a transaction's answer is waited for; it follows the
-// store's own speed between them.
+// store's own speed between them. A call that is given up and sent again is not
+// lost work: if it was applied, the second tells so. A silent store is noticed to
+// be back within the longer bound.
 const (
 	minTimeout   = 150 * time.Millisecond
-	maxTimeout   = 2 * time.Second
+	maxTimeout   = 600 * time.Millisecond
 	retryPause   = 25 * time.Millisecond
 	timeoutRatio = 5
 )
@@ -108,7 +110,7 @@
 // was seen. It returns a DeposedError if another node was faster.
 func Take(ctx context.Context, store rowstore.Store, shard, node, address string, seen Sighting) (*Reign, error) {
 	reign := &Reign{
-		store: store, shard: shard, version: seen.Version, timeout: maxTimeout / 2,
+		store: store, shard: shard, version: seen.Version, timeout: maxTimeout,
 		row: Row{Node: node, Address: address, Reign: xid.New().String()},
 	}
 	if err := reign.Commit(ctx, nil, nil); err != nil {
--- a/node/serve.go
+++ b/node/serve.go
@@ -23,12 +23,17 @@
 // the scheduler's errors it returns none: OverloadedError says that the job was
 // not taken, UnconfirmedError that it may have been.
 func (n *Node) Submit(ctx context.Context, id string, record workload.Record) error {
-	return n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
+	err := n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
 		return own.Submit(ctx, id, record)
 	}, func(ctx context.Context, address string, within time.Duration) error {
 		_, err := peer.Call[nothing](ctx, n.client, address, submitPath, submitCall{id, record, within})
 		return err
 	})
+	var overloaded *scheduler.OverloadedError
+	if errors.As(err, &overloaded) {
+		return &scheduler.OverloadedError{Why: overloaded.Why, RetryAfter: record.Queue.RetryAfter(record.Request)}
+	}
+	return err
 }
 
 // Cancel cancels a job and returns once that is in the store.
--- a/workload/queue.go
+++ b/workload/queue.go
@@ -36,5 +36,19 @@
 	return chain + q.Target + advice
 }
 
+// Bounds of RetryAfter.
+const (
+	soonestRetry = time.Second
+	latestRetry  = 3 * time.Second
+	retryShare   = 4
+)
+
+// RetryAfter returns when a caller whose request was refused should come again:
+// a share of its objective, so that what is urgent comes soon and what may wait
+// does not use its tries up.
+func (q Queue) RetryAfter(r Request) time.Duration {
+	return min(latestRetry, max(soonestRetry, (q.Objective(r)/retryShare).Round(time.Second)))
+}
+
 // adviceWorkers is the number of workers on which an objective counts advice.
 const adviceWorkers = 30
