--- /dev/null
+++ b/leadership/leadership_test.go
@@ -0,0 +1,169 @@
+package leadership_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chutereach/leadership"
+	"chutereach/rowstore"
+	"chutereach/rowstore/memory"
+)
+
+const shard = "main"
+
+func progress(value string) []rowstore.Put {
+	return []rowstore.Put{{Key: rowstore.Key{Table: "progress", Partition: shard, Name: "job"}, Value: []byte(value)}}
+}
+
+func take(t *testing.T, store rowstore.Store, node string) *leadership.Reign {
+	t.Helper()
+	seen, err := leadership.Look(t.Context(), store, shard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reign, err := leadership.Take(t.Context(), store, shard, node, node+":1", seen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reign
+}
+
+func value(store *memory.Store) string {
+	row, _ := store.Row(progress("")[0].Key)
+	return string(row.Value)
+}
+
+func TestTokensRise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		last := uint64(0)
+		for _, node := range []string{"a", "b", "a", "a"} {
+			reign := take(t, store.Caller(), node)
+			if reign.Token() <= last {
+				t.Errorf("token %d after %d", reign.Token(), last)
+			}
+			last = reign.Token()
+			if err := reign.Commit(t.Context(), progress("x"), nil); err != nil {
+				t.Fatal(err)
+			}
+			if reign.Token() != last {
+				t.Error("a transaction changed the token")
+			}
+		}
+	})
+}
+
+func TestOneOfTwoTakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		seen, err := leadership.Look(t.Context(), store, shard)
+		if err != nil {
+			t.Fatal(err)
+		}
+		won := 0
+		for _, node := range []string{"a", "b"} {
+			_, err := leadership.Take(t.Context(), store.Caller(), shard, node, node, seen)
+			var deposed *leadership.DeposedError
+			switch {
+			case err == nil:
+				won++
+			case !errors.As(err, &deposed) || deposed.By.Node != "a":
+				t.Errorf("%s: %v", node, err)
+			}
+		}
+		if won != 1 {
+			t.Errorf("%d took the shard, want 1", won)
+		}
+	})
+}
+
+func TestADeposedOwnerWritesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		former := take(t, store.Caller(), "a")
+		take(t, store.Caller(), "b")
+		var deposed *leadership.DeposedError
+		if err := former.Commit(t.Context(), progress("former"), nil); !errors.As(err, &deposed) || deposed.By.Node != "b" {
+			t.Errorf("got %v, want to be deposed by b", err)
+		}
+		if got := value(store); got != "" {
+			t.Errorf("the former owner wrote %q", got)
+		}
+	})
+}
+
+// A transaction without an answer is settled by the store, never guessed, and
+// its late copy changes nothing.
+func TestUnansweredTransactions(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault memory.Fault
+	}{
+		{"done, answer lost", memory.Fault{Mute: true}},
+		{"not done, no answer", memory.Fault{Silent: true}},
+		{"refused", memory.Fault{Refuse: true}},
+		{"done seconds later", memory.Fault{Late: 3 * time.Second}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memory.New()
+				caller := store.Caller()
+				reign := take(t, caller, "a")
+				writes := 0
+				caller.SetFault(func(write bool) memory.Fault {
+					if !write {
+						return memory.Fault{}
+					}
+					writes++
+					if writes == 1 {
+						return test.fault
+					}
+					return memory.Fault{}
+				})
+				for _, text := range []string{"first", "second"} {
+					if err := reign.Commit(t.Context(), progress(text), nil); err != nil {
+						t.Fatal(err)
+					}
+					if got := value(store); got != text {
+						t.Errorf("the row holds %q after %q was written", got, text)
+					}
+				}
+				time.Sleep(10 * time.Second)
+				if got := value(store); got != "second" {
+					t.Errorf("a late copy left %q", got)
+				}
+				if err := reign.Commit(t.Context(), progress("third"), nil); err != nil {
+					t.Errorf("after the late copy: %v", err)
+				}
+			})
+		})
+	}
+}
+
+func TestFailingSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller := memory.New().Caller()
+		reign := take(t, caller, "a")
+		if !reign.FailingSince().IsZero() {
+			t.Error("failing at the start")
+		}
+		caller.SetFault(func(bool) memory.Fault { return memory.Fault{Refuse: true} })
+		begun := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		if err := reign.Commit(ctx, nil, nil); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v", err)
+		}
+		if got := reign.FailingSince(); !got.Equal(begun) {
+			t.Errorf("failing since %v, want %v", got, begun)
+		}
+		caller.SetFault(nil)
+		if err := reign.Commit(t.Context(), nil, nil); err != nil || !reign.FailingSince().IsZero() {
+			t.Errorf("after the store is back: %v, failing since %v", err, reign.FailingSince())
+		}
+	})
+}
--- /dev/null
+++ b/settings/node_test.go
@@ -0,0 +1,72 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"chutereach/settings"
+)
+
+const goodNode = `[node]
+name = edge-1
+zone = north
+front = 10.1.0.13:8161
+ready = 10.1.0.13:8167
+peer = 10.1.0.13:7720
+[store]
+address = 10.200.1.7:8169
+[advice]
+address =
+[times]
+lease = 6000ms
+grace = 0.5s
+`
+
+func nodeFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestNodeSettings(t *testing.T) {
+	s, err := settings.LoadNode([]string{"--config", nodeFile(t, goodNode)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Self.Name != "edge-1" || s.Times.Lease != 6*time.Second || s.Times.Grace != 500*time.Millisecond || s.Times.KeepFinal != 2*time.Minute {
+		t.Errorf("settings: %+v", s)
+	}
+	if shown := s.Print(); !strings.Contains(shown, "front = 10.1.0.13:8161") {
+		t.Errorf("shown: %s", shown)
+	}
+}
+
+func TestNodeSettingsThatAreWrong(t *testing.T) {
+	cases := []struct{ name, from, to, want string }{
+		{"an unknown key", "zone = north", "zome = north", ":3: zome"},
+		{"no address", "10.1.0.13:7720", "somewhere", ":6: peer"},
+		{"a host name", "10.200.1.7:8169", "store:8169", ":8: address"},
+		{"a bad time", "6000ms", "soon", ":12: "},
+		{"a short lease", "6000ms", "10ms", ":12: lease"},
+		{"no name", "edge-1", "", ":2: name"},
+		{"no grace", "0.5s", "0s", ":13: grace"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			path := nodeFile(t, strings.Replace(goodNode, test.from, test.to, 1))
+			_, err := settings.LoadNode([]string{"--config", path})
+			if err == nil || !strings.Contains(err.Error(), test.want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("got %v, want one line with %q", err, test.want)
+			}
+		})
+	}
+	if _, err := settings.LoadNode([]string{"--config", filepath.Join(t.TempDir(), "none.ini")}); err == nil {
+		t.Error("a missing file was read")
+	}
+}
