leadership, node: hedged sendings to a slow store; handovers only to nodes it answers quickly

Change: a sending without an answer is kept while another is sent; an heir must read the store within 150 ms; handovers are apart from heartbeats; callers wait for a slow store up to 2.5 s, and are told at once when it is down; a new job takes one row; slow transactions are logged.

--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -19,7 +19,6 @@
 
 	"chutereach/codec"
 	"chutereach/rowstore"
-	"chutereach/wait"
 )
 
 const (
@@ -88,29 +87,31 @@
 	token   uint64
 	row     Row
 	version uint64
-	timeout time.Duration
+	delay   time.Duration // after which a transaction without an answer is sent again
 	// sent is when the last successful transaction was sent, and tried since when
 	// the store has failed without a success; both in Unix nanoseconds.
 	sent   atomic.Int64
 	failed atomic.Int64
 }
 
-// Bounds of the time that a transaction's answer is waited for; it follows the
-// store's own speed between them. A call that is given up and sent again is not
-// lost work: if it was applied, the second tells so. A silent store is noticed to
-// be back within the longer bound.
 const (
-	minTimeout   = 150 * time.Millisecond
-	maxTimeout   = 600 * time.Millisecond
-	retryPause   = 25 * time.Millisecond
-	timeoutRatio = 5
+	// minDelay and maxDelay bound after what time without an answer a transaction
+	// is sent again; in between it follows the store's own speed.
+	minDelay    = 150 * time.Millisecond
+	maxDelay    = 1200 * time.Millisecond
+	delayRatio  = 3
+	delayGrowth = 2
+	// maxCalls bounds the sendings of one transaction under way at once.
+	maxCalls    = 4
+	callTimeout = 3 * time.Second
+	retryPause  = 25 * time.Millisecond
 )
 
 // Take makes a node the owner of a shard, provided that the row still is as it
 // was seen. It returns a DeposedError if another node was faster.
 func Take(ctx context.Context, store rowstore.Store, shard, node, address string, seen Sighting) (*Reign, error) {
 	reign := &Reign{
-		store: store, shard: shard, version: seen.Version, timeout: maxTimeout,
+		store: store, shard: shard, version: seen.Version, delay: minDelay,
 		row: Row{Node: node, Address: address, Reign: xid.New().String()},
 	}
 	if err := reign.Commit(ctx, nil, nil); err != nil {
@@ -137,55 +138,102 @@
 
 // Commit applies puts and deletes as the shard's owner. It tries until the
 // outcome is certain: nil, a DeposedError, or the error of ctx.
+//
+// A call without an answer is not given up when another is sent: a slow store
+// answers the first, one that loses answers the second. All carry the same
+// transaction, of which one at most applies.
 func (r *Reign) Commit(ctx context.Context, puts []rowstore.Put, deletes []rowstore.Key) error {
 	next := r.row
 	next.Sequence++
-	transaction := rowstore.Transaction{
-		Conditions: []rowstore.Condition{{Key: keyOf(r.shard), Version: r.version}},
-		Puts:       append([]rowstore.Put{{Key: keyOf(r.shard), Value: codec.MustMarshal(next)}}, puts...),
-		Deletes:    deletes,
+	calls := &calls{
+		reign: r, next: next, begun: time.Now(), results: make(chan result, maxCalls),
+		transaction: rowstore.Transaction{
+			Conditions: []rowstore.Condition{{Key: keyOf(r.shard), Version: r.version}},
+			Puts:       append([]rowstore.Put{{Key: keyOf(r.shard), Value: codec.MustMarshal(next)}}, puts...),
+			Deletes:    deletes,
+		},
 	}
-	begun := time.Now()
-	for {
-		version, err := r.try(ctx, transaction, next)
-		if err == nil {
-			r.version, r.row = version, next
-			return nil
-		}
-		var deposed *DeposedError
-		if errors.As(err, &deposed) {
-			return err
-		}
-		r.failed.CompareAndSwap(0, begun.UnixNano())
-		if err := wait.For(ctx, retryPause); err != nil {
-			return err
-		}
+	version, err := calls.untilCertain(ctx)
+	if err != nil {
+		return err
 	}
+	r.version, r.row = version, next
+	return nil
+}
+
+// calls are the sendings of one transaction.
+type calls struct {
+	reign       *Reign
+	transaction rowstore.Transaction
+	next        Row
+	begun       time.Time
+	results     chan result
+	open        int
+}
+
+// result is what came of one sending.
+type result struct {
+	version uint64
+	err     error
+	sent    time.Time
 }
 
-func (r *Reign) try(ctx context.Context, transaction rowstore.Transaction, next Row) (uint64, error) {
-	sent := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, r.timeout)
+func (c *calls) untilCertain(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	version, err := r.store.Commit(callCtx, transaction)
-	var conflict *rowstore.ConflictError
-	if errors.As(err, &conflict) {
-		version, err = r.settle(conflict, next)
-	}
-	if err == nil {
-		r.succeeded(sent)
-		return version, nil
-	}
-	var unknown *rowstore.UnknownError
-	if errors.As(err, &unknown) {
-		r.timeout = min(maxTimeout, 2*r.timeout)
+	delay := c.reign.delay
+	again := time.NewTimer(delay)
+	defer again.Stop()
+	c.send(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-again.C:
+			c.reign.failed.CompareAndSwap(0, c.begun.UnixNano())
+			if c.open < maxCalls {
+				c.send(ctx)
+			}
+			delay = min(maxDelay, delay*delayGrowth)
+			again.Reset(delay)
+		case got := <-c.results:
+			c.open--
+			var deposed *DeposedError
+			switch {
+			case got.err == nil:
+				c.reign.succeeded(got.sent)
+				return got.version, nil
+			case errors.As(got.err, &deposed):
+				return 0, got.err
+			}
+			c.reign.failed.CompareAndSwap(0, c.begun.UnixNano())
+			if c.open == 0 {
+				again.Reset(retryPause)
+			}
+		}
 	}
-	return 0, err
 }
 
+// send sends the transaction once more, without waiting for what comes of it.
+func (c *calls) send(ctx context.Context) {
+	c.open++
+	go func() {
+		sent := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		version, err := c.reign.store.Commit(callCtx, c.transaction)
+		var conflict *rowstore.ConflictError
+		if errors.As(err, &conflict) {
+			version, err = c.reign.settle(conflict, c.next)
+		}
+		c.results <- result{version, err, sent}
+	}()
+}
+
+// succeeded notes a transaction's success, and how long its answer took.
 func (r *Reign) succeeded(sent time.Time) {
 	took := time.Since(sent)
-	r.timeout = min(maxTimeout, max(minTimeout, (3*r.timeout+timeoutRatio*took)/4))
+	r.delay = min(maxDelay, max(minDelay, (r.delay+delayRatio*took)/2))
 	r.sent.Store(sent.UnixNano())
 	r.failed.Store(0)
 }
--- a/node/beat.go
+++ b/node/beat.go
@@ -27,6 +27,14 @@
 	for ctx.Err() == nil {
 		wait.For(ctx, beatEvery)
 		n.announce()
+	}
+}
+
+// storeLoop looks whether the store still answers an owner. It is apart from the
+// heartbeats, which a handover must not hold up.
+func (n *Node) storeLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait.For(ctx, beatEvery)
 		n.checkStore(ctx)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -91,6 +91,7 @@
 	n.tasks.Go(func() { n.register(ctx) })
 	n.tasks.Go(func() { n.watchOwner(ctx) })
 	n.tasks.Go(func() { n.beatLoop(ctx) })
+	n.tasks.Go(func() { n.storeLoop(ctx) })
 	<-ctx.Done()
 	n.tasks.Close()
 	n.client.Close()
--- a/node/owner.go
+++ b/node/owner.go
@@ -28,6 +28,10 @@
 	// holdTimeout is how long a handover waits for a transaction under way; a
 	// store that does not answer keeps it for longer.
 	holdTimeout = 200 * time.Millisecond
+	// quickLook is how quickly the store must answer an heir, and handoverTimeout
+	// how long one heir is waited for.
+	quickLook       = 150 * time.Millisecond
+	handoverTimeout = 700 * time.Millisecond
 	// heirTries is how often an heir tries to take a shard that still changes.
 	heirTries = 3
 )
@@ -361,7 +365,7 @@
 		defer release()
 	}
 	for _, heir := range heirs {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
 		_, err := peer.Call[nothing](callCtx, n.client, heir.Address, takeoverPath, takeoverCall{n.config.Self.Node})
 		cancel()
 		n.log.Info().Str("heir", heir.Node).Str("why", why).Err(err).Msg("handing the shard over")
@@ -377,12 +381,17 @@
 	}
 }
 
-func (n *Node) answerTakeover(ctx context.Context, call takeoverCall) (nothing, error) {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+// answerTakeover takes the shard over from its owner, if the store answers this
+// node quickly: one that is slow for all is no reason to hand over.
+func (n *Node) answerTakeover(_ context.Context, call takeoverCall) (nothing, error) {
+	quick, cancel := context.WithTimeout(n.ctx, quickLook)
 	defer cancel()
+	if _, err := leadership.Look(quick, n.platform.Store, n.config.Scheduler.Shard); err != nil {
+		return nothing{}, err
+	}
 	var err error
 	for range heirTries {
-		if err = n.inherit(callCtx, call.From); err == nil {
+		if err = n.inherit(n.ctx, call.From); err == nil {
 			break
 		}
 	}
@@ -390,7 +399,9 @@
 }
 
 // inherit takes the shard from a node that hands it over.
-func (n *Node) inherit(ctx context.Context, from string) error {
+func (n *Node) inherit(parent context.Context, from string) error {
+	ctx, cancel := context.WithTimeout(parent, storeTimeout)
+	defer cancel()
 	seen, err := leadership.Look(ctx, n.platform.Store, n.config.Scheduler.Shard)
 	if err != nil {
 		return err
@@ -398,5 +409,5 @@
 	if seen.Version != 0 && seen.Node != from && seen.Node != n.config.Self.Node {
 		return &NotOwnerError{}
 	}
-	return n.take(ctx, seen, "handed over by "+from)
+	return n.take(parent, seen, "handed over by "+from)
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// patience is how long a call waits for an owner, at most.
-	patience = 1400 * time.Millisecond
+	// patience is how long a call waits for its owner's answer, at most, and
+	// ownerPatience how long for there to be an owner.
+	patience      = 2500 * time.Millisecond
+	ownerPatience = 1400 * time.Millisecond
 	// ownerCall is how long one call to the owner may take.
-	ownerCall = 1200 * time.Millisecond
+	ownerCall = 2400 * time.Millisecond
 	ownerWait = 25 * time.Millisecond
 )
 
@@ -76,6 +78,7 @@
 func (n *Node) serve(ctx context.Context, id string, here func(context.Context, *scheduler.Scheduler) error, there func(context.Context, string, time.Duration) error) error {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
+	begun := time.Now()
 	var unsettled error // what a try that may have been carried out came to
 	for {
 		err := n.serveOnce(ctx, id, here, there)
@@ -95,7 +98,7 @@
 		default:
 			return err
 		}
-		if wait.For(ctx, ownerWait) != nil {
+		if wait.For(ctx, ownerWait) != nil || time.Since(begun) > ownerPatience {
 			if unsettled != nil {
 				return &scheduler.UnconfirmedError{Cause: unsettled}
 			}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -15,14 +15,17 @@
 	progressTable = "progress"
 )
 
-// maxJobsPerCommit keeps a transaction below the store's bound: each job takes
-// up to two entries, and the owner's row two.
-const maxJobsPerCommit = (rowstore.MaxEntries - 4) / 2
+// maxEntries bounds a transaction's entries for jobs; the owner's row takes two,
+// and a job three at most.
+const maxEntries = rowstore.MaxEntries - 5
 
 // commitGap is the least time between the starts of two transactions, so that
 // changes share them: each call to the store has its price.
 const commitGap = 20 * time.Millisecond
 
+// slowCommit is from when on a transaction is worth a line in the log.
+const slowCommit = 400 * time.Millisecond
+
 // idleCommit is how often an owner without changes shows that it lives.
 const idleCommit = 250 * time.Millisecond
 
@@ -83,7 +86,11 @@
 	if err := s.reign.Commit(ctx, puts, deletes); err != nil {
 		return err
 	}
-	s.metrics.commit(time.Since(begun), len(batch))
+	took := time.Since(begun)
+	s.metrics.commit(took, len(batch))
+	if took > slowCommit {
+		s.log.Warn().Dur("took", took).Int("jobs", len(batch)).Msg("slow transaction")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, w := range batch {
@@ -98,34 +105,45 @@
 	return nil
 }
 
-// takeDirty takes jobs off the queue and encodes their rows.
+// takeDirty takes as many jobs off the queue as a transaction holds, and encodes
+// their rows.
 func (s *Scheduler) takeDirty() ([]written, []rowstore.Put, []rowstore.Key) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	count := min(len(s.dirty), maxJobsPerCommit)
-	batch := make([]written, 0, count)
+	var batch []written
 	var puts []rowstore.Put
 	var deletes []rowstore.Key
-	for _, j := range s.dirty[:count] {
+	for len(batch) < len(s.dirty) && len(puts)+len(deletes) < maxEntries {
+		j := s.dirty[len(batch)]
 		j.queued = false
 		batch = append(batch, written{j, j.generation, j.state})
-		if j.forgotten {
-			deletes = append(deletes, s.key(progressTable, j.id))
-			continue
-		}
-		puts = append(puts, rowstore.Put{Key: s.key(progressTable, j.id), Value: j.progress().Encode()})
-		switch {
-		case j.state.Final() && j.inserted:
-			deletes = append(deletes, s.key(recordTable, j.id))
-		case !j.state.Final() && !j.inserted:
-			puts = append(puts, rowstore.Put{Key: s.key(recordTable, j.id), Value: j.record.Encode()})
-		}
-		j.inserted = !j.state.Final()
+		jobPuts, jobDeletes := s.rowsOf(j)
+		puts, deletes = append(puts, jobPuts...), append(deletes, jobDeletes...)
 	}
-	s.dirty = append(s.dirty[:0], s.dirty[count:]...)
+	s.dirty = append(s.dirty[:0], s.dirty[len(batch):]...)
 	return batch, puts, deletes
 }
 
+// rowsOf returns what to write of a job. A job of which nothing has begun has no
+// row of progress.
+func (s *Scheduler) rowsOf(j *job) (puts []rowstore.Put, deletes []rowstore.Key) {
+	if j.forgotten {
+		return nil, []rowstore.Key{s.key(progressTable, j.id)}
+	}
+	final := j.state.Final()
+	switch {
+	case final && j.inserted:
+		deletes = append(deletes, s.key(recordTable, j.id))
+	case !final && !j.inserted:
+		puts = append(puts, rowstore.Put{Key: s.key(recordTable, j.id), Value: j.record.Encode()})
+	}
+	if progress := j.progress(); final || j.inserted || len(progress.Steps) > 0 {
+		puts = append(puts, rowstore.Put{Key: s.key(progressTable, j.id), Value: progress.Encode()})
+	}
+	j.inserted = !final
+	return puts, deletes
+}
+
 func (s *Scheduler) key(table, name string) rowstore.Key {
 	return rowstore.Key{Table: table, Partition: s.shard, Name: name}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -257,8 +257,8 @@
 	if s.deposed != nil {
 		return s.deposed
 	}
-	if since := s.reign.FailingSince(); !since.IsZero() && time.Since(since) > refuseAfter {
-		return &OverloadedError{"the store does not answer", time.Second}
+	if s.storeIsDown() {
+		return &OverloadedError{(&StoreDownError{}).Error(), time.Second}
 	}
 	return nil
 }
@@ -276,16 +276,38 @@
 	if own == nil {
 		own = context.Background()
 	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return &UnconfirmedError{ctx.Err()}
-	case <-own.Done():
-		return &UnconfirmedError{context.Cause(own)}
+	tick := time.NewTicker(outageCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return nil
+		case <-ctx.Done():
+			return &UnconfirmedError{ctx.Err()}
+		case <-own.Done():
+			return &UnconfirmedError{context.Cause(own)}
+		case <-tick.C:
+			if s.storeIsDown() {
+				return &UnconfirmedError{&StoreDownError{}}
+			}
+		}
 	}
 }
 
+// outageCheck is how often a caller that waits for the store is spared a wait
+// that has become hopeless.
+const outageCheck = 100 * time.Millisecond
+
+// StoreDownError says that the store has not answered for a while.
+type StoreDownError struct{}
+
+func (e *StoreDownError) Error() string { return "the store does not answer" }
+
+func (s *Scheduler) storeIsDown() bool {
+	since := s.reign.FailingSince()
+	return !since.IsZero() && time.Since(since) > refuseAfter
+}
+
 // Cancel cancels a job and returns once that is in the store.
 func (s *Scheduler) Cancel(ctx context.Context, id string) error {
 	s.mu.Lock()
