scheduler: bundles for more changes than a transaction holds one by one

Cause: with the store 60 times as slow a transaction takes 0.55 s and held some 55 jobs' rows; 300 changes a second came.

Change: from 60 changed jobs on, rows that hold the progress of many jobs; the generation tells which row is the latest; they dissolve once there is time.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -33,6 +33,9 @@
 	return data
 }
 
+// Raw is a value that Marshal has written already.
+type Raw = cbor.RawMessage
+
 // Unmarshal reads what Marshal wrote.
 func Unmarshal(data []byte, v any) error { return cbor.Unmarshal(data, v) }
 
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -19,6 +19,13 @@
 // and a job three at most.
 const maxEntries = rowstore.MaxEntries - 5
 
+const (
+	// maxSingly is from how many changed jobs on they are written in bundles.
+	maxSingly = 60
+	// maxDeadAtOnce bounds the bundles that one transaction deletes.
+	maxDeadAtOnce = 10
+)
+
 // commitGap is the least time between the starts of two transactions, so that
 // changes share them: each call to the store has its price.
 const commitGap = 20 * time.Millisecond
@@ -78,6 +85,7 @@
 	job        *job
 	generation uint64
 	state      workload.State
+	bundle     *bundle // that it was written into; nil: a row of its own
 }
 
 func (s *Scheduler) commitOnce(ctx context.Context) error {
@@ -99,8 +107,11 @@
 	for _, w := range s.workers {
 		w.advanceNoted()
 	}
-	if len(s.dirty) > 0 {
+	switch {
+	case len(s.dirty) > 0:
 		wake(s.commitWake)
+	case took < slowCommit:
+		s.unbundle()
 	}
 	return nil
 }
@@ -112,11 +123,15 @@
 	defer s.mu.Unlock()
 	var batch []written
 	var puts []rowstore.Put
-	var deletes []rowstore.Key
+	deletes := s.takeDeadBundles()
+	if len(s.dirty) > maxSingly {
+		batch, puts = s.takeBundles()
+		return batch, puts, deletes
+	}
 	for len(batch) < len(s.dirty) && len(puts)+len(deletes) < maxEntries {
 		j := s.dirty[len(batch)]
 		j.queued = false
-		batch = append(batch, written{j, j.generation, j.state})
+		batch = append(batch, written{job: j, generation: j.generation, state: j.state})
 		jobPuts, jobDeletes := s.rowsOf(j)
 		puts, deletes = append(puts, jobPuts...), append(deletes, jobDeletes...)
 	}
@@ -124,6 +139,14 @@
 	return batch, puts, deletes
 }
 
+// takeDeadBundles takes some bundles that nobody needs.
+func (s *Scheduler) takeDeadBundles() []rowstore.Key {
+	count := min(len(s.deadBundles), maxDeadAtOnce)
+	dead := append([]rowstore.Key(nil), s.deadBundles[:count]...)
+	s.deadBundles = s.deadBundles[count:]
+	return dead
+}
+
 // rowsOf returns what to write of a job. A job of which nothing has begun has no
 // row of progress.
 func (s *Scheduler) rowsOf(j *job) (puts []rowstore.Put, deletes []rowstore.Key) {
@@ -152,6 +175,7 @@
 	j := w.job
 	j.saved = max(j.saved, w.generation)
 	j.savedState = w.state
+	s.enterBundle(j, w.bundle)
 	rest := j.afterSave[:0]
 	var due []saveAction
 	for _, action := range j.afterSave {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -107,9 +107,11 @@
 	generation uint64
 	saved      uint64
 	savedState workload.State
-	queued     bool // for the next transaction
-	inserted   bool // the record's row is in the store
-	forgotten  bool // its rows are to be deleted
+	queued     bool      // for the next transaction
+	inserted   bool      // the record's row is in the store
+	forgotten  bool      // its rows are to be deleted
+	bundle     *bundle   // that holds its latest row; nil: the row is its own
+	inherited  []*bundle // of a former owner that may hold its latest row
 	afterSave  []saveAction
 	ended      chan struct{} // closed once the job is final in memory
 }
@@ -221,7 +223,7 @@
 
 // progress returns what must last of the job.
 func (j *job) progress() workload.Progress {
-	p := workload.Progress{State: j.state, Begun: j.begun, FinalAt: j.finalAt}
+	p := workload.Progress{State: j.state, Begun: j.begun, FinalAt: j.finalAt, Generation: j.generation}
 	if j.state.Final() {
 		return p
 	}
@@ -259,6 +261,7 @@
 // restore applies what lasted of the job. hosts returns the worker of an id.
 func (j *job) restore(p workload.Progress, hosts func(id string) *worker) {
 	j.state, j.savedState, j.begun, j.finalAt = p.State, p.State, p.Begun, p.FinalAt
+	j.generation, j.saved = max(1, p.Generation), max(1, p.Generation)
 	for _, sp := range p.Steps {
 		if sp.Round >= len(j.rounds) || sp.Step >= len(j.rounds[sp.Round].steps) {
 			continue
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -13,7 +13,7 @@
 
 // Load reads what a former owner left. It must end well before Run.
 func (s *Scheduler) Load(ctx context.Context) error {
-	var records, progress []rowstore.Row
+	var records, progress, bundles []rowstore.Row
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
 		records, _, err = rowstore.ReadAll(groupCtx, s.store, recordTable, s.shard)
@@ -23,15 +23,23 @@
 		progress, _, err = rowstore.ReadAll(groupCtx, s.store, progressTable, s.shard)
 		return err
 	})
+	group.Go(func() (err error) {
+		bundles, _, err = rowstore.ReadAll(groupCtx, s.store, bundleTable, s.shard)
+		return err
+	})
 	if err := group.Wait(); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.restore(records, progress)
+	latest, err := s.bundledRows(bundles)
+	if err != nil {
+		return err
+	}
+	return s.restore(records, progress, latest, bundles)
 }
 
-func (s *Scheduler) restore(records, progress []rowstore.Row) error {
+func (s *Scheduler) restore(records, progress []rowstore.Row, latest map[string]bundled, bundles []rowstore.Row) error {
 	now := time.Now()
 	for _, row := range records {
 		record, err := workload.DecodeRecord(row.Name, row.Value)
@@ -39,9 +47,12 @@
 			s.log.Error().Str("job", row.Name).Err(err).Msg("job cannot be read and waits")
 			continue
 		}
-		j := newJob(row.Name, record, now)
-		j.generation, j.saved, j.inserted = 1, 1, true
-		s.jobs[j.id], s.active[j.id] = j, j
+		s.restoreRecord(row.Name, record, now).inserted = true
+	}
+	for id, entry := range latest {
+		if entry.Record != nil && s.jobs[id] == nil {
+			s.restoreRecord(id, *entry.Record, now)
+		}
 	}
 	for _, row := range progress {
 		p, err := workload.DecodeProgress(row.Name, row.Value)
@@ -49,19 +60,54 @@
 			s.log.Error().Str("job", row.Name).Err(err).Msg("progress cannot be read")
 			continue
 		}
+		if entry, ok := latest[row.Name]; ok && entry.Progress.Generation > p.Generation {
+			continue
+		}
+		delete(latest, row.Name)
 		s.restoreProgress(row.Name, p)
 	}
-	s.log.Info().Int("jobs", len(s.jobs)).Int("active", len(s.active)).Int("workers", len(s.workers)).Msg("loaded")
+	for id, entry := range latest {
+		s.restoreProgress(id, entry.Progress)
+	}
+	s.adoptBundles(latest, bundles)
+	s.log.Info().Int("jobs", len(s.jobs)).Int("active", len(s.active)).Int("workers", len(s.workers)).
+		Int("bundles", len(bundles)).Msg("loaded")
 	return nil
 }
 
+func (s *Scheduler) restoreRecord(id string, record workload.Record, now time.Time) *job {
+	j := newJob(id, record, now)
+	j.generation, j.saved = 1, 1
+	s.jobs[id], s.active[id] = j, j
+	return j
+}
+
+// adoptBundles has the jobs whose latest row is in a former owner's bundle keep
+// all of its bundles until they are written one by one.
+func (s *Scheduler) adoptBundles(latest map[string]bundled, rows []rowstore.Row) {
+	for _, row := range rows {
+		b := &bundle{name: row.Name, jobs: map[string]*job{}}
+		for id := range latest {
+			if j := s.jobs[id]; j != nil {
+				b.jobs[id] = j
+				j.inherited = append(j.inherited, b)
+			}
+		}
+		if len(b.jobs) == 0 {
+			s.deadBundles = append(s.deadBundles, s.key(bundleTable, row.Name))
+			continue
+		}
+		s.bundles[row.Name] = b
+	}
+}
+
 func (s *Scheduler) restoreProgress(id string, p workload.Progress) {
 	j := s.jobs[id]
 	if j == nil {
 		if p.State.Final() {
 			s.jobs[id] = &job{
 				id: id, state: p.State, savedState: p.State, begun: p.Begun, finalAt: p.FinalAt,
-				generation: 1, saved: 1,
+				generation: max(1, p.Generation), saved: max(1, p.Generation),
 			}
 		}
 		return
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,6 +66,9 @@
 	// of workers.
 	serial      uint64
 	fleetSerial uint64
+	bundles     map[string]*bundle
+	deadBundles []rowstore.Key // to be deleted
+	bundleCount uint64
 	commitTurn  chan struct{} // holds a token while a transaction is under way
 	deposed     error
 	paused      bool
@@ -84,7 +87,7 @@
 		shard: config.Shard, lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, reign: reign, log: log.With().Uint64("token", reign.Token()).Logger(), metrics: metrics,
 		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
-		queues: map[string]workload.Queue{}, stopping: map[string]bool{},
+		queues: map[string]workload.Queue{}, stopping: map[string]bool{}, bundles: map[string]*bundle{},
 		formerLeasesEnd: time.Now().Add(widest), Loaded: make(chan struct{}),
 		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
 	}
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -41,11 +41,12 @@
 
 // Progress is what must last of a job besides its request.
 type Progress struct {
-	State     State          `cbor:"1,keyasint"`
-	Steps     []StepProgress `cbor:"2,keyasint,omitempty"`
-	Begun     bool           `cbor:"3,keyasint,omitempty"` // a task has been started
-	FinalAt   int64          `cbor:"4,keyasint,omitempty"` // ms since 1970, when it became final
-	Cancelled bool           `cbor:"5,keyasint,omitempty"`
+	State   State          `cbor:"1,keyasint"`
+	Steps   []StepProgress `cbor:"2,keyasint,omitempty"`
+	Begun   bool           `cbor:"3,keyasint,omitempty"` // a task has been started
+	FinalAt int64          `cbor:"4,keyasint,omitempty"` // ms since 1970, when it became final
+	// Generation counts the changes of the job; of two rows the higher is later.
+	Generation uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // SetBit marks a task in a bit set and returns it.
