--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -97,7 +97,7 @@
 const (
 	// minDelay and maxDelay bound after what time without an answer a transaction
 	// is sent again; in between it follows the store's own speed.
-	minDelay    = 150 * time.Millisecond
+	minDelay    = 60 * time.Millisecond
 	maxDelay    = 1200 * time.Millisecond
 	delayRatio  = 3
 	delayGrowth = 2
