--- a/node/serve.go
+++ b/node/serve.go
@@ -15,7 +15,7 @@
 	// patience is how long a call waits for its owner's answer, at most, and
 	// ownerPatience how long for there to be an owner.
 	patience      = 2500 * time.Millisecond
-	ownerPatience = 1400 * time.Millisecond
+	ownerPatience = 1300 * time.Millisecond
 	// ownerCall is how long one call to the owner may take.
 	ownerCall = 2400 * time.Millisecond
 	ownerWait = 25 * time.Millisecond
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -228,7 +228,7 @@
 
 // refuseAfter is how long the store may fail before new jobs are refused. Until
 // then a node that the store does answer may take the shard over.
-const refuseAfter = 1500 * time.Millisecond
+const refuseAfter = 1200 * time.Millisecond
 
 // Submit takes a job in, and returns once it is in the store. A job that is
 // known already is the same job.
