scheduler: workers that fail, hang or turn slow are spared

Change: failures and speed of each worker as means that forget; the score of a worker counts them; a task that failed goes elsewhere; one whose progress stands still for 1.5 s, or an urgent one that has hardly begun on a slow worker, is stopped and placed anew.

--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -74,13 +74,14 @@
 	starts  int
 	advice  int
 	fault   func(call Call, worker string) Fault
+	sick    map[string]Plan // how every attempt goes on a worker
 }
 
 // New returns a fleet without workers.
 func New() *Fleet {
 	return &Fleet{
 		workers: map[string]*worker{}, kinds: map[string]Kind{}, dones: map[string]bool{}, failed: map[string]int{},
-		gangs: map[string]*gang{}, tickets: map[string]time.Time{},
+		gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{},
 	}
 }
 
@@ -92,6 +93,15 @@
 	saved   string
 	timer   *time.Timer
 	stopped bool
+	work    time.Duration // that its plan takes; 0: none
+}
+
+// percent is how much of the work is done.
+func (r *run) percent() int {
+	if r.began.IsZero() || r.work <= 0 {
+		return 0
+	}
+	return min(99, int(100*(savedWork(r.saved)+time.Since(r.began))/r.work))
 }
 
 type gang struct{ members map[int]*worker }
@@ -157,6 +167,13 @@
 	f.workers[id].info.Draining = true
 }
 
+// SetSick makes every attempt on a worker go by one plan.
+func (f *Fleet) SetSick(id string, plan Plan) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sick[id] = plan
+}
+
 // Know tells the judge of a job before it is handed in.
 func (f *Fleet) Know(job string, kind Kind) {
 	f.mu.Lock()
@@ -337,9 +354,13 @@
 	if kind.Plan != nil {
 		plan = kind.Plan(r.task, r.number)
 	}
+	if sick, ok := f.sick[w.info.ID]; ok {
+		plan = sick
+	}
 	if plan.Hangs {
 		return
 	}
+	r.work = plan.Work
 	left := plan.Work - savedWork(r.saved)
 	r.timer.Stop()
 	r.timer = time.AfterFunc(max(0, left), func() {
@@ -506,7 +527,7 @@
 	f.note(w, order.Noted)
 	report := fleet.Report{Clock: w.clock(), Ended: slices.Clone(w.ended)}
 	for name, r := range w.runs {
-		report.Running = append(report.Running, fleet.Attempt{Task: name, Number: r.number, Checkpoint: r.checkpoint()})
+		report.Running = append(report.Running, fleet.Attempt{Task: name, Number: r.number, Checkpoint: r.checkpoint(), Percent: r.percent()})
 	}
 	return report, nil
 }
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -186,7 +186,7 @@
 	}
 	p.held = false
 	for _, t := range c.tasks {
-		w := s.bestWorker(p, c)
+		w := s.bestWorker(p, c, t)
 		if w == nil {
 			st.noRoom(p)
 			return
@@ -203,15 +203,19 @@
 	}
 }
 
-// bestWorker returns the worker for one task of a step, or nil.
-func (s *Scheduler) bestWorker(p *pass, c candidate) *worker {
+// bestWorker returns the worker for a task of a step, or nil.
+func (s *Scheduler) bestWorker(p *pass, c candidate, t *task) *worker {
 	var best *worker
 	bestScore := 0.0
 	for _, w := range p.pools[c.step.job.record.Queue.Service] {
 		if w.grew <= c.step.tried || p.slots(c, w) < 1 {
 			continue
 		}
-		if score := scoreOf(c.step, w, p.now); best == nil || score < bestScore {
+		score := s.scoreOf(c.step, w, p.now)
+		if t.failedOn == w {
+			score += suspectPenalty
+		}
+		if best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -249,11 +253,13 @@
 const (
 	farPenalty     = 4.0 // the data is in another rack
 	suspectPenalty = 8.0 // it has failed much of late
+	failurePenalty = 6.0 // times the share of attempts that fail there
+	slowPenalty    = 6.0 // times how much slower it is than the fleet
 )
 
 // scoreOf rates a worker for a task: the fullest that takes it, so that room for
-// large tasks stays whole.
-func scoreOf(st *step, w *worker, now time.Time) float64 {
+// large tasks stays whole, unless it fails or is slow.
+func (s *Scheduler) scoreOf(st *step, w *worker, now time.Time) float64 {
 	left := w.free().Minus(st.need())
 	score := ratio(int64(left.CPU), int64(w.info.Capacity.CPU)) + ratio(int64(left.Memory), int64(w.info.Capacity.Memory))
 	if st.spec.NearRack != "" && st.spec.NearRack != w.info.Rack {
@@ -262,9 +268,17 @@
 	if w.health.suspect(now) {
 		score += suspectPenalty
 	}
+	score += failurePenalty * w.health.failures
+	if slow := w.health.slowness(s.fleetSpeed, now); slow > slowFrom {
+		score += slowPenalty * slow
+	}
 	return score
 }
 
+// slowFrom is the slowness below which a worker counts as sound: estimates are
+// rough.
+const slowFrom = 0.4
+
 func ratio(part, whole int64) float64 {
 	if whole == 0 {
 		return 0
--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -36,6 +36,7 @@
 	case outcome == fleet.Done && !st.spec.Lasting:
 		s.taskDone(t)
 	case outcome == fleet.Failed && !st.spec.Lasting:
+		t.failedOn = w
 		s.taskFailed(t)
 	case outcome == fleet.Failed:
 		st.retryAt = time.Now().Add(failurePause)
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -42,7 +42,7 @@
 	if c.step.spec.SameRack {
 		shares = oneRack(shares, len(c.tasks))
 	}
-	if shares = enough(shares, len(c.tasks), c, p); shares == nil {
+	if shares = s.enough(shares, len(c.tasks), c, p); shares == nil {
 		c.step.noRoom(p)
 		s.keepFree(p, c)
 		return
@@ -74,7 +74,7 @@
 }
 
 // enough returns shares that take all tasks, the best workers first, or nil.
-func enough(shares []share, tasks int, c candidate, p *pass) []share {
+func (s *Scheduler) enough(shares []share, tasks int, c candidate, p *pass) []share {
 	total := 0
 	for _, part := range shares {
 		total += part.tasks
@@ -83,7 +83,7 @@
 		return nil
 	}
 	sort.Slice(shares, func(i, k int) bool {
-		a, b := scoreOf(c.step, shares[i].worker, p.now), scoreOf(c.step, shares[k].worker, p.now)
+		a, b := s.scoreOf(c.step, shares[i].worker, p.now), s.scoreOf(c.step, shares[k].worker, p.now)
 		if a != b {
 			return a < b
 		}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -11,25 +11,46 @@
 	suspectAfter = 2
 	suspectPause = time.Second
 	suspectMost  = 4 * time.Second
+	// failureWeight and speedWeight are the weights of the newest sample in the
+	// means.
+	failureWeight = 0.25
+	speedWeight   = 0.3
+	// sampleEvery is the least time over which progress is measured, fastest the
+	// most that a sample counts for, and recoverTime how soon a worker without
+	// samples counts as sound again.
+	sampleEvery = 150 * time.Millisecond
+	fastest     = 3.0
+	recoverTime = 4 * time.Second
+	// stalledAfter is how long a task's progress may stand still, at the least,
+	// and stalledShare the same as a share of its estimate.
+	stalledAfter = 1500 * time.Millisecond
+	stalledShare = 0.15
 )
 
-// health is what an owner concludes from how attempts ended on a worker.
+// health is what an owner concludes of a worker from how attempts go there. It
+// tells workers that fail, hang or turn slow from sound ones; none is ever given
+// up, as each gets work again when the others are full.
 type health struct {
-	failedRow int    // failures in a row
-	lastJob   string // of the last failure
+	failures  float64 // mean share of attempts that fail
+	failedRow int     // failures in a row of different jobs
+	lastJob   string  // of the last failure
 	until     time.Time
 	pause     time.Duration
+	speed     float64 // mean speed of tasks against their estimates; 0: not known
+	sampledAt time.Time
 }
 
 // ended takes in an attempt's end.
 func (h *health) ended(t *task, outcome fleet.Outcome, stopping bool, now time.Time) {
 	switch {
 	case outcome == fleet.Done:
-		*h = health{}
+		h.failures *= 1 - failureWeight
+		h.failedRow, h.lastJob, h.pause, h.until = 0, "", 0, time.Time{}
 	case outcome == fleet.Failed && !stopping:
 		if h.lastJob == t.step.job.id {
 			return // it may be the job's own fault
 		}
+		h.failures += (1 - h.failures) * failureWeight
 		h.lastJob = t.step.job.id
 		h.failedRow++
 		if h.failedRow >= suspectAfter {
@@ -41,3 +62,75 @@
 
 // suspect reports whether the worker should be spared for now.
 func (h *health) suspect(now time.Time) bool { return now.Before(h.until) }
+
+// progressed takes in how fast a task went since the last sample.
+func (h *health) progressed(speed float64, now time.Time) {
+	speed = min(fastest, speed)
+	if h.speed == 0 && h.sampledAt.IsZero() {
+		h.speed = speed
+	} else {
+		h.speed += (speed - h.speed) * speedWeight
+	}
+	h.sampledAt = now
+}
+
+// slowness is 0 for a worker that is as fast as the fleet, and 1 for one on which
+// nothing moves.
+func (h *health) slowness(fleetSpeed float64, now time.Time) float64 {
+	if h.sampledAt.IsZero() || fleetSpeed == 0 {
+		return 0
+	}
+	slow := max(0, 1-h.speed/fleetSpeed)
+	forgotten := min(1, float64(now.Sub(h.sampledAt))/float64(recoverTime))
+	return slow * (1 - forgotten)
+}
+
+// sample measures a task's progress, as a worker reports it.
+func (s *Scheduler) sample(t *task, percent int, now time.Time) {
+	if t.sampledAt.IsZero() {
+		t.sampledAt, t.sampled = now, percent
+		return
+	}
+	elapsed := now.Sub(t.sampledAt)
+	if elapsed < sampleEvery || t.step.spec.Estimate == 0 || t.step.spec.Lasting || t.step.spec.Gang {
+		return
+	}
+	moved := float64(percent-t.sampled) / 100 * float64(t.step.spec.Estimate)
+	speed := max(0, moved/float64(elapsed))
+	t.worker.health.progressed(speed, now)
+	s.fleetSpeed += (min(fastest, speed) - s.fleetSpeed) * fleetWeight
+	t.sampledAt, t.sampled = now, percent
+}
+
+// fleetWeight is the weight of the newest sample in the mean speed of the fleet.
+const fleetWeight = 0.01
+
+// stalled reports whether a task's progress stands still.
+func (s *Scheduler) stalled(t *task, now time.Time) bool {
+	if !s.percentSeen || t.state != taskRunning || t.step.spec.Lasting || t.step.spec.Estimate == 0 {
+		return false
+	}
+	urgent := t.step.job.record.Queue.Priority == 0
+	if t.step.spec.Gang && (!urgent || t.worker.health.slowness(s.fleetSpeed, now) < implicated) {
+		return false // another member may hold it up, and much work would be lost
+	}
+	patience := max(stalledAfter, time.Duration(stalledShare*float64(t.step.spec.Estimate)))
+	return now.Sub(t.movedAt) > patience && now.Sub(t.begunAt) > patience
+}
+
+// dragging reports whether an urgent task has hardly begun on a worker that has
+// turned slow, so that it ends sooner elsewhere.
+func (s *Scheduler) dragging(t *task, now time.Time) bool {
+	spec := t.step.spec
+	return t.state == taskRunning && t.step.job.record.Queue.Priority == 0 && !spec.Gang && !spec.Lasting && !t.movedOnce &&
+		t.percent < dragPercent && now.Sub(t.begunAt) > dragAfter && t.worker.health.slowness(s.fleetSpeed, now) > implicated
+}
+
+const (
+	// implicated is the slowness from which a worker is to blame.
+	implicated = 0.65
+	// dragAfter is how long a task is given, and dragPercent what it should have
+	// done by then.
+	dragAfter   = 300 * time.Millisecond
+	dragPercent = 35
+)
--- /dev/null
+++ b/scheduler/health_test.go
@@ -0,0 +1,105 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/fleet/fleettest"
+	"chutereach/workload"
+)
+
+// placed notes on which worker attempts were started.
+type placed struct {
+	mu     sync.Mutex
+	starts map[string]int
+}
+
+func (p *placed) watch(c *cell) {
+	p.starts = map[string]int{}
+	c.fleet.SetFault(func(call fleettest.Call, worker string) fleettest.Fault {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if call == fleettest.CallStart {
+			p.starts[worker]++
+		}
+		return fleettest.Fault{}
+	})
+}
+
+// A worker on which all fails, or stands still, gets little after its first
+// victims, and no job is lost to it.
+func TestSickWorkersAreSpared(t *testing.T) {
+	cases := []struct {
+		name string
+		plan fleettest.Plan
+		most int // starts on the sick worker, of some 240
+	}{
+		{"all fails", fleettest.Plan{Work: 20 * time.Millisecond, Outcome: fleet.Failed}, 25},
+		{"all stands still", fleettest.Plan{Work: time.Minute, Hangs: true}, 40},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			inCell(t, 6, func(c *cell) {
+				c.queue.Priority = 0
+				var p placed
+				p.watch(c)
+				c.fleet.SetSick("w-03", test.plan)
+				o := c.rule()
+				var ids []string
+				for i := range 120 {
+					id := fmt.Sprintf("job-%03d", i)
+					ids = append(ids, id)
+					if err := c.submit(o, id, jobOf(2, 1000), work(600*time.Millisecond)); err != nil {
+						t.Fatal(err)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				for _, id := range ids {
+					c.await(o, id, workload.Completed, 10*time.Second)
+				}
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				if got := p.starts["w-03"]; got > test.most {
+					t.Errorf("the sick worker got %d starts, want %d at most", got, test.most)
+				}
+			})
+		})
+	}
+}
+
+// A task that fails is tried elsewhere.
+func TestATaskThatFailedGoesToAnotherWorker(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.queue.Attempts = 2
+		var mu sync.Mutex
+		var workers []string
+		c.fleet.SetFault(func(call fleettest.Call, worker string) fleettest.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			if call == fleettest.CallStart {
+				workers = append(workers, worker)
+			}
+			return fleettest.Fault{}
+		})
+		o := c.rule()
+		plan := func(_ workload.TaskID, attempt int) fleettest.Plan {
+			if attempt == 1 {
+				return fleettest.Plan{Work: 100 * time.Millisecond, Outcome: fleet.Failed}
+			}
+			return fleettest.Plan{Work: 100 * time.Millisecond}
+		}
+		if err := c.submit(o, "job", jobOf(1, 1000), plan); err != nil {
+			t.Fatal(err)
+		}
+		c.await(o, "job", workload.Completed, 3*time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		if len(workers) != 2 || workers[0] == workers[1] {
+			t.Errorf("tried on %s", strings.Join(workers, ", "))
+		}
+	})
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -33,6 +33,10 @@
 	recovered  bool      // granted by a former owner; not yet seen
 	percent    int
 	movedAt    time.Time // when percent last rose
+	sampledAt  time.Time // when speed was last measured
+	sampled    int       // percent then
+	failedOn   *worker   // where it failed last
+	movedOnce  bool      // off a worker that had turned slow
 }
 
 func (t *task) id() workload.TaskID {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -76,6 +76,7 @@
 func (w *worker) host(t *task, state taskState) {
 	t.worker, t.state = w, state
 	t.begunAt, t.stoppedAt, t.movedAt, t.percent = time.Time{}, time.Time{}, time.Time{}, 0
+	t.sampledAt, t.sampled = time.Time{}, 0
 	w.used = w.used.Plus(t.step.need())
 	w.tasks[t.id().String()] = t
 	t.step.onWorker[w]++
@@ -297,8 +298,17 @@
 	if t.state == taskStarting || t.state == taskGranted {
 		s.began(t, now)
 	}
-	if run.Percent > t.percent || t.movedAt.IsZero() {
+	s.percentSeen = s.percentSeen || run.Percent > 0
+	s.sample(t, run.Percent, now)
+	switch {
+	case run.Percent > t.percent || t.movedAt.IsZero():
 		t.percent, t.movedAt = run.Percent, now
+	case s.stalled(t, now):
+		s.stop(t, "its progress stands still")
+	}
+	if s.dragging(t, now) {
+		t.movedOnce = true
+		s.stop(t, "its worker has turned slow")
 	}
 	return true
 }
