scheduler: no start with a ticket that ran out; nothing granted while the store fails

Ruled out: the lease: nothing had lapsed.

Change: a start takes the newest ticket, or is not made; after 0.9 s of a failing store tickets are kept up but nothing is granted; a stop of what may never have begun asks for a report at once.

--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -75,13 +75,14 @@
 	advice  int
 	fault   func(call Call, worker string) Fault
 	sick    map[string]Plan // how every attempt goes on a worker
+	refused map[fleet.Reason]int
 }
 
 // New returns a fleet without workers.
 func New() *Fleet {
 	return &Fleet{
 		workers: map[string]*worker{}, kinds: map[string]Kind{}, dones: map[string]bool{}, failed: map[string]int{},
-		gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{},
+		gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{}, refused: map[fleet.Reason]int{},
 	}
 }
 
@@ -202,6 +203,13 @@
 	return f.starts
 }
 
+// Refused returns how many orders were refused for a reason.
+func (f *Fleet) Refused(reason fleet.Reason) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused[reason]
+}
+
 // Running returns how many attempts run.
 func (f *Fleet) Running() int {
 	f.mu.Lock()
@@ -268,7 +276,8 @@
 	return answer, err
 }
 
-func (w *worker) refuse(reason fleet.Reason) error {
+func (f *Fleet) refuse(w *worker, reason fleet.Reason) error {
+	f.refused[reason]++
 	return &fleet.RefusedError{Reason: reason, Clock: w.clock()}
 }
 
@@ -304,27 +313,26 @@
 
 func (f *Fleet) start(w *worker, order fleet.StartOrder) (fleet.Clock, error) {
 	if order.Token < w.token {
-		return 0, w.refuse(fleet.Fenced)
+		return 0, f.refuse(w, fleet.Fenced)
 	}
 	w.token = order.Token
 	if order.Deadline < w.clock() {
-		return 0, w.refuse(fleet.Late)
+		return 0, f.refuse(w, fleet.Late)
 	}
 	f.extend(w, order.Deadline)
 	if r := w.runs[order.Task]; r != nil && r.number == order.Number {
 		return w.clock(), nil
 	}
 	if order.Number <= w.highest[order.Task] || w.runs[order.Task] != nil {
-		return 0, w.refuse(fleet.Outdated)
+		return 0, f.refuse(w, fleet.Outdated)
 	}
 	task, err := workload.ParseTaskID(order.Task)
 	if err != nil {
-		return 0, w.refuse(fleet.Invalid)
+		return 0, f.refuse(w, fleet.Invalid)
 	}
 	kind := f.kinds[task.Job]
-	if expires, ok := f.tickets[ticketText(task.StepName(), w.info.ID)]; kind.Advised &&
-		(!ok || time.Now().After(expires) || order.Ticket != ticketText(task.StepName(), w.info.ID)) {
-		return 0, w.refuse(fleet.NoTicket)
+	if kind.Advised && !f.honours(order.Ticket, task.StepName(), w.info.ID) {
+		return 0, f.refuse(w, fleet.NoTicket)
 	}
 	f.begin(w, task, order, kind)
 	return w.clock(), nil
@@ -465,7 +473,7 @@
 func (f *Fleet) Stop(ctx context.Context, info fleet.Worker, order fleet.StopOrder) (fleet.Clock, error) {
 	return call(ctx, f, CallStop, info, func(w *worker) (fleet.Clock, error) {
 		if order.Token < w.token {
-			return 0, w.refuse(fleet.Fenced)
+			return 0, f.refuse(w, fleet.Fenced)
 		}
 		w.token = order.Token
 		w.highest[order.Task] = max(w.highest[order.Task], order.Number)
@@ -518,7 +526,7 @@
 
 func (f *Fleet) hold(w *worker, order fleet.HoldOrder) (fleet.Report, error) {
 	if order.Token < w.token {
-		return fleet.Report{}, w.refuse(fleet.Fenced)
+		return fleet.Report{}, f.refuse(w, fleet.Fenced)
 	}
 	w.token = order.Token
 	if order.Deadline > 0 {
@@ -629,7 +637,11 @@
 	return false
 }
 
-func ticketText(step, worker string) string { return step + "/" + worker }
+// honours reports whether a ticket is good for a step on a worker now.
+func (f *Fleet) honours(text, step, worker string) bool {
+	expires, ok := f.tickets[text]
+	return ok && strings.HasPrefix(text, step+"/"+worker+"/") && !time.Now().After(expires)
+}
 
 // ticketValid is for how long a ticket is good.
 const ticketValid = 2 * time.Second
@@ -647,7 +659,7 @@
 		if (len(step)+int(id[len(id)-1]))%3 == 0 {
 			continue
 		}
-		text := ticketText(step, id)
+		text := fmt.Sprintf("%s/%s/%d", step, id, f.advice)
 		advice.Tickets[id] = text
 		f.tickets[text] = time.Now().Add(ticketValid)
 	}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -97,6 +97,7 @@
 	took := time.Since(begun)
 	s.metrics.commit(took, len(batch))
 	if took > slowCommit {
+		wake(s.dispatchWake)
 		s.log.Warn().Dur("took", took).Int("jobs", len(batch)).Msg("slow transaction")
 	}
 	s.mu.Lock()
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -97,6 +97,10 @@
 	if len(list) == 0 {
 		return
 	}
+	if since := s.reign.FailingSince(); !since.IsZero() && now.Sub(since) > holdGrants {
+		s.keepAdvice(list, now)
+		return
+	}
 	s.serial++
 	p := &pass{now: now, serial: s.serial, pools: map[string][]*worker{}, grew: map[string]uint64{}, blocked: map[*worker]bool{}}
 	for _, w := range s.workers {
@@ -107,6 +111,20 @@
 	}
 }
 
+// holdGrants is how long the store may fail before nothing is granted any more:
+// grants that cannot be written take room and let tickets run out. A slow store
+// answers within it.
+const holdGrants = 900 * time.Millisecond
+
+// keepAdvice has tickets at hand for when the store is back.
+func (s *Scheduler) keepAdvice(list []candidate, now time.Time) {
+	for _, c := range list {
+		if c.step.job.record.Queue.Advice.Needed() {
+			s.askAdvice(c.step, now)
+		}
+	}
+}
+
 // candidates returns the steps that have tasks to place, most urgent first.
 func (s *Scheduler) candidates(now time.Time) []candidate {
 	var list []candidate
--- a/scheduler/fault_test.go
+++ b/scheduler/fault_test.go
@@ -295,3 +295,27 @@
 		})
 	}
 }
+
+// Grants that the store takes longer to write than their tickets last come to
+// nothing, at no worker's cost.
+func TestNoStartWithATicketThatRanOut(t *testing.T) {
+	inCell(t, 9, func(c *cell) {
+		c.queue.Advice = workload.AdvicePolicy{Decision: 5 * time.Millisecond, Each: time.Millisecond, Valid: 2 * time.Second}
+		o := c.rule()
+		time.Sleep(time.Second)
+		if err := c.submit(o, "taken", jobOf(2, 16_000), work(700*time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.submit(o, "waiting", jobOf(30, 16_000), work(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		o.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
+		time.Sleep(5 * time.Second)
+		o.caller.SetFault(nil)
+		c.await(o, "waiting", workload.Completed, 20*time.Second)
+		if got := c.fleet.Refused(fleet.NoTicket); got != 0 {
+			t.Errorf("%d starts were refused for their tickets", got)
+		}
+	})
+}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -25,10 +25,26 @@
 	if t.state != taskGranted || t.attempt != number {
 		return
 	}
+	if !s.ticketLasts(t, time.Now()) {
+		s.metrics.refused("ticket ran out before the start")
+		s.endAttempt(t, fleet.Stopped, "", "its ticket ran out while the grant was written")
+		return
+	}
 	t.state = taskStarting
 	s.running.Go(func() { s.start(s.ctx, t, number) })
 }
 
+// ticketLasts reports whether the task's ticket, if it needs one, is still good.
+// Writing a grant takes long while the store is down.
+func (s *Scheduler) ticketLasts(t *task, now time.Time) bool {
+	if !t.step.job.record.Queue.Advice.Needed() {
+		return true
+	}
+	text, ok := t.step.advice.ticketFor(t.worker.info.ID, now)
+	t.ticket = text // a newer one may have come since the grant
+	return ok
+}
+
 // start calls the worker until it answers or the order is void.
 func (s *Scheduler) start(ctx context.Context, t *task, number int) {
 	void := time.Now().Add(startWithin)
@@ -194,12 +210,34 @@
 		_, err := s.client.Stop(callCtx, info, order)
 		cancel()
 		if s.stopAnswered(w, t, number, err) {
+			if err == nil {
+				s.look(ctx, w, t, number)
+			}
 			return
 		}
 		wait.For(ctx, holdPause)
 	}
 }
 
+// look asks for a report at once if it is not known that a stopped attempt ever
+// began: no end will come of one that did not, and the call that is held open
+// waits for an end.
+func (s *Scheduler) look(ctx context.Context, w *worker, t *task, number int) {
+	s.mu.Lock()
+	wanted := t.worker == w && t.attempt == number && t.state == taskStopping && t.begunAt.IsZero()
+	order := fleet.HoldOrder{Token: s.reign.Token(), Noted: w.noted}
+	info, sent := w.info, time.Now()
+	s.mu.Unlock()
+	if !wanted {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if report, err := s.client.Hold(callCtx, info, order); err == nil {
+		s.takeReport(w, report, sent)
+	}
+}
+
 func (s *Scheduler) stopAnswered(w *worker, t *task, number int, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
