--- /dev/null
+++ b/fleet/fleettest/gang.go
@@ -0,0 +1,44 @@
+package fleettest
+
+import (
+	"fmt"
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/workload"
+)
+
+type gang struct{ members map[int]*worker }
+
+func gangName(task workload.TaskID, number int) string {
+	return fmt.Sprintf("%s#%d", task.StepName(), number)
+}
+
+// join adds a member to its gang, and starts the work once all are there.
+func (f *Fleet) join(w *worker, r *run, kind Kind) {
+	name := gangName(r.task, r.number)
+	g := f.gangs[name]
+	if g == nil {
+		g = &gang{members: map[int]*worker{}}
+		f.gangs[name] = g
+	}
+	g.members[r.task.Index] = w
+	if len(g.members) == kind.Request.Steps[r.task.Step].Count {
+		for index, host := range g.members {
+			member := r.task
+			member.Index = index
+			if other := host.runs[member.String()]; other != nil && !host.dead {
+				other.timer.Stop()
+				f.work(host, other, kind)
+			}
+		}
+		return
+	}
+	r.timer = time.AfterFunc(gangTimeout, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !w.dead && w.runs[r.task.String()] == r && r.began.IsZero() {
+			f.end(w, r, fleet.Alone)
+		}
+	})
+}
--- /dev/null
+++ b/fleet/fleettest/orders.go
@@ -0,0 +1,288 @@
+package fleettest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/wait"
+	"chutereach/workload"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// call carries one call out, with its fault.
+func call[A any](ctx context.Context, f *Fleet, kind Call, info fleet.Worker, do func(*worker) (A, error)) (A, error) {
+	var none A
+	if wait.For(ctx, latency) != nil {
+		return none, &fleet.UnansweredError{Cause: ctx.Err()}
+	}
+	f.mu.Lock()
+	w := f.workers[info.ID]
+	fault := Fault{}
+	if f.fault != nil {
+		fault = f.fault(kind, info.ID)
+	}
+	silent := w == nil || w.dead || fault.Lost
+	f.mu.Unlock()
+	switch {
+	case fault.Busy:
+		return none, &fleet.BusyError{ID: info.ID}
+	case fault.Late > 0:
+		go func() {
+			time.Sleep(fault.Late)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if !w.dead {
+				do(w)
+			}
+		}()
+		silent = true
+	}
+	if silent {
+		<-ctx.Done()
+		return none, &fleet.UnansweredError{Cause: errNoAnswer}
+	}
+	f.mu.Lock()
+	answer, err := do(w)
+	f.mu.Unlock()
+	if fault.Mute {
+		<-ctx.Done()
+		return none, &fleet.UnansweredError{Cause: errNoAnswer}
+	}
+	return answer, err
+}
+
+func (f *Fleet) refuse(w *worker, reason fleet.Reason) error {
+	f.refused[reason]++
+	return &fleet.RefusedError{Reason: reason, Clock: w.clock()}
+}
+
+// extend lengthens the lease of everything on the worker.
+func (f *Fleet) extend(w *worker, deadline fleet.Clock) {
+	until := w.booted.Add(time.Duration(deadline) * time.Millisecond)
+	if most := time.Now().Add(MostLease); until.After(most) {
+		until = most
+	}
+	if !until.After(w.lease) {
+		return
+	}
+	w.lease = until
+	if w.lapse != nil {
+		w.lapse.Stop()
+	}
+	w.lapse = time.AfterFunc(time.Until(until), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.dead || time.Now().Before(w.lease) {
+			return
+		}
+		for _, r := range w.runs {
+			f.end(w, r, fleet.Lapsed)
+		}
+	})
+}
+
+// Start implements fleet.Client.
+func (f *Fleet) Start(ctx context.Context, info fleet.Worker, order fleet.StartOrder) (fleet.Clock, error) {
+	return call(ctx, f, CallStart, info, func(w *worker) (fleet.Clock, error) { return f.start(w, order) })
+}
+
+func (f *Fleet) start(w *worker, order fleet.StartOrder) (fleet.Clock, error) {
+	if order.Token < w.token {
+		return 0, f.refuse(w, fleet.Fenced)
+	}
+	w.token = order.Token
+	if order.Deadline < w.clock() {
+		return 0, f.refuse(w, fleet.Late)
+	}
+	f.extend(w, order.Deadline)
+	if r := w.runs[order.Task]; r != nil && r.number == order.Number {
+		return w.clock(), nil
+	}
+	if order.Number <= w.highest[order.Task] || w.runs[order.Task] != nil {
+		return 0, f.refuse(w, fleet.Outdated)
+	}
+	task, err := workload.ParseTaskID(order.Task)
+	if err != nil {
+		return 0, f.refuse(w, fleet.Invalid)
+	}
+	kind := f.kinds[task.Job]
+	if kind.Advised && !f.honours(order.Ticket, task.StepName(), w.info.ID) {
+		return 0, f.refuse(w, fleet.NoTicket)
+	}
+	f.begin(w, task, order, kind)
+	return w.clock(), nil
+}
+
+// begin runs an attempt, and judges whether it may.
+func (f *Fleet) begin(w *worker, task workload.TaskID, order fleet.StartOrder, kind Kind) {
+	f.starts++
+	f.judge(w, task, order, kind)
+	r := &run{task: task, number: order.Number, saved: order.Checkpoint}
+	if task.Step < len(kind.Request.Steps) {
+		r.need = kind.Request.Steps[task.Step].Need
+	}
+	w.runs[order.Task] = r
+	r.timer = time.AfterFunc(time.Hour, func() {})
+	if task.Step < len(kind.Request.Steps) && kind.Request.Steps[task.Step].Gang {
+		f.join(w, r, kind)
+		return
+	}
+	f.work(w, r, kind)
+}
+
+// work lets an attempt run to its end.
+func (f *Fleet) work(w *worker, r *run, kind Kind) {
+	r.began = time.Now()
+	plan := Plan{Work: time.Second}
+	if kind.Plan != nil {
+		plan = kind.Plan(r.task, r.number)
+	}
+	if sick, ok := f.sick[w.info.ID]; ok {
+		plan = sick
+	}
+	if plan.Hangs {
+		return
+	}
+	r.work = plan.Work
+	left := plan.Work - savedWork(r.saved)
+	r.timer.Stop()
+	r.timer = time.AfterFunc(max(0, left), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.dead || w.runs[r.task.String()] != r {
+			return
+		}
+		outcome := plan.Outcome
+		if outcome == "" {
+			outcome = fleet.Done
+		}
+		f.end(w, r, outcome)
+	})
+}
+
+// Stop implements fleet.Client.
+func (f *Fleet) Stop(ctx context.Context, info fleet.Worker, order fleet.StopOrder) (fleet.Clock, error) {
+	return call(ctx, f, CallStop, info, func(w *worker) (fleet.Clock, error) {
+		if order.Token < w.token {
+			return 0, f.refuse(w, fleet.Fenced)
+		}
+		w.token = order.Token
+		w.highest[order.Task] = max(w.highest[order.Task], order.Number)
+		r := w.runs[order.Task]
+		if r == nil || r.number > order.Number || r.stopped {
+			return w.clock(), nil
+		}
+		r.stopped = true
+		time.AfterFunc(stopWithin, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if !w.dead {
+				f.end(w, r, fleet.Stopped)
+			}
+		})
+		return w.clock(), nil
+	})
+}
+
+// Hold implements fleet.Client.
+func (f *Fleet) Hold(ctx context.Context, info fleet.Worker, order fleet.HoldOrder) (fleet.Report, error) {
+	deadline := time.Now().Add(order.Wait)
+	report, err := call(ctx, f, CallHold, info, func(w *worker) (fleet.Report, error) { return f.hold(w, order) })
+	for err == nil && len(report.Ended) == 0 && time.Now().Before(deadline) {
+		f.mu.Lock()
+		changed := f.workers[info.ID].changed
+		f.mu.Unlock()
+		timer := time.NewTimer(time.Until(deadline))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return fleet.Report{}, &fleet.UnansweredError{Cause: ctx.Err()}
+		}
+		timer.Stop()
+		order.Deadline = 0
+		f.mu.Lock()
+		w := f.workers[info.ID]
+		if w.dead {
+			f.mu.Unlock()
+			<-ctx.Done()
+			return fleet.Report{}, &fleet.UnansweredError{Cause: errNoAnswer}
+		}
+		report, err = f.hold(w, order)
+		f.mu.Unlock()
+	}
+	return report, err
+}
+
+func (f *Fleet) hold(w *worker, order fleet.HoldOrder) (fleet.Report, error) {
+	if order.Token < w.token {
+		return fleet.Report{}, f.refuse(w, fleet.Fenced)
+	}
+	w.token = order.Token
+	if order.Deadline > 0 {
+		f.extend(w, order.Deadline)
+	}
+	f.note(w, order.Noted)
+	report := fleet.Report{Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	for name, r := range w.runs {
+		report.Running = append(report.Running, fleet.Attempt{Task: name, Number: r.number, Checkpoint: r.checkpoint(), Percent: r.percent()})
+	}
+	return report, nil
+}
+
+// note forgets ends that an owner has taken note of.
+func (f *Fleet) note(w *worker, upTo uint64) {
+	if upTo <= w.noted {
+		return
+	}
+	w.noted = upTo
+	var rest []fleet.End
+	for _, end := range w.ended {
+		switch {
+		case end.Sequence > upTo:
+			rest = append(rest, end)
+		case end.Outcome == fleet.Done:
+			f.dones[end.Task] = true
+			f.judgeDone(end)
+		case end.Outcome == fleet.Failed:
+			f.failed[end.Task]++
+		}
+	}
+	w.ended = rest
+}
+
+// honours reports whether a ticket is good for a step on a worker now.
+func (f *Fleet) honours(text, step, worker string) bool {
+	expires, ok := f.tickets[text]
+	return ok && strings.HasPrefix(text, step+"/"+worker+"/") && !time.Now().After(expires)
+}
+
+// ticketValid is for how long a ticket is good.
+const ticketValid = 2 * time.Second
+
+// Advise implements fleet.Advisor: two of three workers may run a step.
+func (f *Fleet) Advise(ctx context.Context, step string, workers []string) (fleet.Advice, error) {
+	if wait.For(ctx, 10*time.Millisecond) != nil {
+		return fleet.Advice{}, &fleet.AdvisorError{Cause: ctx.Err()}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advice++
+	advice := fleet.Advice{Tickets: map[string]string{}, Valid: ticketValid}
+	for _, id := range workers {
+		if (len(step)+int(id[len(id)-1]))%3 == 0 {
+			continue
+		}
+		text := fmt.Sprintf("%s/%s/%d", step, id, f.advice)
+		advice.Tickets[id] = text
+		f.tickets[text] = time.Now().Add(ticketValid)
+	}
+	return advice, nil
+}
--- /dev/null
+++ b/node/members.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"chutereach/codec"
+	"chutereach/fleet"
+	"chutereach/peer"
+	"chutereach/rowstore"
+	"chutereach/scheduler"
+	"chutereach/wait"
+)
+
+// register writes the node's row, so that owners find it, and reads the others'.
+func (n *Node) register(ctx context.Context) {
+	key := rowstore.Key{Table: nodesTable, Name: n.config.Self.Node}
+	put := rowstore.Put{Key: key, Value: codec.MustMarshal(n.config.Self)}
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := n.platform.Store.Commit(callCtx, rowstore.Transaction{Puts: []rowstore.Put{put}})
+		if err == nil {
+			err = n.readMembers(callCtx)
+		}
+		cancel()
+		if err == nil {
+			n.storeAnswers()
+			return
+		}
+		n.storeFails(err)
+		wait.For(ctx, registerWait)
+	}
+}
+
+func (n *Node) readMembers(ctx context.Context) error {
+	rows, _, err := rowstore.ReadAll(ctx, n.platform.Store, nodesTable, "")
+	if err != nil {
+		return err
+	}
+	byName := make(map[string]rowstore.Row, len(rows))
+	for _, row := range rows {
+		byName[row.Name] = row
+	}
+	n.setMembers(byName)
+	return nil
+}
+
+func (n *Node) setMembers(rows map[string]rowstore.Row) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, row := range rows {
+		var member Member
+		if err := codec.Unmarshal(row.Value, &member); err != nil {
+			n.log.Error().Str("node", row.Name).Err(err).Msg("row of a node cannot be read")
+			continue
+		}
+		n.members[member.Node] = member
+	}
+}
+
+// others returns the other members by name. The lock is held.
+func (n *Node) others() []Member {
+	list := make([]Member, 0, len(n.members))
+	for name, member := range n.members {
+		if name != n.config.Self.Node {
+			list = append(list, member)
+		}
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].Node < list[k].Node })
+	return list
+}
+
+// setLanes tells the scheduler from which nodes advice can be asked.
+func (n *Node) setLanes() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.own == nil {
+		return
+	}
+	self := n.config.Self
+	lanes := []scheduler.Lane{{Node: self.Node, Self: true, Advisor: n.platform.Advisor}}
+	for _, member := range n.others() {
+		if n.peers[member.Node].lost {
+			continue
+		}
+		lanes = append(lanes, scheduler.Lane{Node: member.Node, Advisor: remoteAdvisor{n, member.Address}})
+	}
+	n.own.SetLanes(lanes)
+}
+
+// remoteAdvisor asks for advice from another node.
+type remoteAdvisor struct {
+	node    *Node
+	address string
+}
+
+// Advise implements fleet.Advisor.
+func (a remoteAdvisor) Advise(ctx context.Context, step string, workers []string) (fleet.Advice, error) {
+	within := time.Second
+	if deadline, ok := ctx.Deadline(); ok {
+		within = time.Until(deadline)
+	}
+	call := adviseCall{step, workers, within}
+	answer, err := peer.Call[adviseAnswer](ctx, a.node.client, a.address, advisePath, call)
+	if err != nil {
+		return fleet.Advice{}, &fleet.AdvisorError{Cause: err}
+	}
+	return fleet.Advice{Tickets: answer.Tickets, Valid: answer.Valid}, nil
+}
+
+func (n *Node) answerAdvise(ctx context.Context, call adviseCall) (adviseAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, call.Within)
+	defer cancel()
+	advice, err := n.platform.Advisor.Advise(ctx, call.Step, call.Workers)
+	return adviseAnswer{advice.Tickets, advice.Valid}, err
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
-	"chutereach/codec"
-	"chutereach/fleet"
 	"chutereach/leadership"
 	"chutereach/peer"
 	"chutereach/rowstore"
@@ -36,64 +33,6 @@
 	heirTries = 3
 )
 
-// register writes the node's row, so that owners find it, and reads the others'.
-func (n *Node) register(ctx context.Context) {
-	key := rowstore.Key{Table: nodesTable, Name: n.config.Self.Node}
-	put := rowstore.Put{Key: key, Value: codec.MustMarshal(n.config.Self)}
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, err := n.platform.Store.Commit(callCtx, rowstore.Transaction{Puts: []rowstore.Put{put}})
-		if err == nil {
-			err = n.readMembers(callCtx)
-		}
-		cancel()
-		if err == nil {
-			n.storeAnswers()
-			return
-		}
-		n.storeFails(err)
-		wait.For(ctx, registerWait)
-	}
-}
-
-func (n *Node) readMembers(ctx context.Context) error {
-	rows, _, err := rowstore.ReadAll(ctx, n.platform.Store, nodesTable, "")
-	if err != nil {
-		return err
-	}
-	byName := make(map[string]rowstore.Row, len(rows))
-	for _, row := range rows {
-		byName[row.Name] = row
-	}
-	n.setMembers(byName)
-	return nil
-}
-
-func (n *Node) setMembers(rows map[string]rowstore.Row) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, row := range rows {
-		var member Member
-		if err := codec.Unmarshal(row.Value, &member); err != nil {
-			n.log.Error().Str("node", row.Name).Err(err).Msg("row of a node cannot be read")
-			continue
-		}
-		n.members[member.Node] = member
-	}
-}
-
-// others returns the other members by name. The lock is held.
-func (n *Node) others() []Member {
-	list := make([]Member, 0, len(n.members))
-	for name, member := range n.members {
-		if name != n.config.Self.Node {
-			list = append(list, member)
-		}
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i].Node < list[k].Node })
-	return list
-}
-
 // watchOwner takes the shard when its owner is gone.
 func (n *Node) watchOwner(ctx context.Context) {
 	var d doubt
@@ -298,120 +237,3 @@
 		}
 	}
 }
-
-// setLanes tells the scheduler from which nodes advice can be asked.
-func (n *Node) setLanes() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.own == nil {
-		return
-	}
-	self := n.config.Self
-	lanes := []scheduler.Lane{{Node: self.Node, Self: true, Advisor: n.platform.Advisor}}
-	for _, member := range n.others() {
-		if n.peers[member.Node].lost {
-			continue
-		}
-		lanes = append(lanes, scheduler.Lane{Node: member.Node, Advisor: remoteAdvisor{n, member.Address}})
-	}
-	n.own.SetLanes(lanes)
-}
-
-// remoteAdvisor asks for advice from another node.
-type remoteAdvisor struct {
-	node    *Node
-	address string
-}
-
-// Advise implements fleet.Advisor.
-func (a remoteAdvisor) Advise(ctx context.Context, step string, workers []string) (fleet.Advice, error) {
-	within := time.Second
-	if deadline, ok := ctx.Deadline(); ok {
-		within = time.Until(deadline)
-	}
-	call := adviseCall{step, workers, within}
-	answer, err := peer.Call[adviseAnswer](ctx, a.node.client, a.address, advisePath, call)
-	if err != nil {
-		return fleet.Advice{}, &fleet.AdvisorError{Cause: err}
-	}
-	return fleet.Advice{Tickets: answer.Tickets, Valid: answer.Valid}, nil
-}
-
-func (n *Node) answerAdvise(ctx context.Context, call adviseCall) (adviseAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, call.Within)
-	defer cancel()
-	advice, err := n.platform.Advisor.Advise(ctx, call.Step, call.Workers)
-	return adviseAnswer{advice.Tickets, advice.Valid}, err
-}
-
-// anyHeir is the choice of an owner that must not be.
-func anyHeir(peerState) bool { return true }
-
-// handOver has another node that reaches the store, and that fits, take the shard.
-func (n *Node) handOver(ctx context.Context, why string, fits func(peerState) bool) {
-	n.mu.Lock()
-	var heirs []Member
-	for _, member := range n.others() {
-		if state := n.peers[member.Node]; state.storeOK && time.Since(state.heard) < storeFresh && fits(state) {
-			heirs = append(heirs, member)
-		}
-	}
-	sort.SliceStable(heirs, func(i, k int) bool { return n.peers[heirs[i].Node].lag < n.peers[heirs[k].Node].lag })
-	own := n.own
-	n.mu.Unlock()
-	if own == nil || len(heirs) == 0 {
-		return
-	}
-	holdCtx, cancelHold := context.WithTimeout(ctx, holdTimeout)
-	release, err := own.Hold(holdCtx)
-	cancelHold()
-	if err == nil {
-		defer release()
-	}
-	for _, heir := range heirs {
-		callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
-		_, err := peer.Call[nothing](callCtx, n.client, heir.Address, takeoverPath, takeoverCall{n.config.Self.Node})
-		cancel()
-		n.log.Info().Str("heir", heir.Node).Str("why", why).Err(err).Msg("handing the shard over")
-		if err != nil {
-			continue
-		}
-		n.mu.Lock()
-		if n.own == own && n.endOwn != nil {
-			n.endOwn()
-		}
-		n.mu.Unlock()
-		return
-	}
-}
-
-// answerTakeover takes the shard over from its owner, if the store answers this
-// node quickly: one that is slow for all is no reason to hand over.
-func (n *Node) answerTakeover(_ context.Context, call takeoverCall) (nothing, error) {
-	quick, cancel := context.WithTimeout(n.ctx, quickLook)
-	defer cancel()
-	if _, err := leadership.Look(quick, n.platform.Store, n.config.Scheduler.Shard); err != nil {
-		return nothing{}, err
-	}
-	var err error
-	for range heirTries {
-		if err = n.inherit(n.ctx, call.From); err == nil {
-			break
-		}
-	}
-	return nothing{}, err
-}
-
-// inherit takes the shard from a node that hands it over.
-func (n *Node) inherit(parent context.Context, from string) error {
-	ctx, cancel := context.WithTimeout(parent, storeTimeout)
-	defer cancel()
-	seen, err := leadership.Look(ctx, n.platform.Store, n.config.Scheduler.Shard)
-	if err != nil {
-		return err
-	}
-	if seen.Version != 0 && seen.Node != from && seen.Node != n.config.Self.Node {
-		return &NotOwnerError{}
-	}
-	return n.take(parent, seen, "handed over by "+from)
-}
--- /dev/null
+++ b/scheduler/hold.go
@@ -0,0 +1,147 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/wait"
+)
+
+const (
+	// holdWait is how long a worker may keep a call open until an end comes.
+	holdWait = time.Second
+	// holdSlack is how much longer the answer is waited for.
+	holdSlack = 400 * time.Millisecond
+	// holdPause follows a call that failed, noteWait one whose ends are not yet
+	// in the store.
+	holdPause = 200 * time.Millisecond
+	noteWait  = 300 * time.Millisecond
+	// freshFor is how old a report may be for a worker to get new tasks.
+	freshFor = holdWait + holdSlack + holdPause
+	// clockDrift and clockSlack widen a lease that is counted on another clock.
+	clockDrift = 0.03
+	clockSlack = 200 * time.Millisecond
+)
+
+// follow holds a worker until its life is over or ctx ends.
+func (s *Scheduler) follow(ctx context.Context, w *worker) {
+	for ctx.Err() == nil {
+		order, sent := s.holdOrder(w)
+		callCtx, cancel := context.WithTimeout(ctx, order.Wait+holdSlack)
+		report, err := s.client.Hold(callCtx, s.infoOf(w), order)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if s.holdFailed(w, err) {
+				return
+			}
+			wait.For(ctx, holdPause)
+			continue
+		}
+		if s.takeReport(w, report, sent) {
+			s.awaitNoted(ctx, w)
+		}
+	}
+}
+
+func (s *Scheduler) infoOf(w *worker) fleet.Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.info
+}
+
+// holdOrder says what to ask of a worker next. Nothing is extended while the
+// store has not confirmed the reign for a while, nor after a call without answer:
+// then the time by which everything there has ended stays certain.
+func (s *Scheduler) holdOrder(w *worker) (fleet.HoldOrder, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	order := fleet.HoldOrder{Token: s.reign.Token(), Noted: w.noted, Wait: holdWait}
+	first := w.contact.IsZero()
+	if first || w.failing || len(w.pending) > 0 {
+		order.Wait = 0
+	}
+	if w.failing || first || now.Sub(s.reign.LastSuccess()) > confirmedFor {
+		return order, now
+	}
+	order.Deadline = w.clockNow(now) + fleet.Clock(s.lease.Milliseconds())
+	w.extends(now, s.lease)
+	return order, now
+}
+
+// holdFailed notes a failed call and reports whether the life is over.
+func (s *Scheduler) holdFailed(w *worker, err error) bool {
+	var refused *fleet.RefusedError
+	if errors.As(err, &refused) && refused.Reason == fleet.Fenced {
+		s.depose("a worker has seen a higher token")
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var replaced *fleet.ReplacedError
+	if errors.As(err, &replaced) {
+		s.endLife(w, "another life answers at its address")
+		return true
+	}
+	if !w.failing {
+		w.failing = true
+		s.log.Warn().Str("worker", w.info.ID).Err(err).Msg("worker does not answer")
+	}
+	if time.Now().After(w.leaseEnds) {
+		s.lapse(w)
+		if !w.known {
+			s.endLife(w, "gone and its lease has run out")
+			return true
+		}
+	}
+	return false
+}
+
+// lapse ends every attempt on a worker whose lease has run out.
+func (s *Scheduler) lapse(w *worker) {
+	for _, t := range w.list() {
+		s.endAttempt(t, fleet.Lapsed, "", "lease ran out")
+	}
+}
+
+// endLife forgets a worker and everything on it. The lock is held.
+func (s *Scheduler) endLife(w *worker, why string) {
+	if w.over {
+		return
+	}
+	w.over = true
+	s.log.Info().Str("worker", w.info.ID).Str("why", why).Int("attempts", len(w.tasks)).Msg("worker is over")
+	s.lapse(w)
+	if w.cancel != nil {
+		w.cancel()
+	}
+	delete(s.workers, w.info.ID)
+	wake(s.dispatchWake)
+}
+
+// awaitNoted waits until the ends that were just taken in are in the store, so
+// that the next call does not return at once with the same ends.
+func (s *Scheduler) awaitNoted(ctx context.Context, w *worker) {
+	timer := time.NewTimer(noteWait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-w.noteWake:
+		}
+		s.mu.Lock()
+		rest := len(w.pending)
+		s.mu.Unlock()
+		if rest == 0 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/report.go
@@ -0,0 +1,123 @@
+package scheduler
+
+import (
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/workload"
+)
+
+// takeReport takes a worker's report in, and tells whether it held ends.
+func (s *Scheduler) takeReport(w *worker, report fleet.Report, sent time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if w.over {
+		return false
+	}
+	if w.failing || w.contact.IsZero() {
+		s.log.Info().Str("worker", w.info.ID).Int("running", len(report.Running)).Msg("worker answers")
+	}
+	w.contact, w.failing = now, false
+	w.sawClock(report.Clock, now)
+	for _, end := range report.Ended {
+		s.takeEnd(w, end)
+	}
+	w.foreign = 0
+	listed := make(map[string]bool, len(report.Running))
+	for _, run := range report.Running {
+		if s.takeRunning(w, run, now) {
+			listed[run.Task] = true
+		}
+	}
+	for name, t := range w.tasks {
+		if !listed[name] {
+			s.missing(t, sent)
+		}
+	}
+	w.advanceNoted()
+	wake(s.dispatchWake)
+	return len(w.pending) > 0
+}
+
+// takeRunning takes in that a worker runs an attempt, and tells whether it is
+// one that the worker should run.
+func (s *Scheduler) takeRunning(w *worker, run fleet.Attempt, now time.Time) bool {
+	t := w.tasks[run.Task]
+	if t == nil || t.attempt != run.Number {
+		w.foreign++
+		s.stopForeign(w, run)
+		return false
+	}
+	if run.Checkpoint != "" && t.step.spec.Checkpoints {
+		t.checkpoint = run.Checkpoint
+	}
+	if t.state == taskStarting || t.state == taskGranted {
+		s.began(t, now)
+	}
+	s.percentSeen = s.percentSeen || run.Percent > 0
+	s.sample(t, run.Percent, now)
+	switch {
+	case run.Percent > t.percent || t.movedAt.IsZero():
+		t.percent, t.movedAt = run.Percent, now
+	case s.stalled(t, now):
+		s.stop(t, "its progress stands still")
+	}
+	if s.dragging(t, now) {
+		t.movedOnce = true
+		s.stop(t, "its worker has turned slow")
+	}
+	return true
+}
+
+// missing judges an attempt that a report did not show, neither as running nor
+// as ended.
+func (s *Scheduler) missing(t *task, sent time.Time) {
+	switch {
+	case t.state == taskRunning && t.begunAt.Before(sent):
+		s.endAttempt(t, fleet.Lapsed, "", "not in the worker's report")
+	case t.state == taskStopping && !t.stoppedAt.IsZero() && t.stoppedAt.Before(sent):
+		s.endAttempt(t, fleet.Stopped, "", "stopped before it began")
+	case t.state == taskStarting && t.recovered:
+		s.endAttempt(t, fleet.Stopped, "", "its former owner did not start it")
+	}
+}
+
+// takeEnd takes in one end that a worker lists.
+func (s *Scheduler) takeEnd(w *worker, end fleet.End) {
+	if end.Sequence <= w.seen {
+		return
+	}
+	w.seen = end.Sequence
+	note := pendingNote{sequence: end.Sequence}
+	if t := w.tasks[end.Task]; t != nil && t.attempt == end.Number {
+		j := t.step.job
+		s.endAttempt(t, end.Outcome, end.Checkpoint, "listed by the worker")
+		note.job, note.generation = j, j.generation
+	} else if id, err := workload.ParseTaskID(end.Task); err == nil {
+		s.takeLateEnd(id, end)
+	}
+	w.pending = append(w.pending, note)
+}
+
+// takeLateEnd takes in the end of an attempt that the owner had given up. A task
+// that is done is done, whoever counted on it.
+func (s *Scheduler) takeLateEnd(id workload.TaskID, end fleet.End) {
+	j := s.jobs[id.Job]
+	if j == nil || j.state.Final() {
+		return
+	}
+	t := j.find(id)
+	if t == nil || t.state == taskDone {
+		return
+	}
+	s.log.Warn().Str("job", j.id).Str("task", end.Task).Int("attempt", end.Number).Str("outcome", string(end.Outcome)).
+		Msg("end of an attempt that was given up")
+	if end.Outcome == fleet.Done && !t.step.spec.Lasting {
+		s.stop(t, "an earlier attempt is done")
+		s.taskDone(t)
+	} else if end.Checkpoint != "" && t.step.spec.Checkpoints && !t.hosted() {
+		t.checkpoint = end.Checkpoint
+	}
+	s.change(j)
+}
--- a/settings/node.go
+++ b/settings/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"time"
 
@@ -73,15 +72,8 @@
 			return nil, err
 		}
 	}
-	rest, err := parser.ParseArgs(args)
-	var flagsError *flags.Error
-	switch {
-	case errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp:
-		return nil, &HelpError{flagsError.Message}
-	case err != nil:
-		return nil, &Error{Key: "command line", Reason: err.Error()}
-	case len(rest) > 0:
-		return nil, &Error{Key: "command line", Reason: fmt.Sprintf("%q is not understood", rest[0])}
+	if err := parse(parser, args); err != nil {
+		return nil, err
 	}
 	s.file = file
 	return s, s.check()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -112,18 +112,26 @@
 			return nil, err
 		}
 	}
+	if err := parse(p, args); err != nil {
+		return nil, err
+	}
+	s.file = file
+	return s, s.check()
+}
+
+// parse reads a command line, which must hold nothing but options.
+func parse(p *flags.Parser, args []string) error {
 	rest, err := p.ParseArgs(args)
 	var fe *flags.Error
 	switch {
 	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
-		return nil, &HelpError{fe.Message}
+		return &HelpError{fe.Message}
 	case err != nil:
-		return nil, &Error{Key: "command line", Reason: err.Error()}
+		return &Error{Key: "command line", Reason: err.Error()}
 	case len(rest) > 0:
-		return nil, &Error{Key: "command line", Reason: fmt.Sprintf("%q is not understood", rest[0])}
+		return &Error{Key: "command line", Reason: fmt.Sprintf("%q is not understood", rest[0])}
 	}
-	s.file = file
-	return s, s.check()
+	return nil
 }
 
 // Fault returns the error that a setting cannot be used, at the file and line
