node: strong machines own the shard first

Change: settings say what a machine has of a core; nodes take over and inherit in that order, and a weak owner hands over to a machine at least twice as strong.

--- a/node/handover.go
+++ b/node/handover.go
@@ -10,18 +10,24 @@
 )
 
 // anyHeir is the choice of an owner that must not be.
-func anyHeir(peerState) bool { return true }
+func anyHeir(Member, peerState) bool { return true }
 
 // handOver has another node that reaches the store, and that fits, take the shard.
-func (n *Node) handOver(ctx context.Context, why string, fits func(peerState) bool) {
+func (n *Node) handOver(ctx context.Context, why string, fits func(Member, peerState) bool) {
 	n.mu.Lock()
 	var heirs []Member
 	for _, member := range n.others() {
-		if state := n.peers[member.Node]; state.storeOK && time.Since(state.heard) < storeFresh && fits(state) {
+		if state := n.peers[member.Node]; state.storeOK && time.Since(state.heard) < storeFresh && fits(member, state) {
 			heirs = append(heirs, member)
 		}
 	}
-	sort.SliceStable(heirs, func(i, k int) bool { return n.peers[heirs[i].Node].lag < n.peers[heirs[k].Node].lag })
+	sort.SliceStable(heirs, func(i, k int) bool {
+		a, b := heirs[i], heirs[k]
+		if a.Power != b.Power {
+			return a.Power > b.Power
+		}
+		return n.peers[a.Node].lag < n.peers[b.Node].lag
+	})
 	own := n.own
 	n.mu.Unlock()
 	if own == nil || len(heirs) == 0 {
--- a/node/lag.go
+++ b/node/lag.go
@@ -48,16 +48,27 @@
 }
 
 // checkLag hands the shard over when this node is short of processor time and
-// another is not.
+// another is not, or is much the stronger machine.
 func (n *Node) checkLag(ctx context.Context) {
 	lag := n.lag.Mean()
 	n.mu.Lock()
 	own, since := n.own, n.ownSince
 	n.mu.Unlock()
-	if own == nil || lag < slowLag || time.Since(since) < settled {
+	if own == nil || time.Since(since) < settled {
 		return
 	}
-	n.handOver(ctx, "this node is short of processor time", func(state peerState) bool {
-		return state.lag*heirRatio < lag
-	})
+	late := func(_ Member, state peerState) bool { return lag >= slowLag && state.lag*heirRatio < lag }
+	stronger := func(member Member, state peerState) bool {
+		return member.Power >= strongerRatio*n.config.Self.Power && n.config.Self.Power > 0 && state.lag < slowLag
+	}
+	switch {
+	case lag >= slowLag:
+		n.handOver(ctx, "this node is short of processor time", func(m Member, p peerState) bool { return late(m, p) || stronger(m, p) })
+	default:
+		n.handOver(ctx, "another machine is much stronger", stronger)
+	}
 }
+
+// strongerRatio is by how much stronger a machine must be to be given the shard
+// without need.
+const strongerRatio = 2
--- a/node/messages.go
+++ b/node/messages.go
@@ -28,6 +28,16 @@
 	Node    string `cbor:"1,keyasint"`
 	Address string `cbor:"2,keyasint"` // for the other nodes
 	Zone    string `cbor:"3,keyasint"`
+	// Power is what the machine has of a processor's core.
+	Power float64 `cbor:"4,keyasint,omitempty"`
+}
+
+// before reports whether a member is the better owner of two that fit.
+func (m Member) before(other Member) bool {
+	if m.Power != other.Power {
+		return m.Power > other.Power
+	}
+	return m.Node < other.Node
 }
 
 // ownership is who owns the shard, as a node believes. Tokens order beliefs.
--- a/node/owner.go
+++ b/node/owner.go
@@ -20,6 +20,7 @@
 	// count as dead; owners write about twice in this time.
 	unchangedFor = 500 * time.Millisecond
 	rankDelay    = 120 * time.Millisecond
+	maxRank      = 12
 	loadTimeout  = 3 * time.Second
 	registerWait = 200 * time.Millisecond
 	// holdTimeout is how long a handover waits for a transaction under way; a
@@ -144,13 +145,13 @@
 	n.mu.Lock()
 	rank := 0
 	for _, member := range n.others() {
-		if member.Node < n.config.Self.Node && member.Node != seen.Node {
+		if member.before(n.config.Self) && member.Node != seen.Node {
 			rank++
 		}
 	}
 	n.mu.Unlock()
 	begun := time.Now()
-	wait.For(ctx, time.Duration(rank)*rankDelay)
+	wait.For(ctx, time.Duration(min(rank, maxRank))*rankDelay)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return ctx.Err() == nil && n.own == nil && !n.stopping && n.beatAt.Before(begun)
--- a/settings/node.go
+++ b/settings/node.go
@@ -28,12 +28,13 @@
 
 // NodeSelf is who the node is and where it listens.
 type NodeSelf struct {
-	Name    string `long:"name" ini-name:"name" description:"name of this node"`
-	Zone    string `long:"zone" ini-name:"zone" description:"zone of this node"`
-	Front   string `long:"front" ini-name:"front" description:"address for callers"`
-	Ready   string `long:"ready" ini-name:"ready" description:"address for readiness checks"`
-	Peer    string `long:"peer" ini-name:"peer" description:"address for the other nodes"`
-	Metrics string `long:"metrics" ini-name:"metrics" description:"address for metrics; empty: none"`
+	Name    string  `long:"name" ini-name:"name" description:"name of this node"`
+	Zone    string  `long:"zone" ini-name:"zone" description:"zone of this node"`
+	Front   string  `long:"front" ini-name:"front" description:"address for callers"`
+	Ready   string  `long:"ready" ini-name:"ready" description:"address for readiness checks"`
+	Peer    string  `long:"peer" ini-name:"peer" description:"address for the other nodes"`
+	Power   float64 `long:"power" ini-name:"power" default:"1" description:"what this machine has of a processor's core; strong machines own the shard first"`
+	Metrics string  `long:"metrics" ini-name:"metrics" description:"address for metrics; empty: none"`
 }
 
 // NodeStore is where the store of rows is.
@@ -137,6 +138,8 @@
 		}
 	}
 	switch {
+	case s.Self.Power <= 0:
+		return s.fault("node", "power", "must be more than 0")
 	case s.Times.Lease < minLease:
 		return s.fault("times", "lease", fmt.Sprintf("must be at least %v", minLease))
 	case s.Times.KeepFinal < 0:
