node: an owner asks a few heirs whether they could, and holds nothing up meanwhile

Also found: in node's tests no node reached another. Addresses have their port now.

Change: four heirs at most, the strongest first, each asked first whether the store answers it quickly; transactions are held only while one that can takes over; 0.8 s between tries; an owner that is told to stop and finds no heir starts tasks again.

--- a/node/handover.go
+++ b/node/handover.go
@@ -7,14 +7,40 @@
 
 	"chutereach/leadership"
 	"chutereach/peer"
+	"chutereach/scheduler"
 )
 
 // anyHeir is the choice of an owner that must not be.
 func anyHeir(Member, peerState) bool { return true }
 
 // handOver has another node that reaches the store, and that fits, take the shard.
+// It asks a few of the best, each first whether it could: the owner's transactions
+// are held only while one that can takes over.
 func (n *Node) handOver(ctx context.Context, why string, fits func(Member, peerState) bool) {
 	n.mu.Lock()
+	own := n.own
+	if own == nil || time.Now().Before(n.handOverAt) {
+		n.mu.Unlock()
+		return
+	}
+	heirs := n.heirs(fits)
+	if len(heirs) > 0 {
+		n.handOverAt = time.Now().Add(handoverPause)
+	}
+	n.mu.Unlock()
+	for _, heir := range heirs {
+		if err := n.callHeir(ctx, heir, true); err != nil {
+			n.log.Info().Str("heir", heir.Node).Str("why", why).Err(err).Msg("heir cannot take the shard")
+			continue
+		}
+		if n.bequeath(ctx, own, heir, why) {
+			return
+		}
+	}
+}
+
+// heirs returns the members that fit, the best first. The lock is held.
+func (n *Node) heirs(fits func(Member, peerState) bool) []Member {
 	var heirs []Member
 	for _, member := range n.others() {
 		if state := n.peers[member.Node]; state.storeOK && time.Since(state.heard) < storeFresh && fits(member, state) {
@@ -28,40 +54,43 @@
 		}
 		return n.peers[a.Node].lag < n.peers[b.Node].lag
 	})
-	own := n.own
-	n.mu.Unlock()
-	if own == nil || len(heirs) == 0 {
-		return
-	}
-	holdCtx, cancelHold := context.WithTimeout(ctx, holdTimeout)
+	return heirs[:min(len(heirs), maxHeirs)]
+}
+
+// callHeir asks a node to take the shard, or whether it could.
+func (n *Node) callHeir(ctx context.Context, heir Member, probe bool) error {
+	callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	_, err := peer.Call[nothing](callCtx, n.client, heir.Address, takeoverPath, takeoverCall{n.config.Self.Node, probe})
+	return err
+}
+
+// bequeath holds the owner's transactions while an heir takes the shard, and
+// reports whether this node owns it no more.
+func (n *Node) bequeath(ctx context.Context, own *scheduler.Scheduler, heir Member, why string) bool {
+	holdCtx, cancel := context.WithTimeout(ctx, holdTimeout)
 	release, err := own.Hold(holdCtx)
-	cancelHold()
+	cancel()
 	if err == nil {
 		defer release()
 	}
-	for _, heir := range heirs {
-		callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
-		_, err := peer.Call[nothing](callCtx, n.client, heir.Address, takeoverPath, takeoverCall{n.config.Self.Node})
-		cancel()
-		n.log.Info().Str("heir", heir.Node).Str("why", why).Err(err).Msg("handing the shard over")
-		if err != nil {
-			continue
-		}
-		n.mu.Lock()
-		if n.own == own && n.endOwn != nil {
-			n.endOwn()
-		}
-		n.mu.Unlock()
-		return
+	err = n.callHeir(ctx, heir, false)
+	n.log.Info().Str("heir", heir.Node).Str("why", why).Err(err).Msg("handing the shard over")
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err == nil && n.own == own && n.endOwn != nil {
+		n.endOwn()
 	}
+	return err == nil || n.own != own
 }
 
-// answerTakeover takes the shard over from its owner, if the store answers this
+// answerTakeover takes the shard over from its owner, or says that it could, if
+// the store answers this
 // node quickly: one that is slow for all is no reason to hand over.
 func (n *Node) answerTakeover(_ context.Context, call takeoverCall) (nothing, error) {
 	quick, cancel := context.WithTimeout(n.ctx, quickLook)
 	defer cancel()
-	if _, err := leadership.Look(quick, n.platform.Store, n.config.Scheduler.Shard); err != nil {
+	if _, err := leadership.Look(quick, n.platform.Store, n.config.Scheduler.Shard); err != nil || call.Probe {
 		return nothing{}, err
 	}
 	var err error
--- a/node/messages.go
+++ b/node/messages.go
@@ -69,7 +69,8 @@
 }
 
 type takeoverCall struct {
-	From string `cbor:"1,keyasint"`
+	From  string `cbor:"1,keyasint"`
+	Probe bool   `cbor:"2,keyasint,omitempty"` // only say whether it could be done
 }
 
 type submitCall struct {
--- a/node/node.go
+++ b/node/node.go
@@ -53,10 +53,12 @@
 	peers    map[string]peerState
 	own      *scheduler.Scheduler // while this node owns the shard
 	ownSince time.Time
-	endOwn   context.CancelFunc
-	storeOK  time.Time
-	storeBad bool
-	stopping bool
+	// handOverAt is when a handover may be tried next.
+	handOverAt time.Time
+	endOwn     context.CancelFunc
+	storeOK    time.Time
+	storeBad   bool
+	stopping   bool
 
 	lag    lagMeter
 	takeMu sync.Mutex // one takeover at a time
@@ -196,9 +198,13 @@
 	if own == nil {
 		return
 	}
+	n.mu.Lock()
+	n.handOverAt = time.Time{}
+	n.mu.Unlock()
 	own.Pause()
 	wait.For(ctx, pauseBeforeHandover)
 	n.handOver(ctx, "this node is stopping", anyHeir)
+	own.Resume() // without an heir it goes on to the end
 }
 
 // pauseBeforeHandover lets starts and transactions under way end.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -59,7 +59,7 @@
 			})
 		}
 		for i := range count {
-			m := &member{name: fmt.Sprintf("node-%d", i)}
+			m := &member{name: fmt.Sprintf("node-%d:80", i)} // HTTP adds port 80 to an address without one
 			c.nodes = append(c.nodes, m)
 			c.start(m)
 		}
@@ -337,3 +337,28 @@
 		}
 	})
 }
+
+// The regression of trouble-2 at the grown deployment: an owner that found no heir
+// held its transactions while it asked each of forty nodes.
+func TestAHandoverWithoutAnHeirHoldsNothingUp(t *testing.T) {
+	inCell(t, 9, func(c *cell) {
+		time.Sleep(3 * time.Second)
+		owner := c.owner()
+		for _, m := range c.nodes {
+			if m != owner {
+				m.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Slow: 300 * time.Millisecond} })
+			}
+		}
+		for i := range 10 {
+			owner.BeLate(time.Second)
+			time.Sleep(200 * time.Millisecond)
+			begun := time.Now()
+			if err := c.submit(owner, fmt.Sprintf("job-%d", i)); err != nil {
+				t.Error(err)
+			}
+			if took := time.Since(begun); took > 200*time.Millisecond {
+				t.Errorf("a job was accepted after %v", took)
+			}
+		}
+	})
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -30,6 +30,9 @@
 	// how long one heir is waited for.
 	quickLook       = 150 * time.Millisecond
 	handoverTimeout = 700 * time.Millisecond
+	// maxHeirs bounds the nodes that a handover asks, and handoverPause follows it.
+	maxHeirs      = 4
+	handoverPause = 800 * time.Millisecond
 	// heirTries is how often an heir tries to take a shard that still changes.
 	heirTries = 3
 )
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -164,6 +164,14 @@
 	s.paused = true
 }
 
+// Resume undoes Pause.
+func (s *Scheduler) Resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = false
+	wake(s.dispatchWake)
+}
+
 // Hold lets the transaction under way end and starts no other until release is
 // called, so that an heir can take the shard over.
 func (s *Scheduler) Hold(ctx context.Context) (release func(), err error) {
