scheduler, node: advice for the most urgent, and handovers only of nodes that turned slow

Change: tickets are asked and kept up for the 150 most urgent steps, and looked at when the first runs out; an owner hands over for lateness only if its timers were in time before in the same reign.

--- a/node/lag.go
+++ b/node/lag.go
@@ -19,7 +19,7 @@
 	heirRatio = 4
 	// settled is how long a reign lasts at least before the owner's lateness
 	// counts: a takeover is work.
-	settled = 3 * time.Second
+	settled = 1500 * time.Millisecond
 )
 
 // lagMeter measures how late timers are served, as a mean over a few tenths of a
@@ -47,28 +47,45 @@
 	}
 }
 
-// checkLag hands the shard over when this node is short of processor time and
-// another is not, or is much the stronger machine.
+// checkLag hands the shard over when this node has turned slow and another is
+// not, or when another is much the stronger machine. A node that has been short of
+// processor time for the whole of its reign has too much to do, not too little to
+// do it with: another would fare no better, and each takeover is work.
 func (n *Node) checkLag(ctx context.Context) {
 	lag := n.lag.Mean()
 	n.mu.Lock()
-	own, since := n.own, n.ownSince
-	n.mu.Unlock()
-	if own == nil || time.Since(since) < settled {
+	own, age := n.own, time.Since(n.ownSince)
+	if own == nil || age < settled {
+		n.calmSince, n.wasCalm = time.Time{}, false
+		n.mu.Unlock()
 		return
 	}
-	late := func(_ Member, state peerState) bool { return lag >= slowLag && state.lag*heirRatio < lag }
-	stronger := func(member Member, state peerState) bool {
-		return member.Power >= strongerRatio*n.config.Self.Power && n.config.Self.Power > 0 && state.lag < slowLag
+	switch {
+	case lag >= slowLag/2:
+		n.calmSince = time.Time{}
+	case n.calmSince.IsZero():
+		n.calmSince = time.Now()
+	case time.Since(n.calmSince) > calmFor:
+		n.wasCalm = true
 	}
+	turnedSlow := n.wasCalm && lag >= slowLag
+	n.mu.Unlock()
+	self := n.config.Self.Power
 	switch {
-	case lag >= slowLag:
-		n.handOver(ctx, "this node is short of processor time", func(m Member, p peerState) bool { return late(m, p) || stronger(m, p) })
-	default:
-		n.handOver(ctx, "another machine is much stronger", stronger)
+	case turnedSlow:
+		n.handOver(ctx, "this node is short of processor time", func(_ Member, state peerState) bool {
+			return state.lag*heirRatio < lag
+		})
+	case self > 0 && lag < slowLag:
+		n.handOver(ctx, "another machine is much stronger", func(member Member, state peerState) bool {
+			return member.Power >= strongerRatio*self && state.lag < slowLag
+		})
 	}
 }
 
+// calmFor is how long an owner must have been in time to be able to turn slow.
+const calmFor = 500 * time.Millisecond
+
 // strongerRatio is by how much stronger a machine must be to be given the shard
 // without need.
 const strongerRatio = 2
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,10 @@
 	peers    map[string]peerState
 	own      *scheduler.Scheduler // while this node owns the shard
 	ownSince time.Time
+	// calmSince is since when this owner's timers are in time, and wasCalm whether
+	// they have been for a while in this reign.
+	calmSince time.Time
+	wasCalm   bool
 	// handOverAt is when a handover may be tried next.
 	handOverAt time.Time
 	endOwn     context.CancelFunc
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chutereach/fleet"
+	"chutereach/workload"
 )
 
 const (
@@ -132,7 +133,7 @@
 	}
 	names := s.adviceNames(st, now)
 	if len(names) == 0 {
-		a.checkAt, a.fleetSerial = now.Add(adviceCheck), s.fleetSerial
+		a.checkAt, a.fleetSerial = a.nextCheck(now, policy), s.fleetSerial
 		return
 	}
 	cost := policy.Cost(len(names))
@@ -146,8 +147,27 @@
 	s.running.Go(func() { s.fetchAdvice(st, l, name, names, cost) })
 }
 
-// adviceCheck is how long a step whose advice lasts is not looked at again.
-const adviceCheck = 20 * time.Millisecond
+// Bounds of how long a step whose advice lasts is not looked at again.
+const (
+	soonestCheck = 20 * time.Millisecond
+	latestCheck  = time.Second
+)
+
+// nextCheck returns when tickets should be renewed next: when the first runs out
+// before an answer about all could come.
+func (a *adviceState) nextCheck(now time.Time, policy workload.AdvicePolicy) time.Time {
+	next := now.Add(latestCheck)
+	lead := policy.Cost(len(a.tickets)) + ticketMargin
+	for _, t := range a.tickets {
+		if due := t.expires.Add(-lead); due.Before(next) {
+			next = due
+		}
+	}
+	if soonest := now.Add(soonestCheck); next.Before(soonest) {
+		return soonest
+	}
+	return next
+}
 
 func (st *step) stepName() string { return st.tasks[0].id().StepName() }
 
--- /dev/null
+++ b/scheduler/bench_test.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chutereach/fleet"
+	"chutereach/leadership"
+	"chutereach/resource"
+	"chutereach/rowstore/memory"
+	"chutereach/workload"
+)
+
+// BenchmarkLook measures one look at what could be placed, while nothing has
+// room: 350 workers that are full, and jobs that wait with tickets.
+func BenchmarkLook(b *testing.B) {
+	for _, jobs := range []int{100, 1500} {
+		b.Run(fmt.Sprintf("%d jobs", jobs), func(b *testing.B) {
+			s, now := waitingCell(b, jobs)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.mu.Lock()
+				s.dispatch(now)
+				s.mu.Unlock()
+			}
+		})
+	}
+}
+
+func waitingCell(b *testing.B, jobs int) (*Scheduler, time.Time) {
+	store := memory.New()
+	seen, err := leadership.Look(b.Context(), store, "main")
+	if err != nil {
+		b.Fatal(err)
+	}
+	reign, err := leadership.Take(b.Context(), store, "main", "n", "a", seen)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := New(Config{Shard: "main", Lease: 6 * time.Second}, store, nil, reign, NewMetrics(), zerolog.Nop())
+	s.ctx = b.Context()
+	now := time.Now()
+	advice := fleet.Advice{Tickets: map[string]string{}, Valid: time.Hour}
+	var names []string
+	for i := range 350 {
+		w := newWorker(fleet.Worker{ID: fmt.Sprintf("w-%03d", i), Service: "s", Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30}})
+		w.known, w.contact, w.used = true, now.Add(time.Hour), resource.Amount{CPU: 15_500}
+		s.workers[w.info.ID] = w
+		names = append(names, w.info.ID)
+		if i%3 != 0 {
+			advice.Tickets[w.info.ID] = "ticket"
+		}
+	}
+	queue := workload.Queue{Name: "q", Service: "s", Attempts: 3, Advice: workload.AdvicePolicy{Decision: time.Millisecond, Valid: time.Hour}}
+	for i := range jobs {
+		steps := []workload.Step{{Count: 3, Need: resource.Amount{CPU: 2500}, Estimate: time.Second}}
+		j := newJob(fmt.Sprintf("%016x", i), workload.Record{Request: workload.Request{Steps: steps}, Queue: queue, Accepted: now.UnixMilli()}, now)
+		j.rounds[0].steps[0].advice.take(names, advice, now)
+		s.jobs[j.id], s.active[j.id] = j, j
+	}
+	return s, now
+}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -106,11 +106,18 @@
 	for _, w := range s.workers {
 		p.add(w)
 	}
-	for _, c := range list {
+	for i, c := range list {
+		if c.step.job.record.Queue.Advice.Needed() && i < adviceAhead {
+			s.askAdvice(c.step, now)
+		}
 		s.place(p, c)
 	}
 }
 
+// adviceAhead is for how many of the most urgent steps tickets are asked and kept
+// up; the others could not use theirs before they run out.
+const adviceAhead = 150
+
 // holdGrants is how long the store may fail before nothing is granted any more:
 // grants that cannot be written take room and let tickets run out. A slow store
 // answers within it.
@@ -118,7 +125,7 @@
 
 // keepAdvice has tickets at hand for when the store is back.
 func (s *Scheduler) keepAdvice(list []candidate, now time.Time) {
-	for _, c := range list {
+	for _, c := range list[:min(len(list), adviceAhead)] {
 		if c.step.job.record.Queue.Advice.Needed() {
 			s.askAdvice(c.step, now)
 		}
@@ -192,9 +199,6 @@
 // place places a step's tasks as far as there is room.
 func (s *Scheduler) place(p *pass, c candidate) {
 	st := c.step
-	if st.job.record.Queue.Advice.Needed() {
-		s.askAdvice(st, p.now)
-	}
 	if st.spec.Gang || st.spec.SameRack {
 		s.placeTogether(p, c)
 		return
