scheduler: a lane's advisor is read under the lock; final jobs let go of their tasks

Change: the advisor is taken with the lane, under the lock; a final job of which nothing is on a worker drops its steps and its request.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -143,8 +143,8 @@
 	}
 	a.asking = true
 	l.queued += cost
-	name := st.stepName()
-	s.running.Go(func() { s.fetchAdvice(st, l, name, names, cost) })
+	name, advisor := st.stepName(), l.Advisor
+	s.running.Go(func() { s.fetchAdvice(st, l, advisor, name, names, cost) })
 }
 
 // Bounds of how long a step whose advice lasts is not looked at again.
@@ -223,14 +223,14 @@
 	return names
 }
 
-func (s *Scheduler) fetchAdvice(st *step, l *lane, name string, names []string, cost time.Duration) {
+func (s *Scheduler) fetchAdvice(st *step, l *lane, advisor fleet.Advisor, name string, names []string, cost time.Duration) {
 	s.mu.Lock()
 	limit := l.queued + cost/2 + adviceSlack
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, limit)
 	defer cancel()
 	begun := time.Now()
-	advice, err := l.Advisor.Advise(ctx, name, names)
+	advice, err := advisor.Advise(ctx, name, names)
 	now := time.Now()
 	s.metrics.advice(now.Sub(begun), err)
 	s.mu.Lock()
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -195,6 +195,15 @@
 	return st.tasks[id.Index]
 }
 
+// slim drops what nobody asks of a final job, once nothing of it is on a worker.
+func (j *job) slim() {
+	hosted := false
+	j.eachTask(func(t *task) { hosted = hosted || t.hosted() })
+	if !hosted {
+		j.rounds, j.record.Request = nil, workload.Request{}
+	}
+}
+
 // eachTask calls f for every task.
 func (j *job) eachTask(f func(*task)) {
 	for _, r := range j.rounds {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -398,6 +398,9 @@
 			delete(s.jobs, id)
 			continue
 		}
+		if j.state.Final() && j.saved >= j.generation {
+			j.slim()
+		}
 		if !j.state.Final() || j.forgotten || now.Sub(time.UnixMilli(j.finalAt)) < s.keepFinal {
 			continue
 		}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -318,3 +318,29 @@
 		}
 	})
 }
+
+// Lanes may be told anew while they are being asked; the race detector judges.
+func TestLanesAreToldAnewWhileAsked(t *testing.T) {
+	inCell(t, 9, func(c *cell) {
+		c.queue.Advice = workload.AdvicePolicy{Decision: 5 * time.Millisecond, Each: time.Millisecond, Valid: 2 * time.Second}
+		o := c.rule()
+		stop := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Millisecond):
+					o.SetLanes([]scheduler.Lane{{Node: "node", Self: true, Advisor: c.fleet}})
+				}
+			}
+		}()
+		for _, id := range []string{"a", "b", "c", "d"} {
+			if err := c.submit(o, id, jobOf(4, 1000), work(100*time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			c.await(o, id, workload.Completed, 5*time.Second)
+		}
+		close(stop)
+	})
+}
