node: an heir that cannot load the shard hands it on

Ruled out: its heartbeats came, so that no node doubted it, and rightly so.

Change: a load that has not succeeded for 0.3 s is left to another node that the store answers; the first reading may take 0.7 s, later ones up to 3 s.

TestAnHeirThatCannotLoadHandsOn fails before and passes now.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -362,3 +362,35 @@
 		}
 	})
 }
+
+// The regression of own day 725: the store turned an heir away between its takeover
+// and its reading of the shard, and the heir went on trying for seven seconds.
+func TestAnHeirThatCannotLoadHandsOn(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		if err := c.submit(c.nodes[3], "before"); err != nil {
+			t.Fatal(err)
+		}
+		former := c.owner()
+		for _, m := range c.nodes {
+			if m == former {
+				continue
+			}
+			taken := false
+			m.caller.SetFault(func(write bool) memory.Fault {
+				refuse := taken
+				taken = taken || write
+				return memory.Fault{Refuse: refuse}
+			})
+			break // the first heir that is asked
+		}
+		former.Stop(c.ctx)
+		begun := time.Now()
+		for c.submit(c.nodes[3], "after") != nil {
+			if time.Since(begun) > 3*time.Second {
+				t.Fatal("no job is accepted for 3 s")
+			}
+		}
+		c.await(c.nodes[3], "before", 10*time.Second)
+		c.await(c.nodes[3], "after", 10*time.Second)
+	})
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -21,7 +21,12 @@
 	unchangedFor = 500 * time.Millisecond
 	rankDelay    = 120 * time.Millisecond
 	maxRank      = 12
-	loadTimeout  = 3 * time.Second
+	// firstLoad is how long the first reading of a shard may take, and loadTimeout
+	// any; a slow store needs the longer ones.
+	firstLoad   = 700 * time.Millisecond
+	loadTimeout = 3 * time.Second
+	// loadFailing is after how long without success a load is left to another node.
+	loadFailing  = 300 * time.Millisecond
 	registerWait = 200 * time.Millisecond
 	// holdTimeout is how long a handover waits for a transaction under way; a
 	// store that does not answer keeps it for longer.
@@ -223,12 +228,15 @@
 	})
 }
 
-// load reads the shard's rows until that succeeds.
+// load reads the shard's rows until that succeeds. A node that the store turns away
+// meanwhile hands the shard on.
 func (n *Node) load(ctx context.Context, own *scheduler.Scheduler) error {
+	begun, timeout := time.Now(), firstLoad
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		err := own.Load(callCtx)
 		cancel()
+		timeout = min(loadTimeout, 2*timeout)
 		if err == nil {
 			if table, ok := n.routes.Current(); ok {
 				own.SetQueues(table.Queues())
@@ -236,6 +244,9 @@
 			return nil
 		}
 		n.log.Warn().Err(err).Msg("shard cannot be loaded yet")
+		if time.Since(begun) > loadFailing {
+			n.handOver(ctx, "the store does not let this node load the shard", anyHeir)
+		}
 		if err := wait.For(ctx, registerWait); err != nil {
 			return err
 		}
