--- a/node/handover.go
+++ b/node/handover.go
@@ -88,9 +88,7 @@
 // the store answers this
 // node quickly: one that is slow for all is no reason to hand over.
 func (n *Node) answerTakeover(_ context.Context, call takeoverCall) (nothing, error) {
-	quick, cancel := context.WithTimeout(n.ctx, quickLook)
-	defer cancel()
-	if _, err := leadership.Look(quick, n.platform.Store, n.config.Scheduler.Shard); err != nil || call.Probe {
+	if err := n.lookQuickly(n.ctx); err != nil || call.Probe {
 		return nothing{}, err
 	}
 	var err error
@@ -115,3 +113,13 @@
 	}
 	return n.take(parent, seen, "handed over by "+from)
 }
+
+// lookQuickly reads the owner's row, and fails if that takes long.
+func (n *Node) lookQuickly(ctx context.Context) error {
+	quick, cancel := context.WithTimeout(ctx, quickLook)
+	defer cancel()
+	_, err := leadership.Look(quick, n.platform.Store, n.config.Scheduler.Shard)
+	return err
+}
+
+func (n *Node) storeIsQuick(ctx context.Context) bool { return n.lookQuickly(ctx) == nil }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -394,3 +395,43 @@
 		c.await(c.nodes[3], "after", 10*time.Second)
 	})
 }
+
+// A shard that is large takes long to read, at this node and at any other: it is
+// not handed on for that (the regression of trouble-3 at cfg-bench-grown, where it
+// went from node to node for ten seconds).
+func TestALargeShardIsNotHandedOnWhileItIsRead(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		former := c.owner()
+		var mu sync.Mutex
+		for _, m := range c.nodes {
+			loading := 0
+			m.caller.SetFault(func(write bool) memory.Fault {
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case write && m != former && loading == 0:
+					loading = 3 // the three tables are read next
+				case !write && loading > 0:
+					loading--
+					return memory.Fault{Slow: 1200 * time.Millisecond}
+				}
+				return memory.Fault{}
+			})
+		}
+		former.Stop(c.ctx)
+		owners := map[string]bool{}
+		for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			if owner := c.owner(); owner != nil {
+				owners[owner.name] = true
+			}
+		}
+		delete(owners, former.name)
+		if len(owners) != 1 {
+			t.Errorf("the shard went to %d nodes, want 1", len(owners))
+		}
+		if err := c.submit(c.nodes[3], "job"); err != nil {
+			t.Error(err)
+		}
+		c.await(c.nodes[3], "job", 5*time.Second)
+	})
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -23,7 +23,7 @@
 	maxRank      = 12
 	// firstLoad is how long the first reading of a shard may take, and loadTimeout
 	// any; a slow store needs the longer ones.
-	firstLoad   = 700 * time.Millisecond
+	firstLoad   = 1500 * time.Millisecond
 	loadTimeout = 3 * time.Second
 	// loadFailing is after how long without success a load is left to another node.
 	loadFailing  = 300 * time.Millisecond
@@ -229,7 +229,8 @@
 }
 
 // load reads the shard's rows until that succeeds. A node that the store turns away
-// meanwhile hands the shard on.
+// meanwhile hands the shard on; one that it answers quickly does not, as a shard that
+// takes long to read takes as long elsewhere.
 func (n *Node) load(ctx context.Context, own *scheduler.Scheduler) error {
 	begun, timeout := time.Now(), firstLoad
 	for {
@@ -244,7 +245,7 @@
 			return nil
 		}
 		n.log.Warn().Err(err).Msg("shard cannot be loaded yet")
-		if time.Since(begun) > loadFailing {
+		if time.Since(begun) > loadFailing && !n.storeIsQuick(ctx) {
 			n.handOver(ctx, "the store does not let this node load the shard", anyHeir)
 		}
 		if err := wait.For(ctx, registerWait); err != nil {
