scheduler, node: what the last reading found dead or twice

Cause: a reading of the whole change: a histogram and a field that nothing used; the question whether a queue needs advice asked at both callers of askAdvice and not in it; an alias for a type and a one-line negation beside the function it calls; a comment that named a method that is not there.

Change: they are gone; askAdvice asks itself.

Seen and left: the daemon's and the cell's main answer help, check and bad settings with the same switch; heads of message types and error types that have the same shape.

--- a/node/beat.go
+++ b/node/beat.go
@@ -149,7 +149,7 @@
 func (n *Node) fetchTable(address string) {
 	ctx, cancel := context.WithTimeout(n.ctx, beatTimeout)
 	defer cancel()
-	table, err := peer.Call[tableAnswer](ctx, n.client, address, tablePath, nothing{})
+	table, err := peer.Call[routing.Table](ctx, n.client, address, tablePath, nothing{})
 	if err == nil {
 		n.routes.Offer(table)
 	}
--- a/node/handover.go
+++ b/node/handover.go
@@ -85,8 +85,8 @@
 }
 
 // answerTakeover takes the shard over from its owner, or says that it could, if
-// the store answers this
-// node quickly: one that is slow for all is no reason to hand over.
+// the store answers this node quickly: one that is slow for all is no reason to hand
+// over.
 func (n *Node) answerTakeover(_ context.Context, call takeoverCall) (nothing, error) {
 	if err := n.lookQuickly(n.ctx); err != nil || call.Probe {
 		return nothing{}, err
@@ -121,5 +121,3 @@
 	_, err := leadership.Look(quick, n.platform.Store, n.config.Scheduler.Shard)
 	return err
 }
-
-func (n *Node) storeIsQuick(ctx context.Context) bool { return n.lookQuickly(ctx) == nil }
--- a/node/messages.go
+++ b/node/messages.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"chutereach/peer"
-	"chutereach/routing"
 	"chutereach/scheduler"
 	"chutereach/workload"
 )
@@ -181,6 +180,3 @@
 	}
 	return err
 }
-
-// Table is sent between nodes as it is.
-type tableAnswer = routing.Table
--- a/node/owner.go
+++ b/node/owner.go
@@ -245,7 +245,7 @@
 			return nil
 		}
 		n.log.Warn().Err(err).Msg("shard cannot be loaded yet")
-		if time.Since(begun) > loadFailing && !n.storeIsQuick(ctx) {
+		if time.Since(begun) > loadFailing && n.lookQuickly(ctx) != nil {
 			n.handOver(ctx, "the store does not let this node load the shard", anyHeir)
 		}
 		if err := wait.For(ctx, registerWait); err != nil {
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -120,14 +120,13 @@
 	return rank
 }
 
-// askAdvice asks which workers may run a step, unless a call is under way, or
-// what is known will last. The lock is held.
+// askAdvice asks which workers may run a step, unless it needs no advice, a call is
+// under way, or what is known will last. The lock is held.
 func (s *Scheduler) askAdvice(st *step, now time.Time) {
-	a := &st.advice
-	if a.asking || now.Before(a.checkAt) && a.fleetSerial == s.fleetSerial {
+	a, policy := &st.advice, st.job.record.Queue.Advice
+	if !policy.Needed() || a.asking || now.Before(a.checkAt) && a.fleetSerial == s.fleetSerial {
 		return
 	}
-	policy := st.job.record.Queue.Advice
 	if s.chooseLane(policy.Cost(1), now) == nil {
 		return
 	}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -107,7 +107,7 @@
 		p.add(w)
 	}
 	for i, c := range list {
-		if c.step.job.record.Queue.Advice.Needed() && i < adviceAhead {
+		if i < adviceAhead {
 			s.askAdvice(c.step, now)
 		}
 		s.place(p, c)
@@ -126,9 +126,7 @@
 // keepAdvice has tickets at hand for when the store is back.
 func (s *Scheduler) keepAdvice(list []candidate, now time.Time) {
 	for _, c := range list[:min(len(list), adviceAhead)] {
-		if c.step.job.record.Queue.Advice.Needed() {
-			s.askAdvice(c.step, now)
-		}
+		s.askAdvice(c.step, now)
 	}
 }
 
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -12,13 +12,12 @@
 	"chutereach/workload"
 )
 
-// Metrics counts what schedulers of one process do. Its String method writes
-// JSON, for expvar.
+// Metrics counts what schedulers of one process do. Var shows it.
 type Metrics struct {
 	admissions, outcomes, refusals, finals *expvar.Map
 	stops, grants, adviceFailed, late      *expvar.Int
 	commitTimes, startTimes, adviceTimes   *times
-	urgentAges, otherAges                  *times
+	completedTimes                         *times
 	commitJobs                             *expvar.Int
 }
 
@@ -28,7 +27,7 @@
 		admissions: new(expvar.Map), outcomes: new(expvar.Map), refusals: new(expvar.Map), finals: new(expvar.Map),
 		stops: new(expvar.Int), grants: new(expvar.Int), adviceFailed: new(expvar.Int), late: new(expvar.Int),
 		commitTimes: newTimes(), startTimes: newTimes(), adviceTimes: newTimes(),
-		urgentAges: newTimes(), otherAges: newTimes(), commitJobs: new(expvar.Int),
+		completedTimes: newTimes(), commitJobs: new(expvar.Int),
 	}
 }
 
@@ -47,7 +46,7 @@
 	all.Set("committed_jobs", m.commitJobs)
 	all.Set("start_ms", m.startTimes)
 	all.Set("advice_ms", m.adviceTimes)
-	all.Set("completed_ms", m.otherAges)
+	all.Set("completed_ms", m.completedTimes)
 	return all
 }
 
@@ -81,7 +80,7 @@
 		m.late.Add(1)
 	}
 	if state == workload.Completed {
-		m.otherAges.record(age)
+		m.completedTimes.record(age)
 	}
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -35,7 +35,6 @@
 	wasUsable    bool
 	freed        bool // since the last look
 	blockedUntil time.Time
-	drainingFrom time.Time
 	health       health
 }
 
