--- a/logs/logs.go
+++ b/logs/logs.go
@@ -26,9 +26,17 @@
 	Store     Part = "store"
 )
 
+// timeFormat is RFC 3339 with milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 const partField = "part"
 
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // New returns a logger that writes to w, as JSON or for people.
+//
+// Times have milliseconds: what an engineer compares on two machines is often
+// closer together than a second.
 func New(w io.Writer, json bool, level zerolog.Level) zerolog.Logger {
 	if !json {
 		w = zerolog.ConsoleWriter{
