scheduler: advice for the room that is needed, lanes kept for cheap calls, preemption

Lookups waited 270 ms for their first grant at the median, and a look took 3 to 4 ms. Ruled out: room (the first and the last grant of a job came together). Now a call names workers that have room, as many as are needed; a gang without room learns which workers it could wait for; a quarter of the lanes stays free of dear calls; steps look only at workers whose tickets they hold. A step whose job can be in time and that finds no room has tasks of lesser queues stopped that save their work and stay in time; their room is kept for it. One line tells all grants of a step.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -2,239 +2,269 @@
 
 import (
 	"context"
-	"sort"
+	"slices"
 	"time"
 
 	"chutereach/fleet"
-	"chutereach/workload"
 )
 
 const (
 	// adviceMost is how many workers one call may name.
 	adviceMost = 100
-	// cheapAdvice is the cost below which the owner's own lane is used first.
-	cheapAdvice = 40 * time.Millisecond
-	// laneDepth bounds the work that waits at a lane, besides one call.
-	laneDepth = 30 * time.Millisecond
-	// adviceSlack is added to what a call should take.
-	adviceSlack = 500 * time.Millisecond
-	// lanePause spares a lane that failed.
-	lanePause = 500 * time.Millisecond
+	// adviceLeast is how many workers a call names if that many have room. A call
+	// has a fixed cost, of which this many add about a third.
+	adviceLeast = 24
+	// adviceRoom is how many times the room that a step needs the workers of a
+	// call should have: others may take some of it before the answer.
+	adviceRoom = 1.5
 	// ticketMargin is how long before its end a ticket is no longer used.
 	ticketMargin = 60 * time.Millisecond
+	// ticketLead is how long after a decision a start reaches its worker, usually.
+	ticketLead = 40 * time.Millisecond
+	// checkAgain is when a step for which nothing could be asked is looked at again.
+	checkAgain = 40 * time.Millisecond
+	// firstHealthy is the share of workers that may run a step, before any answer
+	// of its queue, and healthyWeight the weight of the newest answer.
+	firstHealthy  = 0.5
+	healthyWeight = 0.1
 )
 
-// Lane is a node from which advice can be asked; the advisor takes one call at a
-// time from each.
-type Lane struct {
-	Node    string
-	Self    bool
-	Advisor fleet.Advisor
-}
-
-type lane struct {
-	Lane
-	queued time.Duration // cost of the calls under way
-	until  time.Time     // spared until then
-}
-
-// ticket is what a worker needs to be shown to run a step.
-type ticket struct {
-	text    string
+// permit says that a worker may run a step, which never changes, and holds the
+// ticket that it must be shown.
+type permit struct {
+	worker  *worker
+	ticket  string
 	expires time.Time
 }
 
+// goodAt reports whether the ticket can be shown at a time.
+func (p *permit) goodAt(at time.Time) bool { return p.expires.After(at) }
+
 // adviceState is what is known of the workers that may run a step.
 type adviceState struct {
-	asked   map[string]bool // workers that were asked about
-	healthy map[string]bool // those of them that may run the step; this never changes
-	tickets map[string]ticket
+	asked   map[*worker]bool
+	permits []*permit
+	at      map[*worker]*permit // the same by worker
 	asking  bool
-	// Nothing need be asked before checkAt, unless the list of workers is another
-	// than at fleetSerial.
-	checkAt     time.Time
-	fleetSerial uint64
+	checkAt time.Time // nothing need be asked before
 }
 
 // drop forgets a ticket that a worker has refused.
-func (a *adviceState) drop(worker string) { delete(a.tickets, worker) }
-
-// ticketFor returns a ticket that is good at a time.
-func (a *adviceState) ticketFor(worker string, at time.Time) (string, bool) {
-	t, ok := a.tickets[worker]
-	return t.text, ok && t.expires.After(at)
+func (a *adviceState) drop(w *worker) {
+	if p := a.at[w]; p != nil {
+		p.expires = time.Time{}
+	}
 }
 
-// SetLanes tells from which nodes advice can be asked.
-func (s *Scheduler) SetLanes(list []Lane) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	former := map[string]*lane{}
-	for _, l := range s.lanes {
-		former[l.Node] = l
-	}
-	s.lanes = nil
-	for _, l := range list {
-		if old := former[l.Node]; old != nil {
-			old.Lane = l
-			s.lanes = append(s.lanes, old)
-		} else {
-			s.lanes = append(s.lanes, &lane{Lane: l})
-		}
+// ticketFor returns a ticket that is good at a time.
+func (a *adviceState) ticketFor(w *worker, at time.Time) (string, bool) {
+	if p := a.at[w]; p != nil && p.goodAt(at) {
+		return p.ticket, true
 	}
-	wake(s.dispatchWake)
+	return "", false
 }
 
-// chooseLane returns the lane for a call of a cost, or nil if none is free.
-func (s *Scheduler) chooseLane(cost time.Duration, now time.Time) *lane {
-	var best *lane
-	others := 0
-	for _, l := range s.lanes {
-		if !l.Self && now.After(l.until) {
-			others++
+// options calls f with each worker to which a step could go now, room apart.
+func (st *step) options(p *pass, f func(*worker)) {
+	if !st.job.record.Queue.Advice.Needed() {
+		for _, w := range p.pools[st.job.record.Queue.Service] {
+			f(w)
 		}
+		return
 	}
-	for _, l := range s.lanes {
-		if now.Before(l.until) {
-			continue
-		}
-		if l.Self && cost > cheapAdvice && others > 0 {
-			continue // the own lane is kept for cheap calls
+	shown := p.now.Add(ticketLead)
+	for _, permit := range st.advice.permits {
+		if permit.worker.usableIn == p.serial && permit.goodAt(shown) {
+			f(permit.worker)
 		}
-		if l.queued > laneDepth && l.queued+cost > cheapAdvice*2 {
-			continue
-		}
-		if best == nil || l.rank(cost) < best.rank(cost) {
-			best = l
-		}
-	}
-	return best
-}
-
-// rank orders lanes: short queues first, and the own lane for cheap calls.
-func (l *lane) rank(cost time.Duration) time.Duration {
-	rank := l.queued
-	if !l.Self && cost <= cheapAdvice {
-		rank += cheapAdvice / 2
 	}
-	return rank
 }
 
-// askAdvice asks which workers may run a step, unless it needs no advice, a call is
-// under way, or what is known will last. The lock is held.
-func (s *Scheduler) askAdvice(st *step, now time.Time) {
+// askAdvice asks which workers may run the tasks of a step that found no place,
+// unless it needs no advice, a call is under way, or no call would help. The lock
+// is held.
+func (s *Scheduler) askAdvice(p *pass, c candidate) {
+	st := c.step
 	a, policy := &st.advice, st.job.record.Queue.Advice
-	if !policy.Needed() || a.asking || now.Before(a.checkAt) && a.fleetSerial == s.fleetSerial {
-		return
-	}
-	if s.chooseLane(policy.Cost(1), now) == nil {
+	if !policy.Needed() || a.asking || p.now.Before(a.checkAt) || s.chooseLane(policy.Cost(1), p.now) == nil {
 		return
 	}
-	names := s.adviceNames(st, now)
-	if len(names) == 0 {
-		a.checkAt, a.fleetSerial = a.nextCheck(now, policy), s.fleetSerial
+	named := s.question(p, c)
+	if len(named) == 0 {
+		a.checkAt = p.now.Add(checkAgain)
 		return
 	}
-	cost := policy.Cost(len(names))
-	l := s.chooseLane(cost, now)
+	cost := policy.Cost(len(named))
+	l := s.chooseLane(cost, p.now)
 	if l == nil {
 		return
 	}
 	a.asking = true
-	l.queued += cost
+	l.begin(cost)
 	name, advisor := st.stepName(), l.Advisor
-	s.running.Go(func() { s.fetchAdvice(st, l, advisor, name, names, cost) })
+	s.running.Go(func() { s.fetchAdvice(st, l, advisor, name, named, cost) })
 }
 
-// Bounds of how long a step whose advice lasts is not looked at again.
-const (
-	soonestCheck = 20 * time.Millisecond
-	latestCheck  = time.Second
-)
+func (st *step) stepName() string { return st.tasks[0].id().StepName() }
 
-// nextCheck returns when tickets should be renewed next: when the first runs out
-// before an answer about all could come.
-func (a *adviceState) nextCheck(now time.Time, policy workload.AdvicePolicy) time.Time {
-	next := now.Add(latestCheck)
-	lead := policy.Cost(len(a.tickets)) + ticketMargin
-	for _, t := range a.tickets {
-		if due := t.expires.Add(-lead); due.Before(next) {
-			next = due
-		}
-	}
-	if soonest := now.Add(soonestCheck); next.Before(soonest) {
-		return soonest
-	}
-	return next
+// roomFor is a worker with room for some tasks of a step.
+type roomFor struct {
+	worker *worker
+	slots  int
 }
 
-func (st *step) stepName() string { return st.tasks[0].id().StepName() }
+// survey is the room that a step's waiting tasks could use.
+type survey struct {
+	good  int       // slots where a ticket is good until an answer could come
+	known []roomFor // that may run the step, but need a new ticket
+	fresh []roomFor // that were never asked about
+}
 
-// adviceNames returns the workers to ask about: those that were never asked
-// about, and those that may run the step and whose tickets will not last until
-// an answer.
-func (s *Scheduler) adviceNames(st *step, now time.Time) []string {
-	policy := st.job.record.Queue.Advice
-	var fresh, known []*worker
-	for _, w := range s.workers {
-		if !w.known || w.over || w.info.Draining || !st.allows(w) {
+// survey looks at all workers for a step.
+func (s *Scheduler) survey(p *pass, c candidate) survey {
+	st := c.step
+	lasting := p.now.Add(st.job.record.Queue.Advice.Cost(adviceLeast) + ticketMargin)
+	if !st.spec.Gang {
+		lasting = p.now.Add(ticketLead)
+	}
+	var seen survey
+	for _, w := range p.pools[st.job.record.Queue.Service] {
+		slots := p.slots(c, w)
+		if c.mayPreempt() && slots < len(c.tasks) {
+			slots = p.slotsWithYields(c, w)
+		}
+		if slots < 1 {
 			continue
 		}
+		permit := st.advice.at[w]
 		switch {
-		case !st.advice.asked[w.info.ID]:
-			fresh = append(fresh, w)
-		case st.advice.healthy[w.info.ID]:
-			known = append(known, w)
+		case permit != nil && permit.goodAt(lasting):
+			seen.good += slots
+		case permit != nil:
+			seen.known = append(seen.known, roomFor{w, slots})
+		case !st.advice.asked[w]:
+			seen.fresh = append(seen.fresh, roomFor{w, slots})
 		}
 	}
-	lead := policy.Cost(len(known)) + ticketMargin
-	var expiring []*worker
-	for _, w := range known {
-		if _, ok := st.advice.ticketFor(w.info.ID, now.Add(lead)); !ok {
-			expiring = append(expiring, w)
+	return seen
+}
+
+// question returns the workers to ask about so that the step's waiting tasks find
+// room on those that may run it. Workers without room are not asked about: their
+// tickets would run out unused. A gang that has no room anywhere learns first which
+// workers it could wait for.
+func (s *Scheduler) question(p *pass, c candidate) []*worker {
+	st, tasks := c.step, len(c.tasks)
+	seen := s.survey(p, c)
+	healthy := s.healthyShare(st.job.record.Queue.Name)
+	hoped := float64(seen.good) + float64(slotsOf(seen.known)) + healthy*float64(slotsOf(seen.fresh))
+	switch {
+	case seen.good >= tasks:
+		return nil
+	case st.spec.Gang && hoped < float64(tasks):
+		if st.permittedSlots() < gangChoice*tasks {
+			return s.roomiest(p, c)
 		}
-	}
-	enough := len(known)-len(expiring) >= len(st.tasks)
-	if enough && len(st.advice.asked) > 0 {
 		return nil
 	}
-	if len(fresh) == 0 && len(expiring) < (len(known)+1)/2 {
-		return nil
+	wanted := adviceRoom * float64(tasks-seen.good)
+	if st.spec.Gang {
+		wanted = adviceRoom * float64(tasks) // all tickets are shown at one moment
+	}
+	named, wanted := takeRoom(nil, seen.known, wanted, 1)
+	if wanted > 0 || len(st.advice.asked) == 0 {
+		named, _ = takeRoom(named, seen.fresh, wanted, healthy)
+	}
+	return named
+}
+
+func slotsOf(list []roomFor) int {
+	total := 0
+	for _, r := range list {
+		total += r.slots
+	}
+	return total
+}
+
+// takeRoom names the workers with the most room until they have as much as is
+// wanted, and returns what is still wanted. Of those that may turn out unfit it names
+// adviceLeast at the least.
+func takeRoom(named []*worker, list []roomFor, wanted, healthy float64) ([]*worker, float64) {
+	slices.SortFunc(list, func(a, b roomFor) int {
+		if a.slots != b.slots {
+			return b.slots - a.slots
+		}
+		return int(b.worker.free().CPU - a.worker.free().CPU)
+	})
+	least := 0
+	if healthy < 1 {
+		least = adviceLeast
+	}
+	for _, r := range list {
+		if wanted <= 0 && len(named) >= least || len(named) == adviceMost {
+			break
+		}
+		named = append(named, r.worker)
+		wanted -= healthy * float64(r.slots)
+	}
+	return named, wanted
+}
+
+// gangChoice is how many times the room that a gang needs its workers should have
+// if they were idle; with fewer to choose from it would wait for long.
+const gangChoice = 4
+
+// permittedSlots is how many of the step's tasks all workers that may run it would
+// take if they were idle.
+func (st *step) permittedSlots() int {
+	total := 0
+	for _, permit := range st.advice.permits {
+		if !permit.worker.over {
+			total += st.fittingInto(permit.worker.info.Capacity, permit.worker)
+		}
 	}
-	return namesOf(append(expiring, roomiest(fresh, adviceMost-min(adviceMost, len(expiring)))...))
+	return total
 }
 
-// roomiest returns the n workers with the most room.
-func roomiest(list []*worker, n int) []*worker {
-	if len(list) <= n {
-		return list
+// roomiest returns the workers with the most room of those that were not asked
+// about and could take a task of the step if they were idle.
+func (s *Scheduler) roomiest(p *pass, c candidate) []*worker {
+	var list []*worker
+	for _, w := range p.pools[c.step.job.record.Queue.Service] {
+		if c.step.allows(w) && !c.step.advice.asked[w] {
+			list = append(list, w)
+		}
 	}
-	sort.Slice(list, func(i, k int) bool { return list[i].free().CPU > list[k].free().CPU })
-	return list[:n]
+	slices.SortFunc(list, func(a, b *worker) int { return int(b.free().CPU - a.free().CPU) })
+	return list[:min(len(list), adviceMost)]
 }
 
-func namesOf(list []*worker) []string {
-	names := make([]string, 0, len(list))
-	for _, w := range list[:min(len(list), adviceMost)] {
-		names = append(names, w.info.ID)
+// healthyShare returns the share of workers that may run a step of a queue, as
+// answers have shown it.
+func (s *Scheduler) healthyShare(queue string) float64 {
+	if share, ok := s.healthy[queue]; ok {
+		return share
 	}
-	sort.Strings(names)
-	return names
+	return firstHealthy
 }
 
-func (s *Scheduler) fetchAdvice(st *step, l *lane, advisor fleet.Advisor, name string, names []string, cost time.Duration) {
+func (s *Scheduler) fetchAdvice(st *step, l *lane, advisor fleet.Advisor, name string, named []*worker, cost time.Duration) {
 	s.mu.Lock()
 	limit := l.queued + cost/2 + adviceSlack
+	ids := make([]string, 0, len(named))
+	for _, w := range named {
+		ids = append(ids, w.info.ID)
+	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, limit)
 	defer cancel()
 	begun := time.Now()
-	advice, err := advisor.Advise(ctx, name, names)
+	advice, err := advisor.Advise(ctx, name, ids)
 	now := time.Now()
 	s.metrics.advice(now.Sub(begun), err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l.queued -= cost
+	l.end(cost)
 	st.advice.asking = false
 	if err != nil {
 		if s.ctx.Err() == nil {
@@ -242,21 +272,45 @@
 		}
 		l.until = now.Add(lanePause)
 	} else {
-		st.advice.take(names, advice, now)
-		st.tried = 0
+		s.adviceCame(st, named, advice, now)
 	}
 	wake(s.dispatchWake)
 }
 
-func (a *adviceState) take(names []string, advice fleet.Advice, now time.Time) {
-	if a.asked == nil {
-		a.asked, a.healthy, a.tickets = map[string]bool{}, map[string]bool{}, map[string]ticket{}
+// adviceCame takes an answer in. The lock is held.
+func (s *Scheduler) adviceCame(st *step, named []*worker, advice fleet.Advice, now time.Time) {
+	asked, healthy := st.advice.take(named, advice, now)
+	st.tried = 0
+	if asked > 0 {
+		queue := st.job.record.Queue.Name
+		share := s.healthyShare(queue)
+		s.healthy[queue] = share + (float64(healthy)/float64(asked)-share)*healthyWeight
 	}
-	for _, name := range names {
-		a.asked[name] = true
+}
+
+// take notes the tickets of an answer. It returns how many workers were asked about
+// for the first time, and how many of those may run the step.
+func (a *adviceState) take(named []*worker, advice fleet.Advice, now time.Time) (asked, healthy int) {
+	if a.asked == nil {
+		a.asked, a.at = map[*worker]bool{}, map[*worker]*permit{}
 	}
-	for name, text := range advice.Tickets {
-		a.healthy[name] = true
-		a.tickets[name] = ticket{text, now.Add(advice.Valid)}
+	for _, w := range named {
+		text, ok := advice.Tickets[w.info.ID]
+		if !a.asked[w] {
+			a.asked[w] = true
+			asked++
+			if ok {
+				healthy++
+			}
+		}
+		if !ok {
+			continue
+		}
+		if a.at[w] == nil {
+			a.at[w] = &permit{worker: w}
+			a.permits = append(a.permits, a.at[w])
+		}
+		a.at[w].ticket, a.at[w].expires = text, now.Add(advice.Valid)
 	}
+	return asked, healthy
 }
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -44,12 +44,12 @@
 	s.ctx = b.Context()
 	now := time.Now()
 	advice := fleet.Advice{Tickets: map[string]string{}, Valid: time.Hour}
-	var names []string
+	var named []*worker
 	for i := range 350 {
 		w := newWorker(fleet.Worker{ID: fmt.Sprintf("w-%03d", i), Service: "s", Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30}})
 		w.known, w.contact, w.used = true, now.Add(time.Hour), resource.Amount{CPU: 15_500}
 		s.workers[w.info.ID] = w
-		names = append(names, w.info.ID)
+		named = append(named, w)
 		if i%3 != 0 {
 			advice.Tickets[w.info.ID] = "ticket"
 		}
@@ -58,7 +58,7 @@
 	for i := range jobs {
 		steps := []workload.Step{{Count: 3, Need: resource.Amount{CPU: 2500}, Estimate: time.Second}}
 		j := newJob(fmt.Sprintf("%016x", i), workload.Record{Request: workload.Request{Steps: steps}, Queue: queue, Accepted: now.UnixMilli()}, now)
-		j.rounds[0].steps[0].advice.take(names, advice, now)
+		j.rounds[0].steps[0].advice.take(named, advice, now)
 		s.jobs[j.id], s.active[j.id] = j, j
 	}
 	return s, now
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -1,10 +1,14 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
-	"sort"
+	"fmt"
+	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"chutereach/wait"
 )
 
@@ -55,9 +59,10 @@
 // candidate is a step that has tasks to place.
 type candidate struct {
 	step     *step
-	tasks    []*task
+	tasks    []*task // that wait
 	urgency  urgency
 	deadline time.Time
+	latest   time.Time // when the rest of the chain must begin to end in time
 }
 
 // pass is one look at all that could be placed.
@@ -69,6 +74,8 @@
 	blocked map[*worker]bool     // kept free for a gang that waits
 	gangs   int                  // that wait with workers kept free
 	held    bool                 // the candidate at hand was kept off a worker
+	granted []*task              // of the candidate at hand
+	made    int                  // steps for which room was sought by preemption
 }
 
 // add puts a worker into its pool, if it is usable.
@@ -79,6 +86,7 @@
 	}
 	w.wasUsable, w.freed = usable, false
 	if usable {
+		w.usableIn = p.serial
 		service := w.info.Service
 		p.pools[service] = append(p.pools[service], w)
 		p.grew[service] = max(p.grew[service], w.grew)
@@ -97,25 +105,33 @@
 	if len(list) == 0 {
 		return
 	}
-	if since := s.reign.FailingSince(); !since.IsZero() && now.Sub(since) > holdGrants {
-		s.keepAdvice(list, now)
-		return
-	}
 	s.serial++
 	p := &pass{now: now, serial: s.serial, pools: map[string][]*worker{}, grew: map[string]uint64{}, blocked: map[*worker]bool{}}
 	for _, w := range s.workers {
 		p.add(w)
 	}
+	if since := s.reign.FailingSince(); !since.IsZero() && now.Sub(since) > holdGrants {
+		s.keepAdvice(p, list)
+		return
+	}
 	for i, c := range list {
+		s.place(p, c)
+		s.logGranted(p, c)
 		if i < adviceAhead {
-			s.askAdvice(c.step, now)
+			s.askFor(p, c)
 		}
-		s.place(p, c)
 	}
 }
 
-// adviceAhead is for how many of the most urgent steps tickets are asked and kept
-// up; the others could not use theirs before they run out.
+// askFor asks for advice on the tasks of a step that found no place.
+func (s *Scheduler) askFor(p *pass, c candidate) {
+	if c.tasks = c.step.waiting(); len(c.tasks) > 0 {
+		s.askAdvice(p, c)
+	}
+}
+
+// adviceAhead is for how many of the most urgent steps tickets are asked; the
+// others could not use theirs before they run out.
 const adviceAhead = 150
 
 // holdGrants is how long the store may fail before nothing is granted any more:
@@ -124,9 +140,9 @@
 const holdGrants = 900 * time.Millisecond
 
 // keepAdvice has tickets at hand for when the store is back.
-func (s *Scheduler) keepAdvice(list []candidate, now time.Time) {
+func (s *Scheduler) keepAdvice(p *pass, list []candidate) {
 	for _, c := range list[:min(len(list), adviceAhead)] {
-		s.askAdvice(c.step, now)
+		s.askFor(p, c)
 	}
 }
 
@@ -144,29 +160,29 @@
 			list = s.roundCandidates(list, r, now)
 		}
 	}
-	sort.Slice(list, func(i, k int) bool {
-		a, b := &list[i], &list[k]
-		switch {
-		case a.urgency != b.urgency:
-			return a.urgency < b.urgency
-		case !a.deadline.Equal(b.deadline):
-			return a.deadline.Before(b.deadline)
-		}
-		return a.step.job.id < b.step.job.id
-	})
+	slices.SortFunc(list, byUrgency)
 	return list
 }
 
+func byUrgency(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.urgency, b.urgency),
+		a.latest.Compare(b.latest),
+		cmp.Compare(a.step.job.id, b.step.job.id),
+	)
+}
+
 func (s *Scheduler) roundCandidates(list []candidate, r *round, now time.Time) []candidate {
 	for _, st := range r.steps {
 		if st.done() || now.Before(st.retryAt) || !r.ready(st) {
 			continue
 		}
-		tasks := st.waiting()
-		if len(tasks) == 0 || st.spec.Gang && !st.idle() {
+		if !st.anyWaiting() || st.spec.Gang && !st.idle() {
 			continue
 		}
-		list = append(list, candidate{st, tasks, urgencyOf(st, now), st.job.deadline})
+		deadline := st.job.deadline
+		latest := deadline.Add(-r.chainLeft(&st.job.record.Request))
+		list = append(list, candidate{step: st, urgency: urgencyOf(st, now), deadline: deadline, latest: latest})
 	}
 	return list
 }
@@ -205,14 +221,17 @@
 		return
 	}
 	p.held = false
-	for _, t := range c.tasks {
+	tasks := st.waiting()
+	for i, t := range tasks {
 		w := s.bestWorker(p, c, t)
 		if w == nil {
 			st.noRoom(p)
+			s.makeRoom(p, c, len(tasks)-i)
 			return
 		}
-		s.grant(t, w, t.attempt+1, p.now)
+		s.grant(p, t, w, t.attempt+1)
 	}
+	st.releaseRoom()
 }
 
 // noRoom notes that no worker takes more of the step, until one has more room or
@@ -227,9 +246,9 @@
 func (s *Scheduler) bestWorker(p *pass, c candidate, t *task) *worker {
 	var best *worker
 	bestScore := 0.0
-	for _, w := range p.pools[c.step.job.record.Queue.Service] {
+	c.step.options(p, func(w *worker) {
 		if w.grew <= c.step.tried || p.slots(c, w) < 1 {
-			continue
+			return
 		}
 		score := s.scoreOf(c.step, w, p.now)
 		if t.failedOn == w {
@@ -238,28 +257,28 @@
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
-	}
+	})
 	return best
 }
 
-// ticketLead is how long after a decision a start reaches its worker, usually.
-const ticketLead = 40 * time.Millisecond
+// open reports whether the step may go to the worker now, room apart.
+func (p *pass) open(c candidate, w *worker) bool {
+	if !c.step.allows(w) {
+		return false
+	}
+	if c.urgency != urgentInTime && (w.reserved.against(c.step, p.now) || p.blocked[w]) {
+		p.held = true
+		return false
+	}
+	return true
+}
 
-// slots returns how many tasks of the step the worker can take now.
+// slots returns how many tasks of the step the worker has room for now.
 func (p *pass) slots(c candidate, w *worker) int {
 	st := c.step
-	if !st.allows(w) {
-		return 0
-	}
-	if len(p.blocked) > 0 && c.urgency != urgentInTime && p.blocked[w] {
-		p.held = true
+	if !p.open(c, w) {
 		return 0
 	}
-	if st.job.record.Queue.Advice.Needed() {
-		if _, ok := st.advice.ticketFor(w.info.ID, p.now.Add(ticketLead)); !ok {
-			return 0
-		}
-	}
 	return st.fittingInto(w.free(), w)
 }
 
@@ -308,14 +327,34 @@
 
 // grant gives a task room on a worker; once that is in the store, the worker is
 // told to start it.
-func (s *Scheduler) grant(t *task, w *worker, attempt int, now time.Time) {
+func (s *Scheduler) grant(p *pass, t *task, w *worker, attempt int) {
+	now := p.now
 	j := t.step.job
 	t.attempt = attempt
-	t.ticket, _ = t.step.advice.ticketFor(w.info.ID, now)
+	t.ticket, _ = t.step.advice.ticketFor(w, now)
 	w.host(t, taskGranted)
 	s.metrics.grants.Add(1)
 	s.change(j)
 	j.onceSaved(func() { s.begin(t, attempt) })
-	s.log.Info().Str("job", j.id).Str("task", t.id().String()).Int("attempt", attempt).Str("worker", w.info.ID).
-		Dur("age", now.Sub(j.arrived)).Dur("slack", j.deadline.Sub(now)).Dur("report_age", now.Sub(w.contact)).Msg("granted")
+	p.granted = append(p.granted, t)
+}
+
+// logGranted writes one line for all tasks of a step that were placed in this look:
+// INDEX#ATTEMPT@WORKER each, and the age of the oldest report that they rest on.
+func (s *Scheduler) logGranted(p *pass, c candidate) {
+	if len(p.granted) == 0 {
+		return
+	}
+	j := c.step.job
+	places := zerolog.Arr()
+	oldest := p.now
+	for _, t := range p.granted {
+		places.Str(fmt.Sprintf("%d#%d@%s", t.index, t.attempt, t.worker.info.ID))
+		if t.worker.contact.Before(oldest) {
+			oldest = t.worker.contact
+		}
+	}
+	s.log.Info().Str("job", j.id).Str("step", c.step.stepName()).Array("tasks", places).Dur("age", p.now.Sub(j.arrived)).
+		Dur("slack", j.deadline.Sub(p.now)).Dur("report_age", p.now.Sub(oldest)).Msg("granted")
+	p.granted = p.granted[:0]
 }
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -1,7 +1,8 @@
 package scheduler
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"chutereach/resource"
 )
@@ -28,6 +29,7 @@
 type share struct {
 	worker *worker
 	tasks  int
+	score  float64 // the lowest is the best
 }
 
 // placeTogether places all waiting tasks of a step or none: a gang, or a step
@@ -38,15 +40,18 @@
 		return
 	}
 	p.held = false
+	c.tasks = c.step.waiting()
 	shares := s.shares(p, c)
 	if c.step.spec.SameRack {
 		shares = oneRack(shares, len(c.tasks))
 	}
-	if shares = s.enough(shares, len(c.tasks), c, p); shares == nil {
+	if shares = enough(shares, len(c.tasks)); shares == nil {
 		c.step.noRoom(p)
+		s.makeRoom(p, c, len(c.tasks))
 		s.keepFree(p, c)
 		return
 	}
+	c.step.releaseRoom()
 	attempt := 0
 	for _, t := range c.tasks {
 		attempt = max(attempt, t.attempt)
@@ -57,7 +62,7 @@
 			if next == len(c.tasks) {
 				return
 			}
-			s.grant(c.tasks[next], part.worker, attempt+1, p.now)
+			s.grant(p, c.tasks[next], part.worker, attempt+1)
 			next++
 		}
 	}
@@ -65,16 +70,16 @@
 
 func (s *Scheduler) shares(p *pass, c candidate) []share {
 	var shares []share
-	for _, w := range p.pools[c.step.job.record.Queue.Service] {
+	c.step.options(p, func(w *worker) {
 		if slots := p.slots(c, w); slots > 0 {
-			shares = append(shares, share{w, slots})
+			shares = append(shares, share{w, slots, s.scoreOf(c.step, w, p.now)})
 		}
-	}
+	})
 	return shares
 }
 
 // enough returns shares that take all tasks, the best workers first, or nil.
-func (s *Scheduler) enough(shares []share, tasks int, c candidate, p *pass) []share {
+func enough(shares []share, tasks int) []share {
 	total := 0
 	for _, part := range shares {
 		total += part.tasks
@@ -82,12 +87,8 @@
 	if total < tasks {
 		return nil
 	}
-	sort.Slice(shares, func(i, k int) bool {
-		a, b := s.scoreOf(c.step, shares[i].worker, p.now), s.scoreOf(c.step, shares[k].worker, p.now)
-		if a != b {
-			return a < b
-		}
-		return shares[i].worker.info.ID < shares[k].worker.info.ID
+	slices.SortFunc(shares, func(a, b share) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.info.ID, b.worker.info.ID))
 	})
 	return shares
 }
@@ -122,13 +123,13 @@
 	}
 	var able []*worker
 	for _, w := range p.pools[c.step.job.record.Queue.Service] {
-		mayRun := !c.step.job.record.Queue.Advice.Needed() || c.step.advice.healthy[w.info.ID]
+		mayRun := !c.step.job.record.Queue.Advice.Needed() || c.step.advice.at[w] != nil
 		if mayRun && c.step.allows(w) && !p.blocked[w] {
 			able = append(able, w)
 		}
 	}
-	sort.Slice(able, func(i, k int) bool { return able[i].free().CPU > able[k].free().CPU })
-	left := len(c.tasks)
+	slices.SortFunc(able, func(a, b *worker) int { return cmp.Compare(b.free().CPU, a.free().CPU) })
+	left := len(c.step.waiting())
 	for _, w := range able {
 		if left <= 0 {
 			break
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"chutereach/workload"
@@ -37,6 +38,7 @@
 	sampled    int       // percent then
 	failedOn   *worker   // where it failed last
 	movedOnce  bool      // off a worker that had turned slow
+	preempted  int       // how often it gave way
 }
 
 func (t *task) id() workload.TaskID {
@@ -61,6 +63,9 @@
 	retryAt time.Time
 	// tried is the serial of the last look that found no room for more tasks.
 	tried uint64
+	// reserved are workers whose room is kept for the step until roomUntil.
+	reserved  []*worker
+	roomUntil time.Time
 }
 
 func (st *step) done() bool { return st.left == 0 }
@@ -76,6 +81,11 @@
 	return list
 }
 
+// anyWaiting reports whether a task could be placed.
+func (st *step) anyWaiting() bool {
+	return slices.ContainsFunc(st.tasks, func(t *task) bool { return t.state == taskWaiting })
+}
+
 // idle reports whether no task of the step is on a worker.
 func (st *step) idle() bool {
 	for _, t := range st.tasks {
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -16,6 +16,7 @@
 type Metrics struct {
 	admissions, outcomes, refusals, finals *expvar.Map
 	stops, grants, adviceFailed, late      *expvar.Int
+	preempted                              *expvar.Int
 	commitTimes, startTimes, adviceTimes   *times
 	completedTimes                         *times
 	commitJobs                             *expvar.Int
@@ -27,7 +28,7 @@
 		admissions: new(expvar.Map), outcomes: new(expvar.Map), refusals: new(expvar.Map), finals: new(expvar.Map),
 		stops: new(expvar.Int), grants: new(expvar.Int), adviceFailed: new(expvar.Int), late: new(expvar.Int),
 		commitTimes: newTimes(), startTimes: newTimes(), adviceTimes: newTimes(),
-		completedTimes: newTimes(), commitJobs: new(expvar.Int),
+		completedTimes: newTimes(), commitJobs: new(expvar.Int), preempted: new(expvar.Int),
 	}
 }
 
@@ -40,6 +41,7 @@
 	all.Set("final", m.finals)
 	all.Set("final_late", m.late)
 	all.Set("stops", m.stops)
+	all.Set("preempted", m.preempted)
 	all.Set("grants", m.grants)
 	all.Set("advice_failed", m.adviceFailed)
 	all.Set("commit_ms", m.commitTimes)
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -40,7 +40,7 @@
 	if !t.step.job.record.Queue.Advice.Needed() {
 		return true
 	}
-	text, ok := t.step.advice.ticketFor(t.worker.info.ID, now)
+	text, ok := t.step.advice.ticketFor(t.worker, now)
 	t.ticket = text // a newer one may have come since the grant
 	return ok
 }
@@ -145,7 +145,7 @@
 	case fleet.NoRoom:
 		w.blockedUntil = time.Now().Add(busyPause)
 	case fleet.NoTicket:
-		t.step.advice.drop(w.info.ID)
+		t.step.advice.drop(w)
 	}
 	s.notStarted(t, string(reason), doubtful || reason == fleet.Outdated)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -61,19 +61,17 @@
 	// formerLeasesEnd is when everything that a former owner started has ended on
 	// a worker that was not reached since.
 	formerLeasesEnd time.Time
-	stopping        map[string]bool // stray attempts that are being stopped
-	// serial counts looks at what could be placed, fleetSerial changes of the list
-	// of workers.
-	serial      uint64
-	fleetSerial uint64
-	bundles     map[string]*bundle
-	deadBundles []rowstore.Key // to be deleted
-	bundleCount uint64
-	fleetSpeed  float64       // mean speed of all tasks against their estimates
-	percentSeen bool          // workers report progress
-	commitTurn  chan struct{} // holds a token while a transaction is under way
-	deposed     error
-	paused      bool
+	stopping        map[string]bool    // stray attempts that are being stopped
+	serial          uint64             // counts looks at what could be placed
+	healthy         map[string]float64 // share of workers that may run a step, by queue
+	bundles         map[string]*bundle
+	deadBundles     []rowstore.Key // to be deleted
+	bundleCount     uint64
+	fleetSpeed      float64       // mean speed of all tasks against their estimates
+	percentSeen     bool          // workers report progress
+	commitTurn      chan struct{} // holds a token while a transaction is under way
+	deposed         error
+	paused          bool
 
 	ctx          context.Context
 	end          context.CancelCauseFunc
@@ -89,7 +87,7 @@
 		shard: config.Shard, lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, reign: reign, log: log.With().Uint64("token", reign.Token()).Logger(), metrics: metrics,
 		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
-		queues: map[string]workload.Queue{}, stopping: map[string]bool{}, fleetSpeed: 1, bundles: map[string]*bundle{},
+		queues: map[string]workload.Queue{}, stopping: map[string]bool{}, fleetSpeed: 1, healthy: map[string]float64{}, bundles: map[string]*bundle{},
 		formerLeasesEnd: time.Now().Add(widest), Loaded: make(chan struct{}),
 		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -33,8 +33,12 @@
 	// grew is the serial at which the worker last could take more than before.
 	grew         uint64
 	wasUsable    bool
-	freed        bool // since the last look
+	usableIn     uint64 // serial of the last look for which it was usable
+	freed        bool   // since the last look
 	blockedUntil time.Time
+	reserved     reservation
+	yields       []*task // that may give way, as of the look yieldsIn
+	yieldsIn     uint64
 	health       health
 }
 
@@ -144,7 +148,6 @@
 	for id, w := range s.workers {
 		if !named[id] && w.known {
 			w.known = false
-			s.fleetSerial++
 			s.log.Info().Str("worker", id).Int("attempts", len(w.tasks)).Msg("worker is no longer listed")
 		}
 	}
@@ -162,7 +165,6 @@
 		s.log.Info().Str("worker", info.ID).Dur("remaining", info.Remaining).Msg("worker drains")
 	}
 	w.info, w.known = info, true
-	s.fleetSerial++
 	if w.cancel == nil && s.ctx != nil {
 		ctx, cancel := context.WithCancel(s.ctx)
 		w.cancel = cancel
