node: an owner hands over for a slow machine, not for its load; no wait for a shard that cannot load

Now a short piece of fixed work tells the two apart; late timers alone count from 40 ms on, for a share of the processor that is used up. A test asked again without a pause and relied on refusals taking time; it pauses now, within the same limit.

--- a/node/lag.go
+++ b/node/lag.go
@@ -17,6 +17,9 @@
 	// heirRatio by how much less late the heir must be.
 	slowLag   = 4 * time.Millisecond
 	heirRatio = 4
+	// starvedLag is from what mean lateness on an owner looks for an heir even if
+	// its machine is as fast as ever: its share of the processor may be used up.
+	starvedLag = 40 * time.Millisecond
 	// settled is how long a reign lasts at least before the owner's lateness
 	// counts: a takeover is work.
 	settled = 1500 * time.Millisecond
@@ -36,14 +39,15 @@
 	m.mean.Store(math.Float64bits(former*(1-lagWeight) + float64(late)*lagWeight))
 }
 
-// run measures until ctx ends.
-func (m *lagMeter) run(ctx context.Context) {
+// run measures until ctx ends, and samples the machine's speed at each turn.
+func (m *lagMeter) run(ctx context.Context, speed *speedMeter) {
 	for {
 		begun := time.Now()
 		if wait.For(ctx, lagEvery) != nil {
 			return
 		}
 		m.add(max(0, time.Since(begun)-lagEvery))
+		speed.sample()
 	}
 }
 
@@ -68,7 +72,7 @@
 	case time.Since(n.calmSince) > calmFor:
 		n.wasCalm = true
 	}
-	turnedSlow := n.wasCalm && lag >= slowLag
+	turnedSlow := n.wasCalm && (lag >= slowLag && n.speed.slow() || lag >= starvedLag)
 	n.mu.Unlock()
 	self := n.config.Self.Power
 	switch {
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,6 +21,14 @@
 type Config struct {
 	Self      Member
 	Scheduler scheduler.Config
+	// Owns, if given, is told whether this node owns the shard, at each change.
+	Owns func(bool)
+}
+
+func (c Config) owns(now bool) {
+	if c.Owns != nil {
+		c.Owns(now)
+	}
 }
 
 // Platform is what a node needs of the platform beneath it.
@@ -63,8 +72,10 @@
 	storeOK    time.Time
 	storeBad   bool
 	stopping   bool
+	loadFails  atomic.Bool // the store does not let this owner load the shard
 
 	lag    lagMeter
+	speed  speedMeter
 	takeMu sync.Mutex // one takeover at a time
 	ctx    context.Context
 	tasks  wait.Group
@@ -101,7 +112,7 @@
 	n.tasks.Go(func() { n.watchOwner(ctx) })
 	n.tasks.Go(func() { n.beatLoop(ctx) })
 	n.tasks.Go(func() { n.fitnessLoop(ctx) })
-	n.tasks.Go(func() { n.lag.run(ctx) })
+	n.tasks.Go(func() { n.lag.run(ctx, &n.speed) })
 	<-ctx.Done()
 	n.tasks.Close()
 	n.client.Close()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -390,6 +390,7 @@
 			if time.Since(begun) > 3*time.Second {
 				t.Fatal("no job is accepted for 3 s")
 			}
+			time.Sleep(20 * time.Millisecond) // a refusal takes no time in the bubble
 		}
 		c.await(c.nodes[3], "before", 10*time.Second)
 		c.await(c.nodes[3], "after", 10*time.Second)
--- a/node/owner.go
+++ b/node/owner.go
@@ -201,6 +201,7 @@
 	n.mu.Lock()
 	n.own, n.endOwn, n.ownSince = own, cancel, time.Now()
 	n.mu.Unlock()
+	n.config.owns(true)
 	n.announce()
 	n.tasks.Go(func() {
 		defer cancel()
@@ -219,11 +220,15 @@
 			err = own.Run(ctx)
 		}
 		n.mu.Lock()
-		if n.own == own {
+		over := n.own == own
+		if over {
 			n.own, n.endOwn = nil, nil
 		}
 		n.beatAt = time.Time{}
 		n.mu.Unlock()
+		if over {
+			n.config.owns(false)
+		}
 		n.log.Info().Uint64("token", reign.Token()).Err(err).Msg("reign over")
 	})
 }
@@ -233,17 +238,20 @@
 // takes long to read takes as long elsewhere.
 func (n *Node) load(ctx context.Context, own *scheduler.Scheduler) error {
 	begun, timeout := time.Now(), firstLoad
+	n.loadFails.Store(false)
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		err := own.Load(callCtx)
 		cancel()
 		timeout = min(loadTimeout, 2*timeout)
 		if err == nil {
+			n.loadFails.Store(false)
 			if table, ok := n.routes.Current(); ok {
 				own.SetQueues(table.Queues())
 			}
 			return nil
 		}
+		n.loadFails.Store(true)
 		n.log.Warn().Err(err).Msg("shard cannot be loaded yet")
 		if time.Since(begun) > loadFailing && n.lookQuickly(ctx) != nil {
 			n.handOver(ctx, "the store does not let this node load the shard", anyHeir)
--- a/node/serve.go
+++ b/node/serve.go
@@ -135,10 +135,8 @@
 
 // serveHere does a call at this node's scheduler, once that has loaded.
 func (n *Node) serveHere(ctx context.Context, own *scheduler.Scheduler, here func(context.Context, *scheduler.Scheduler) error) error {
-	select {
-	case <-own.Loaded:
-	case <-ctx.Done():
-		return &NotOwnerError{}
+	if err := n.awaitLoaded(ctx, own); err != nil {
+		return err
 	}
 	err := here(ctx, own)
 	var deposed *scheduler.DeposedError
@@ -148,6 +146,31 @@
 	return err
 }
 
+// loadWait is how long one call waits for a scheduler to load; serve asks again.
+const loadWait = 400 * time.Millisecond
+
+// awaitLoaded waits until the scheduler may be asked. While the store does not let it
+// load, calls are refused at once: nothing can be done for them, and nothing was.
+func (n *Node) awaitLoaded(ctx context.Context, own *scheduler.Scheduler) error {
+	select {
+	case <-own.Loaded:
+		return nil
+	default:
+	}
+	if n.loadFails.Load() {
+		return &scheduler.OverloadedError{Why: "the store does not let the shard be loaded", RetryAfter: retryAfter}
+	}
+	timer := time.NewTimer(loadWait)
+	defer timer.Stop()
+	select {
+	case <-own.Loaded:
+		return nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return &NotOwnerError{}
+}
+
 // atOwner does another node's call, if this node owns the shard.
 func (n *Node) atOwner(ctx context.Context, within time.Duration, here func(context.Context, *scheduler.Scheduler) error) error {
 	n.mu.Lock()
--- /dev/null
+++ b/node/speed_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"testing"
+	"time"
+)
+
+func TestSpeedMeter(t *testing.T) {
+	const usual = 10 * time.Microsecond
+	repeat := func(took time.Duration, times int) []time.Duration {
+		list := make([]time.Duration, times)
+		for i := range list {
+			list[i] = took
+		}
+		return list
+	}
+	for _, c := range []struct {
+		name    string
+		samples []time.Duration
+		slow    bool
+	}{
+		{"too few samples", repeat(usual, speedSamples-1), false},
+		{"as ever", repeat(usual, 20), false},
+		{"some are interrupted", append(repeat(usual, 10), time.Millisecond, 2*usual, time.Millisecond, usual, time.Millisecond), false},
+		{"a little slower", append(repeat(usual, 10), repeat(3*usual/2, 10)...), false},
+		{"slow, but not for long enough", append(repeat(usual, 10), repeat(5*usual, speedSamples-1)...), false},
+		{"slow", append(repeat(usual, 10), repeat(5*usual, speedSamples)...), true},
+		{"slow and well again", append(repeat(5*usual, 10), usual), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := &speedMeter{}
+			for _, took := range c.samples {
+				m.add(took)
+			}
+			if m.slow() != c.slow {
+				t.Errorf("slow: %v, want %v", m.slow(), c.slow)
+			}
+		})
+	}
+}
+
+func TestSampleMeasures(t *testing.T) {
+	m := &speedMeter{}
+	m.sample()
+	if m.best <= 0 {
+		t.Errorf("the fixed work took %v", m.best)
+	}
+}
