--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,6 +76,7 @@
 		Scheduler: scheduler.Config{
 			Shard: shard, Lease: set.Times.Lease, KeepFinal: set.Times.KeepFinal,
 		},
+		Owns: collectFor,
 	}, node.Platform{
 		Store: d.store, Workers: platform.NewWorkers(), Advisor: d.advisor,
 		FollowWorkers: directory.FollowWorkers, FollowTable: directory.FollowTable,
@@ -183,8 +184,25 @@
 // logLines is how many log lines may wait to be written before some are left out.
 const logLines = 4096
 
-// gcPercent trades a little processor time for memory.
-const gcPercent = 50
+// Percents of the garbage collector: the many nodes that only forward spare memory,
+// the one that owns the shard spares processor time.
+const (
+	entryGCPercent = 50
+	ownerGCPercent = 150
+)
+
+// collectFor sets the garbage collector for what the node is.
+func collectFor(owner bool) {
+	percent := entryGCPercent
+	if owner {
+		percent = ownerGCPercent
+	}
+	debug.SetGCPercent(percent)
+}
+
+// memoryShare is the share of the machine's memory at which the collector spends
+// more time rather than more memory.
+const memoryShare = 0.7
 
 // Main runs a node with the arguments of a command line and returns the
 // process's exit code.
@@ -202,7 +220,10 @@
 		fmt.Print(set.Print())
 		return 0
 	}
-	debug.SetGCPercent(gcPercent)
+	collectFor(false)
+	if set.Self.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(set.Self.Memory) * (1 << 20)))
+	}
 	writer, missed := logs.Bounded(os.Stdout, logLines)
 	defer writer.Close()
 	d, err := New(context.Background(), set, logs.New(writer, true, set.Level()), missed)
--- a/settings/node.go
+++ b/settings/node.go
@@ -34,6 +34,7 @@
 	Ready   string  `long:"ready" ini-name:"ready" description:"address for readiness checks"`
 	Peer    string  `long:"peer" ini-name:"peer" description:"address for the other nodes"`
 	Power   float64 `long:"power" ini-name:"power" default:"1" description:"what this machine has of a processor's core; strong machines own the shard first"`
+	Memory  int     `long:"memory" ini-name:"memory" default:"0" description:"memory of this machine in MiB, which the collector keeps below; 0: not known"`
 	Metrics string  `long:"metrics" ini-name:"metrics" description:"address for metrics; empty: none"`
 }
 
@@ -140,6 +141,8 @@
 	switch {
 	case s.Self.Power <= 0:
 		return s.fault("node", "power", "must be more than 0")
+	case s.Self.Memory < 0:
+		return s.fault("node", "memory", "must not be negative")
 	case s.Times.Lease < minLease:
 		return s.fault("times", "lease", fmt.Sprintf("must be at least %v", minLease))
 	case s.Times.KeepFinal < 0:
