--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -73,7 +73,7 @@
 	if t.preempted >= mostPreempted || now.Sub(t.begunAt) < leastRun {
 		return false
 	}
-	rest := j.rounds[t.step.round].chainLeft(&j.record.Request)
+	rest := j.rounds[t.step.round].chainLeft(&j.record.Request) - min(spec.Estimate, now.Sub(t.begunAt))
 	inTime := now.Add(rest).Before(j.deadline)
 	return !inTime || now.Add(rest+resumeCost).Before(j.deadline)
 }
