--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,9 +72,9 @@
 	directory := platform.NewDirectory(d.store, logs.For(log, logs.Store))
 	metrics := scheduler.NewMetrics()
 	d.node = node.New(ctx, node.Config{
-		Self: node.Member{Node: set.Self.Name, Address: set.Self.Peer, Zone: set.Self.Zone, Power: set.Self.Power},
+		Self: node.Member{Node: set.Self.Name, Address: set.Self.Peer, Hall: set.Self.Hall, Power: set.Self.Power},
 		Scheduler: scheduler.Config{
-			Shard: shard, Lease: set.Times.Lease, KeepFinal: set.Times.KeepFinal,
+			Shard: shard, Lease: set.Times.Lease, KeepFinal: set.Times.KeepFinal, PartitionWrites: set.Store.PartitionWrites,
 		},
 		Owns: collectFor,
 	}, node.Platform{
--- a/node/messages.go
+++ b/node/messages.go
@@ -26,7 +26,7 @@
 type Member struct {
 	Node    string `cbor:"1,keyasint"`
 	Address string `cbor:"2,keyasint"` // for the other nodes
-	Zone    string `cbor:"3,keyasint"`
+	Hall    string `cbor:"3,keyasint"`
 	// Power is what the machine has of a processor's core.
 	Power float64 `cbor:"4,keyasint,omitempty"`
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -99,7 +99,7 @@
 		},
 	}
 	config := node.Config{
-		Self:      node.Member{Node: m.name, Address: m.name, Zone: "z"},
+		Self:      node.Member{Node: m.name, Address: m.name, Hall: "h"},
 		Scheduler: scheduler.Config{Shard: "main", Lease: fleettest.MostLease, KeepFinal: time.Minute},
 	}
 	m.Node = node.New(ctx, config, platform, peer.NewPlainClientOver(c.network.Dial(m.name)), scheduler.NewMetrics(), zerolog.Nop())
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -26,9 +26,23 @@
 	maxDeadAtOnce = 10
 )
 
-// commitGap is the least time between the starts of two transactions, so that
-// changes share them: each call to the store has its price.
-const commitGap = 20 * time.Millisecond
+const (
+	// leastCommitGap is the least time between the starts of two transactions, so
+	// that changes share them: each call to the store has its price.
+	leastCommitGap = 20 * time.Millisecond
+	// writesShare is the owner's share of what the store takes of its partition; the
+	// rest is for transactions that are sent again, and for a successor.
+	writesShare = 0.5
+)
+
+// commitGapFor returns the least time between two transactions at a store that takes
+// a number of them a second, or 0 if that is not known.
+func commitGapFor(writes float64) time.Duration {
+	if writes <= 0 {
+		return leastCommitGap
+	}
+	return max(leastCommitGap, time.Duration(float64(time.Second)/(writes*writesShare)))
+}
 
 // slowCommit is from when on a transaction is worth a line in the log.
 const slowCommit = 400 * time.Millisecond
@@ -64,7 +78,7 @@
 		case <-s.commitWake:
 		case <-idle.C:
 		}
-		wait.For(ctx, commitGap-time.Since(last))
+		wait.For(ctx, s.commitGap-time.Since(last))
 		last = time.Now()
 		select {
 		case s.commitTurn <- struct{}{}:
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -35,6 +35,9 @@
 	Lease time.Duration
 	// KeepFinal is how long the state of a final job can be asked for.
 	KeepFinal time.Duration
+	// PartitionWrites is how many transactions a second the store takes of the
+	// shard's partition; 0: not known.
+	PartitionWrites float64
 }
 
 // Scheduler runs one shard's jobs for the time of one reign.
@@ -45,6 +48,7 @@
 	shard     string
 	lease     time.Duration
 	keepFinal time.Duration
+	commitGap time.Duration // the least time between the starts of two transactions
 	store     rowstore.Store
 	client    fleet.Client
 	reign     *leadership.Reign
@@ -86,7 +90,8 @@
 	return &Scheduler{
 		shard: config.Shard, lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, reign: reign, log: log.With().Uint64("token", reign.Token()).Logger(), metrics: metrics,
-		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
+		commitGap: commitGapFor(config.PartitionWrites),
+		jobs:      map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
 		queues: map[string]workload.Queue{}, stopping: map[string]bool{}, fleetSpeed: 1, healthy: map[string]float64{}, bundles: map[string]*bundle{},
 		formerLeasesEnd: time.Now().Add(widest), Loaded: make(chan struct{}),
 		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
--- a/settings/node.go
+++ b/settings/node.go
@@ -29,7 +29,7 @@
 // NodeSelf is who the node is and where it listens.
 type NodeSelf struct {
 	Name    string  `long:"name" ini-name:"name" description:"name of this node"`
-	Zone    string  `long:"zone" ini-name:"zone" description:"zone of this node"`
+	Hall    string  `long:"hall" ini-name:"hall" description:"data hall in which this node's box stands"`
 	Front   string  `long:"front" ini-name:"front" description:"address for callers"`
 	Ready   string  `long:"ready" ini-name:"ready" description:"address for readiness checks"`
 	Peer    string  `long:"peer" ini-name:"peer" description:"address for the other nodes"`
@@ -41,6 +41,8 @@
 // NodeStore is where the store of rows is.
 type NodeStore struct {
 	Address string `long:"address" ini-name:"address" description:"address of the store"`
+	// PartitionWrites is what one partition takes, in transactions a second.
+	PartitionWrites float64 `long:"partition-writes" ini-name:"partition-writes" default:"200" description:"transactions a second that one partition takes; the owner sends half as many at the most"`
 }
 
 // NodeAdvice is where the advice service is.
@@ -143,6 +145,8 @@
 		return s.fault("node", "power", "must be more than 0")
 	case s.Self.Memory < 0:
 		return s.fault("node", "memory", "must not be negative")
+	case s.Store.PartitionWrites <= 0:
+		return s.fault("store", "partition-writes", "must be more than 0")
 	case s.Times.Lease < minLease:
 		return s.fault("times", "lease", fmt.Sprintf("must be at least %v", minLease))
 	case s.Times.KeepFinal < 0:
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -12,7 +12,7 @@
 
 const goodNode = `[node]
 name = edge-1
-zone = north
+hall = north
 front = 10.1.0.13:8161
 ready = 10.1.0.13:8167
 peer = 10.1.0.13:7720
@@ -49,7 +49,9 @@
 
 func TestNodeSettingsThatAreWrong(t *testing.T) {
 	cases := []struct{ name, from, to, want string }{
-		{"an unknown key", "zone = north", "zome = north", ":3: zome"},
+		{"an unknown key", "hall = north", "hale = north", ":3: hale"},
+		{"a negative memory", "hall = north", "memory = -1", ":3: memory"},
+		{"a store that takes nothing", "address = 10.200.1.7:8169", "address = 10.200.1.7:8169\npartition-writes = 0", ":9: partition-writes"},
 		{"no address", "10.1.0.13:7720", "somewhere", ":6: peer"},
 		{"a host name", "10.200.1.7:8169", "store:8169", ":8: address"},
 		{"a bad time", "6000ms", "soon", ":12: "},
