--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -72,13 +72,14 @@
 	fault   func(call Call, worker string) Fault
 	sick    map[string]Plan // how every attempt goes on a worker
 	refused map[fleet.Reason]int
+	begun   map[string]bool // jobs of which a task was started
 }
 
 // New returns a fleet without workers.
 func New() *Fleet {
 	return &Fleet{
 		workers: map[string]*worker{}, kinds: map[string]Kind{}, dones: map[string]bool{}, failed: map[string]int{},
-		gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{}, refused: map[fleet.Reason]int{},
+		gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, begun: map[string]bool{},
 	}
 }
 
--- a/fleet/fleettest/judge.go
+++ b/fleet/fleettest/judge.go
@@ -16,6 +16,13 @@
 	return slices.Clone(f.broken)
 }
 
+// Began reports whether a task of a job was ever started.
+func (f *Fleet) Began(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.begun[job]
+}
+
 func (f *Fleet) breaks(format string, args ...any) {
 	f.broken = append(f.broken, fmt.Sprintf(format, args...))
 }
@@ -32,6 +39,7 @@
 // judge looks at an attempt that begins.
 func (f *Fleet) judge(w *worker, task workload.TaskID, order fleet.StartOrder, kind Kind) {
 	name := task.String()
+	f.begun[task.Job] = true
 	if kind.Request.Steps == nil {
 		f.breaks("%s was started, and nobody handed it in", name)
 		return
