--- a/node/beat.go
+++ b/node/beat.go
@@ -19,7 +19,7 @@
 	// lostPause spares a node that does not answer most heartbeats.
 	lostPause = time.Second
 	// storeFailing is after how long without the store an owner hands over.
-	storeFailing = 600 * time.Millisecond
+	storeFailing = 350 * time.Millisecond
 )
 
 // beatLoop sends heartbeats while this node owns the shard.
--- a/node/handover.go
+++ b/node/handover.go
@@ -68,7 +68,11 @@
 // bequeath holds the owner's transactions while an heir takes the shard, and
 // reports whether this node owns it no more.
 func (n *Node) bequeath(ctx context.Context, own *scheduler.Scheduler, heir Member, why string) bool {
-	holdCtx, cancel := context.WithTimeout(ctx, holdTimeout)
+	patience := holdTimeout
+	if !own.Reign().FailingSince().IsZero() {
+		patience = failingHold
+	}
+	holdCtx, cancel := context.WithTimeout(ctx, patience)
 	release, err := own.Hold(holdCtx)
 	cancel()
 	if err == nil {
--- a/node/owner.go
+++ b/node/owner.go
@@ -31,6 +31,9 @@
 	// holdTimeout is how long a handover waits for a transaction under way; a
 	// store that does not answer keeps it for longer.
 	holdTimeout = 200 * time.Millisecond
+	// failingHold is the same where the store has failed for a while: the transaction
+	// under way would not end, and fails once the heir has taken the shard.
+	failingHold = 10 * time.Millisecond
 	// quickLook is how quickly the store must answer an heir, and handoverTimeout
 	// how long one heir is waited for.
 	quickLook       = 150 * time.Millisecond
