--- a/scheduler/bundle_test.go
+++ b/scheduler/bundle_test.go
@@ -71,3 +71,32 @@
 		})
 	}
 }
+
+// Bundles are dissolved although jobs keep coming: a successor would have to read
+// them all.
+func TestBundlesGoWhileJobsKeepComing(t *testing.T) {
+	const jobs = 300
+	inCell(t, 60, func(c *cell) {
+		o := c.rule()
+		o.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Slow: 400 * time.Millisecond} })
+		submit := func(id string) {
+			go c.submit(o, id, jobOf(2, 1000), work(300*time.Millisecond))
+		}
+		for i := range jobs {
+			submit(fmt.Sprintf("early-%03d", i))
+		}
+		time.Sleep(2 * time.Second)
+		if c.bundles() == 0 {
+			t.Fatal("nothing was bundled")
+		}
+		o.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Slow: 25 * time.Millisecond} })
+		for i := range 1000 { // while each transaction is under way, more changes
+			submit(fmt.Sprintf("later-%04d", i))
+			time.Sleep(5 * time.Millisecond)
+		}
+		if left := c.bundles(); left != 0 {
+			t.Errorf("%d bundles are left after 5 s", left)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -122,12 +122,12 @@
 	for _, w := range s.workers {
 		w.advanceNoted()
 	}
-	switch {
-	case len(s.dirty) > 0:
-		wake(s.commitWake)
-	case took < slowCommit:
+	if took < slowCommit && len(s.dirty)+unbundleAtOnce <= maxSingly {
 		s.unbundle()
 	}
+	if len(s.dirty) > 0 {
+		wake(s.commitWake)
+	}
 	return nil
 }
 
