--- a/scheduler/lane.go
+++ b/scheduler/lane.go
@@ -32,7 +32,7 @@
 type lane struct {
 	Lane
 	queued time.Duration // cost of the calls under way
-	dear   bool          // one of them is not cheap
+	costly bool          // one of them is not cheap
 	until  time.Time     // spared until then
 }
 
@@ -94,14 +94,14 @@
 // spareLane reports whether another call that is not cheap leaves enough lanes for
 // those that are.
 func (s *Scheduler) spareLane(now time.Time) bool {
-	dear := 0
+	costly := 0
 	for _, l := range s.lanes {
-		if !l.Self && l.dear && now.After(l.until) {
-			dear++
+		if !l.Self && l.costly && now.After(l.until) {
+			costly++
 		}
 	}
 	others := s.otherLanes(now)
-	return dear == 0 || dear < others-int(cheapShare*float64(others))
+	return costly == 0 || costly < others-int(cheapShare*float64(others))
 }
 
 // rank orders lanes: short queues first, and the own lane for cheap calls.
@@ -116,12 +116,12 @@
 // begin and end note a call that is under way.
 func (l *lane) begin(cost time.Duration) {
 	l.queued += cost
-	l.dear = l.dear || cost > cheapAdvice
+	l.costly = l.costly || cost > cheapAdvice
 }
 
 func (l *lane) end(cost time.Duration) {
 	l.queued -= cost
 	if cost > cheapAdvice {
-		l.dear = false
+		l.costly = false
 	}
 }
--- a/scheduler/preempt_test.go
+++ b/scheduler/preempt_test.go
@@ -111,26 +111,26 @@
 	return a.Advisor.Advise(ctx, step, workers)
 }
 
-// Urgent work finds lanes although work that is dear to ask about fills the others.
-func TestDearCallsLeaveLanesForCheapOnes(t *testing.T) {
+// Urgent work finds lanes although work that is costly to ask about fills the others.
+func TestCostlyCallsLeaveLanesForCheapOnes(t *testing.T) {
 	const (
-		dearCall = 800 * time.Millisecond
-		lookups  = 60 // more at once than the own lane serves in time
+		costlyCall = 800 * time.Millisecond
+		lookups    = 60 // more at once than the own lane serves in time
 	)
 	inCell(t, 8, func(c *cell) {
 		o := c.rule()
 		var lanes []scheduler.Lane
 		for i := range 5 {
-			advisor := &slowAdvisor{Advisor: c.fleet, turn: make(chan struct{}, 1), slow: "dear", took: dearCall}
+			advisor := &slowAdvisor{Advisor: c.fleet, turn: make(chan struct{}, 1), slow: "costly", took: costlyCall}
 			lanes = append(lanes, scheduler.Lane{Node: fmt.Sprintf("lane-%d", i), Self: i == 0, Advisor: advisor})
 		}
 		o.SetLanes(lanes)
-		dear := workload.Queue{
+		costly := workload.Queue{
 			Name: "diagnostics-2", Service: testService, Priority: 1, Attempts: 3, Stretch: 10, Target: time.Second,
-			Advice: workload.AdvicePolicy{Decision: dearCall, Each: time.Millisecond, Valid: 2 * time.Second},
+			Advice: workload.AdvicePolicy{Decision: costlyCall, Each: time.Millisecond, Valid: 2 * time.Second},
 		}
 		for i := range 20 {
-			c.submitTo(o, dear, fmt.Sprintf("dear-%02d", i), jobOf(1, 1000), time.Second)
+			c.submitTo(o, costly, fmt.Sprintf("costly-%02d", i), jobOf(1, 1000), time.Second)
 		}
 		cheap := workload.Queue{
 			Name: "lookups", Service: testService, Priority: 0, Attempts: 3, Stretch: 1.5, Target: 250 * time.Millisecond,
