scheduler: one type for shares of a step, counted and ordered in one place

The last reading found a second type for a worker with room for some tasks, three loops that count them, and the same order written twice; and that the waiting tasks of up to 150 steps were listed in each look before it was known whether anything would be asked. Behaviour is meant to be the same; the tests of the package pass under the race detector.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -89,6 +89,9 @@
 	if !policy.Needed() || a.asking || p.now.Before(a.checkAt) || s.chooseLane(policy.Cost(1), p.now) == nil {
 		return
 	}
+	if c.tasks = st.waiting(); len(c.tasks) == 0 {
+		return
+	}
 	named := s.question(p, c)
 	if len(named) == 0 {
 		a.checkAt = p.now.Add(checkAgain)
@@ -107,17 +110,11 @@
 
 func (st *step) stepName() string { return st.tasks[0].id().StepName() }
 
-// roomFor is a worker with room for some tasks of a step.
-type roomFor struct {
-	worker *worker
-	slots  int
-}
-
 // survey is the room that a step's waiting tasks could use.
 type survey struct {
 	good  int       // slots where a ticket is good until an answer could come
-	known []roomFor // that may run the step, but need a new ticket
-	fresh []roomFor // that were never asked about
+	known []share // that may run the step, but need a new ticket
+	fresh []share // that were never asked about
 }
 
 // survey looks at all workers for a step.
@@ -141,9 +138,9 @@
 		case permit != nil && permit.goodAt(lasting):
 			seen.good += slots
 		case permit != nil:
-			seen.known = append(seen.known, roomFor{w, slots})
+			seen.known = append(seen.known, share{worker: w, tasks: slots})
 		case !st.advice.asked[w]:
-			seen.fresh = append(seen.fresh, roomFor{w, slots})
+			seen.fresh = append(seen.fresh, share{worker: w, tasks: slots})
 		}
 	}
 	return seen
@@ -157,7 +154,7 @@
 	st, tasks := c.step, len(c.tasks)
 	seen := s.survey(p, c)
 	healthy := s.healthyShare(st.job.record.Queue.Name)
-	hoped := float64(seen.good) + float64(slotsOf(seen.known)) + healthy*float64(slotsOf(seen.fresh))
+	hoped := float64(seen.good) + float64(tasksOf(seen.known)) + healthy*float64(tasksOf(seen.fresh))
 	switch {
 	case seen.good >= tasks:
 		return nil
@@ -178,21 +175,13 @@
 	return named
 }
 
-func slotsOf(list []roomFor) int {
-	total := 0
-	for _, r := range list {
-		total += r.slots
-	}
-	return total
-}
-
 // takeRoom names the workers with the most room until they have as much as is
 // wanted, and returns what is still wanted. Of those that may turn out unfit it names
 // adviceLeast at the least.
-func takeRoom(named []*worker, list []roomFor, wanted, healthy float64) ([]*worker, float64) {
-	slices.SortFunc(list, func(a, b roomFor) int {
-		if a.slots != b.slots {
-			return b.slots - a.slots
+func takeRoom(named []*worker, list []share, wanted, healthy float64) ([]*worker, float64) {
+	slices.SortFunc(list, func(a, b share) int {
+		if a.tasks != b.tasks {
+			return b.tasks - a.tasks
 		}
 		return int(b.worker.free().CPU - a.worker.free().CPU)
 	})
@@ -205,7 +194,7 @@
 			break
 		}
 		named = append(named, r.worker)
-		wanted -= healthy * float64(r.slots)
+		wanted -= healthy * float64(r.tasks)
 	}
 	return named, wanted
 }
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -118,18 +118,11 @@
 		s.place(p, c)
 		s.logGranted(p, c)
 		if i < adviceAhead {
-			s.askFor(p, c)
+			s.askAdvice(p, c)
 		}
 	}
 }
 
-// askFor asks for advice on the tasks of a step that found no place.
-func (s *Scheduler) askFor(p *pass, c candidate) {
-	if c.tasks = c.step.waiting(); len(c.tasks) > 0 {
-		s.askAdvice(p, c)
-	}
-}
-
 // adviceAhead is for how many of the most urgent steps tickets are asked; the
 // others could not use theirs before they run out.
 const adviceAhead = 150
@@ -142,7 +135,7 @@
 // keepAdvice has tickets at hand for when the store is back.
 func (s *Scheduler) keepAdvice(p *pass, list []candidate) {
 	for _, c := range list[:min(len(list), adviceAhead)] {
-		s.askFor(p, c)
+		s.askAdvice(p, c)
 	}
 }
 
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -78,18 +78,26 @@
 	return shares
 }
 
-// enough returns shares that take all tasks, the best workers first, or nil.
-func enough(shares []share, tasks int) []share {
+// tasksOf counts the tasks of all shares.
+func tasksOf(shares []share) int {
 	total := 0
 	for _, part := range shares {
 		total += part.tasks
 	}
-	if total < tasks {
+	return total
+}
+
+// byScore orders shares, the best first.
+func byScore(a, b share) int {
+	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.info.ID, b.worker.info.ID))
+}
+
+// enough returns shares that take all tasks, the best workers first, or nil.
+func enough(shares []share, tasks int) []share {
+	if tasksOf(shares) < tasks {
 		return nil
 	}
-	slices.SortFunc(shares, func(a, b share) int {
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.info.ID, b.worker.info.ID))
-	})
+	slices.SortFunc(shares, byScore)
 	return shares
 }
 
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -112,11 +112,7 @@
 	}
 	p.made++
 	offers := s.offers(p, c)
-	total := 0
-	for _, offer := range offers {
-		total += offer.tasks
-	}
-	if total < tasks {
+	if tasksOf(offers) < tasks {
 		return
 	}
 	st.roomUntil = p.now.Add(reserveFor)
@@ -149,9 +145,7 @@
 			offers = append(offers, share{w, slots, float64(missing) + s.scoreOf(c.step, w, p.now)/scoreScale})
 		}
 	})
-	slices.SortFunc(offers, func(a, b share) int {
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.info.ID, b.worker.info.ID))
-	})
+	slices.SortFunc(offers, byScore)
 	return offers
 }
 
