--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -112,7 +112,7 @@
 
 // survey is the room that a step's waiting tasks could use.
 type survey struct {
-	good  int       // slots where a ticket is good until an answer could come
+	good  int     // slots where a ticket is good until an answer could come
 	known []share // that may run the step, but need a new ticket
 	fresh []share // that were never asked about
 }
