settings: platform figures may be missing, the lease is the node's own

Cause: a deployment that spelled the store's rate otherwise left an empty value, and every process ended with code 2. Change: a figure of the platform that is missing or empty takes its default, with one warning line; a wrong value still names file, line and key. times.lease is 3 s by default and cut to times.longest-lease, which the platform tells (before, the lease was the longest that the platform allows).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,7 +74,7 @@
 	d.node = node.New(ctx, node.Config{
 		Self: node.Member{Node: set.Self.Name, Address: set.Self.Peer, Hall: set.Self.Hall, Power: set.Self.Power},
 		Scheduler: scheduler.Config{
-			Shard: shard, Lease: set.Times.Lease, KeepFinal: set.Times.KeepFinal, PartitionWrites: set.Store.PartitionWrites,
+			Shard: shard, Lease: set.LeaseInForce(), KeepFinal: set.Times.KeepFinal, PartitionWrites: set.Store.PartitionWrites,
 		},
 		Owns: collectFor,
 	}, node.Platform{
@@ -125,6 +125,7 @@
 	var living sync.WaitGroup
 	living.Go(d.node.Run)
 	d.log.Info().Str("node", d.settings.Self.Name).Str("front", d.settings.Self.Front).Msg("started")
+	warnDefaulted(d.log, d.settings)
 	for {
 		select {
 		case <-ctx.Done():
@@ -170,11 +171,19 @@
 		d.log.Error().Err(err).Msg("settings are bad and stay as they were")
 		return
 	}
+	warnDefaulted(d.log, next)
 	d.store.SetAddress(next.Store.Address)
 	d.advisor.SetAddress(next.Advice.Address)
 	d.log.Info().Msg("settings read again")
 }
 
+// warnDefaulted writes one line for each figure of the platform that the settings lack.
+func warnDefaulted(log zerolog.Logger, set *settings.Node) {
+	for _, option := range set.Defaulted {
+		log.Warn().Str("section", option.Section).Str("key", option.Key).Msg("platform's figure is missing, default in force")
+	}
+}
+
 // Exit codes of a process.
 const (
 	exitFailed   = 1
--- a/ini/ini.go
+++ b/ini/ini.go
@@ -142,6 +142,38 @@
 	return &Error{File: f.Name, Key: key, Reason: reason}
 }
 
+// Option names one key of a section.
+type Option struct{ Section, Key string }
+
+// WithoutEmpty returns f without those of the options that stand there with no value,
+// and the options that f then lacks.
+func (f *File) WithoutEmpty(options []Option) (*File, []Option) {
+	lines := strings.Split(string(f.text), "\n")
+	var missing []Option
+	for _, option := range options {
+		line := f.lineOf(option)
+		if line == 0 {
+			missing = append(missing, option)
+			continue
+		}
+		if _, value, _ := strings.Cut(lines[line-1], "="); strings.TrimSpace(value) == "" {
+			lines[line-1] = "" // the numbers of the other lines stay
+			missing = append(missing, option)
+		}
+	}
+	return &File{Name: f.Name, Sections: f.Sections, text: []byte(strings.Join(lines, "\n"))}, missing
+}
+
+// lineOf returns the line of an option, or 0 if it is not given.
+func (f *File) lineOf(option Option) int {
+	for _, s := range f.Sections {
+		if s.Name == option.Section {
+			return s.Keys[option.Key]
+		}
+	}
+	return 0
+}
+
 // Decode reads every section of f into the struct that into returns for it.
 // A nil from into says that the section is unknown.
 func (f *File) Decode(into func(Section) any) error {
--- a/settings/node.go
+++ b/settings/node.go
@@ -23,9 +23,24 @@
 	Times  NodeTimes  `group:"times" namespace:"times"`
 	Log    NodeLog    `group:"log" namespace:"log"`
 
+	// Defaulted are the platform's figures that the file lacks; their defaults are
+	// in force.
+	Defaulted []ini.Option `no-flag:"true"`
+
 	file *ini.File
 }
 
+// platformFigures are the settings that a platform tells of itself. A platform that
+// leaves one out keeps no node from starting.
+var platformFigures = []ini.Option{
+	{Section: "node", Key: "power"},
+	{Section: "node", Key: "memory"},
+	{Section: "store", Key: "partition-writes"},
+	{Section: "times", Key: "longest-lease"},
+	{Section: "times", Key: "keep-final"},
+	{Section: "times", Key: "grace"},
+}
+
 // NodeSelf is who the node is and where it listens.
 type NodeSelf struct {
 	Name    string  `long:"name" ini-name:"name" description:"name of this node"`
@@ -52,9 +67,10 @@
 
 // NodeTimes are the times by which nodes go.
 type NodeTimes struct {
-	Lease     time.Duration `long:"lease" ini-name:"lease" default:"6s" description:"for which a worker runs on without word from the owner"`
-	KeepFinal time.Duration `long:"keep-final" ini-name:"keep-final" default:"120s" description:"for which the state of a final job can be asked for"`
-	Grace     time.Duration `long:"grace" ini-name:"grace" default:"6s" description:"between the order to stop and the kill"`
+	Lease        time.Duration `long:"lease" ini-name:"lease" default:"3s" description:"for which a worker runs on without word from the owner"`
+	LongestLease time.Duration `long:"longest-lease" ini-name:"longest-lease" default:"6s" description:"longest lease that workers take; a longer lease is cut to it"`
+	KeepFinal    time.Duration `long:"keep-final" ini-name:"keep-final" default:"120s" description:"for which the state of a final job can be asked for"`
+	Grace        time.Duration `long:"grace" ini-name:"grace" default:"6s" description:"between the order to stop and the kill"`
 }
 
 // NodeLog is how the node logs.
@@ -72,6 +88,7 @@
 		return nil, err
 	}
 	if file != nil {
+		file, s.Defaulted = file.WithoutEmpty(platformFigures)
 		if err := file.Apply(parser); err != nil {
 			return nil, err
 		}
@@ -149,6 +166,8 @@
 		return s.fault("store", "partition-writes", "must be more than 0")
 	case s.Times.Lease < minLease:
 		return s.fault("times", "lease", fmt.Sprintf("must be at least %v", minLease))
+	case s.Times.LongestLease < minLease:
+		return s.fault("times", "longest-lease", fmt.Sprintf("must be at least %v", minLease))
 	case s.Times.KeepFinal < 0:
 		return s.fault("times", "keep-final", "must not be negative")
 	case s.Times.Grace <= 0:
@@ -157,6 +176,9 @@
 	return nil
 }
 
+// LeaseInForce returns the lease, cut to what workers take.
+func (s *Node) LeaseInForce() time.Duration { return min(s.Times.Lease, s.Times.LongestLease) }
+
 // Level returns the least level that is logged.
 func (s *Node) Level() zerolog.Level {
 	level, err := zerolog.ParseLevel(s.Log.Level)
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -47,6 +48,71 @@
 	}
 }
 
+const allFigures = `[node]
+name = edge-1
+front = 10.1.0.13:8161
+ready = 10.1.0.13:8167
+peer = 10.1.0.13:7720
+power = 0.4
+memory = 284
+[store]
+address = 10.200.1.7:8169
+partition-writes = 150
+[times]
+longest-lease = 10000ms
+keep-final = 120s
+grace = 6s
+`
+
+func assertDefaulted(t *testing.T, text string, keys ...string) *settings.Node {
+	t.Helper()
+	s, err := settings.LoadNode([]string{"--config", nodeFile(t, text)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, option := range s.Defaulted {
+		got = append(got, option.Key)
+	}
+	if !slices.Equal(got, keys) {
+		t.Errorf("defaults in force for %v, want %v", got, keys)
+	}
+	return s
+}
+
+func TestPlatformFiguresThatAreMissing(t *testing.T) {
+	t.Run("none", func(t *testing.T) {
+		s := assertDefaulted(t, allFigures)
+		if s.LeaseInForce() != 3*time.Second || s.Store.PartitionWrites != 150 {
+			t.Errorf("settings: %+v", s)
+		}
+	})
+	t.Run("one without a value", func(t *testing.T) {
+		s := assertDefaulted(t, strings.Replace(allFigures, "= 150", "=", 1), "partition-writes")
+		if s.Store.PartitionWrites != 200 {
+			t.Errorf("%v writes a second", s.Store.PartitionWrites)
+		}
+	})
+	t.Run("one that does not stand there", func(t *testing.T) {
+		s := assertDefaulted(t, strings.Replace(allFigures, "longest-lease = 10000ms\n", "\n", 1), "longest-lease")
+		if s.Times.LongestLease != 6*time.Second {
+			t.Errorf("longest lease %v", s.Times.LongestLease)
+		}
+	})
+	t.Run("a lease that workers do not take is cut", func(t *testing.T) {
+		s := assertDefaulted(t, strings.Replace(allFigures, "10000ms", "2000ms", 1))
+		if s.LeaseInForce() != 2*time.Second {
+			t.Errorf("lease %v", s.LeaseInForce())
+		}
+	})
+	t.Run("one that is wrong still names its line", func(t *testing.T) {
+		_, err := settings.LoadNode([]string{"--config", nodeFile(t, strings.Replace(allFigures, "= 150", "= many", 1))})
+		if err == nil || !strings.Contains(err.Error(), ":10: partition-writes") {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
 func TestNodeSettingsThatAreWrong(t *testing.T) {
 	cases := []struct{ name, from, to, want string }{
 		{"an unknown key", "hall = north", "hale = north", ":3: hale"},
