leadership: the return of a silent store is noticed within half a second

Cause: four sendings of a transaction waited 3 s each for an answer, so that a store that was silent for 1 s was found again 2 s after its return (test, failing first). Change: sent again every 0.4 s at the most (a slower store: after three of its usual times), ten at once. A sighting says since when the row was seen so.

--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -39,6 +39,9 @@
 type Sighting struct {
 	Row
 	Version uint64
+	// Since is when the row was first seen at this version, by the observer's clock:
+	// the owner's last transaction was sent before.
+	Since time.Time
 }
 
 func keyOf(shard string) rowstore.Key {
@@ -55,7 +58,7 @@
 }
 
 func sightingOf(row rowstore.Row) (Sighting, error) {
-	seen := Sighting{Version: row.Version}
+	seen := Sighting{Version: row.Version, Since: time.Now()}
 	if row.Version == 0 {
 		return seen, nil
 	}
@@ -87,6 +90,7 @@
 	token   uint64
 	row     Row
 	version uint64
+	former  time.Time     // when the former owner had sent its last transaction, at the latest
 	delay   time.Duration // after which a transaction without an answer is sent again
 	// sent is when the last successful transaction was sent, and tried since when
 	// the store has failed without a success; both in Unix nanoseconds.
@@ -101,8 +105,12 @@
 	maxDelay    = 1200 * time.Millisecond
 	delayRatio  = 3
 	delayGrowth = 2
-	// maxCalls bounds the sendings of one transaction under way at once.
-	maxCalls    = 4
+	// resendMost bounds the time between two sendings, but for a store that is
+	// slower: the first one after an outage tells of its end.
+	resendMost = 400 * time.Millisecond
+	// maxCalls bounds the sendings of one transaction under way at once: as many as
+	// callTimeout holds, so that a silent store is asked again and again.
+	maxCalls    = 10
 	callTimeout = 3 * time.Second
 	retryPause  = 25 * time.Millisecond
 )
@@ -111,7 +119,7 @@
 // was seen. It returns a DeposedError if another node was faster.
 func Take(ctx context.Context, store rowstore.Store, shard, node, address string, seen Sighting) (*Reign, error) {
 	reign := &Reign{
-		store: store, shard: shard, version: seen.Version, delay: minDelay,
+		store: store, shard: shard, version: seen.Version, former: seen.Since, delay: minDelay,
 		row: Row{Node: node, Address: address, Reign: xid.New().String()},
 	}
 	if err := reign.Commit(ctx, nil, nil); err != nil {
@@ -124,6 +132,10 @@
 // Token returns the fencing token of the reign.
 func (r *Reign) Token() uint64 { return r.token }
 
+// FormerSuccess returns a time before which the former owner had sent the last
+// transaction that succeeded.
+func (r *Reign) FormerSuccess() time.Time { return r.former }
+
 // LastSuccess returns when the last transaction that succeeded was sent.
 func (r *Reign) LastSuccess() time.Time { return time.Unix(0, r.sent.Load()) }
 
@@ -194,7 +206,7 @@
 			if c.open < maxCalls {
 				c.send(ctx)
 			}
-			delay = min(maxDelay, delay*delayGrowth)
+			delay = max(c.reign.delay, min(resendMost, delay*delayGrowth))
 			again.Reset(delay)
 		case got := <-c.results:
 			c.open--
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -167,3 +167,24 @@
 		}
 	})
 }
+
+// A store that was silent for long is found again soon after its return.
+func TestTheReturnOfAStoreIsNoticed(t *testing.T) {
+	for _, outage := range []time.Duration{time.Second, 4200 * time.Millisecond, 9 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				caller := memory.New().Caller()
+				reign := take(t, caller, "a")
+				caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
+				time.AfterFunc(outage, func() { caller.SetFault(nil) })
+				begun := time.Now()
+				if err := reign.Commit(t.Context(), progress("x"), nil); err != nil {
+					t.Fatal(err)
+				}
+				if late := time.Since(begun) - outage; late > 500*time.Millisecond {
+					t.Errorf("written %v after the store was back", late)
+				}
+			})
+		})
+	}
+}
