scheduler: short leases that outlive an outage of the store; ended lives stay ended

Ruled out: capacity (there was room), advice (0.8 s). Change: leases of 3 s, extended for 5 s after the store's last word (2 s before), for the last time shortly before; at an owner's first word with a worker the former owner's leases there end within 3.3 s; a lease that runs out is seen at once, not at the next failed call.

Cause of some hundred needless looks: discovery names a replaced life for seconds, and each change of the list made it a worker again, asked once more. Ended lives are remembered until they are listed no more (test, failing first).

--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -62,7 +62,8 @@
 	mu      sync.Mutex
 	workers map[string]*worker
 	kinds   map[string]Kind // by job
-	dones   map[string]bool // tasks with an end done that was noted, by name
+	dones   map[string]bool // tasks with an end done that was noted and binds, by name
+	well    map[string]bool // tasks with an end done that was noted, by name
 	failed  map[string]int  // noted failures
 	gangs   map[string]*gang
 	tickets map[string]time.Time
@@ -78,7 +79,7 @@
 // New returns a fleet without workers.
 func New() *Fleet {
 	return &Fleet{
-		workers: map[string]*worker{}, kinds: map[string]Kind{}, dones: map[string]bool{}, failed: map[string]int{},
+		workers: map[string]*worker{}, kinds: map[string]Kind{}, dones: map[string]bool{}, well: map[string]bool{}, failed: map[string]int{},
 		gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, begun: map[string]bool{},
 	}
 }
@@ -108,13 +109,16 @@
 	token   uint64
 	lease   time.Time
 	lapse   *time.Timer
+	lapsed  uint64 // ends up to this one were listed when the lease last ran out
 	runs    map[string]*run
 	highest map[string]int // the highest attempt that was stopped or has ended here
 	ended   []fleet.End
 	next    uint64
 	noted   uint64
 	dead    bool
-	changed chan struct{}
+	// replaced is whether another life answers at the address of a dead one.
+	replaced bool
+	changed  chan struct{}
 }
 
 // Add adds a worker.
@@ -132,7 +136,7 @@
 	defer f.mu.Unlock()
 	var list []fleet.Worker
 	for _, w := range f.workers {
-		if !w.dead {
+		if !w.dead || w.replaced {
 			list = append(list, w.info)
 		}
 	}
@@ -156,6 +160,16 @@
 	w.wake()
 }
 
+// Replace ends a worker's life and has another answer at its address. Discovery goes
+// on naming the former.
+func (f *Fleet) Replace(id string, next fleet.Worker) {
+	f.Crash(id)
+	f.Add(next)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].replaced = true
+}
+
 // SetDraining marks a worker.
 func (f *Fleet) SetDraining(id string) {
 	f.mu.Lock()
@@ -209,6 +223,18 @@
 	return count
 }
 
+// HostOf returns the worker that runs a task, or "" if none does.
+func (f *Fleet) HostOf(task string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, w := range f.workers {
+		if w.runs[task] != nil {
+			return id
+		}
+	}
+	return ""
+}
+
 func (w *worker) wake() {
 	close(w.changed)
 	w.changed = make(chan struct{})
--- a/fleet/fleettest/judge.go
+++ b/fleet/fleettest/judge.go
@@ -91,7 +91,7 @@
 
 // endedDone reports whether some attempt of a task has ended well.
 func (f *Fleet) endedDone(name string) bool {
-	if f.dones[name] {
+	if f.well[name] {
 		return true
 	}
 	for _, w := range f.workers {
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -28,8 +28,11 @@
 		fault = f.fault(kind, info.ID)
 	}
 	silent := w == nil || w.dead || fault.Lost
+	replaced := w != nil && w.replaced && !fault.Lost
 	f.mu.Unlock()
 	switch {
+	case replaced:
+		return none, &fleet.ReplacedError{ID: info.ID}
 	case fault.Busy:
 		return none, &fleet.BusyError{ID: info.ID}
 	case fault.Late > 0:
@@ -81,6 +84,7 @@
 		if w.dead || time.Now().Before(w.lease) {
 			return
 		}
+		w.lapsed = w.next
 		for _, r := range w.runs {
 			f.end(w, r, fleet.Lapsed)
 		}
@@ -248,8 +252,12 @@
 		switch {
 		case end.Sequence > upTo:
 			rest = append(rest, end)
+		case end.Sequence <= w.lapsed:
+			// Its owner had to give it up when the lease ran out, and may have started
+			// the task elsewhere. Well done it is all the same.
+			f.well[end.Task] = f.well[end.Task] || end.Outcome == fleet.Done
 		case end.Outcome == fleet.Done:
-			f.dones[end.Task] = true
+			f.dones[end.Task], f.well[end.Task] = true, true
 			f.judgeDone(end)
 		case end.Outcome == fleet.Failed:
 			f.failed[end.Task]++
--- a/node/owner.go
+++ b/node/owner.go
@@ -85,6 +85,7 @@
 	if seen.Version != d.version {
 		*d = doubt{seen.Version, now}
 	}
+	seen.Since = d.since
 	var said verdict
 	select {
 	case said = <-asked:
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -33,8 +33,12 @@
 	store *memory.Store
 	fleet *fleettest.Fleet
 	queue workload.Queue
+	lease time.Duration
 }
 
+// shortLease is the lease that nodes give unless their settings say otherwise.
+const shortLease = 3 * time.Second
+
 // owner is one node's reign in a test.
 type owner struct {
 	*scheduler.Scheduler
@@ -48,8 +52,16 @@
 // that stands still does.
 type pausableClient struct {
 	fleet.Client
-	mu   sync.Mutex
-	open chan struct{} // closed: calls go through
+	mu    sync.Mutex
+	open  chan struct{} // closed: calls go through
+	lacks string        // the worker that this owner does not reach
+}
+
+// cutOff keeps this owner's calls from a worker; others reach it.
+func (c *pausableClient) cutOff(worker string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lacks = worker
 }
 
 func (c *pausableClient) pause() {
@@ -64,10 +76,14 @@
 	close(c.open)
 }
 
-func (c *pausableClient) wait(ctx context.Context) error {
+func (c *pausableClient) wait(ctx context.Context, worker string) error {
 	c.mu.Lock()
-	open := c.open
+	open, lacks := c.open, c.lacks
 	c.mu.Unlock()
+	if lacks == worker {
+		<-ctx.Done()
+		return &fleet.UnansweredError{Cause: ctx.Err()}
+	}
 	select {
 	case <-open:
 		return nil
@@ -77,14 +93,14 @@
 }
 
 func (c *pausableClient) Start(ctx context.Context, w fleet.Worker, o fleet.StartOrder) (fleet.Clock, error) {
-	if err := c.wait(ctx); err != nil {
+	if err := c.wait(ctx, w.ID); err != nil {
 		return 0, err
 	}
 	return c.Client.Start(ctx, w, o)
 }
 
 func (c *pausableClient) Hold(ctx context.Context, w fleet.Worker, o fleet.HoldOrder) (fleet.Report, error) {
-	if err := c.wait(ctx); err != nil {
+	if err := c.wait(ctx, w.ID); err != nil {
 		return fleet.Report{}, err
 	}
 	return c.Client.Hold(ctx, w, o)
@@ -96,7 +112,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := &cell{
-			t: t, ctx: ctx, store: memory.New(), fleet: fleettest.New(),
+			t: t, ctx: ctx, store: memory.New(), fleet: fleettest.New(), lease: fleettest.MostLease,
 			queue: workload.Queue{Name: "diagnostics", Service: testService, Priority: 1, Attempts: 3, Stretch: 2, Target: time.Second},
 		}
 		for i := range workers {
@@ -141,7 +157,7 @@
 	ctx, kill := context.WithCancel(c.ctx)
 	client := &pausableClient{Client: c.fleet, open: make(chan struct{})}
 	client.resume()
-	config := scheduler.Config{Shard: testShard, Lease: fleettest.MostLease, KeepFinal: 2 * time.Minute}
+	config := scheduler.Config{Shard: testShard, Lease: c.lease, KeepFinal: 2 * time.Minute}
 	o := &owner{
 		Scheduler: scheduler.New(config, caller, client, reign, scheduler.NewMetrics(), zerolog.Nop()),
 		caller:    caller, client: client, kill: kill, ended: make(chan error, 1),
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -26,11 +26,11 @@
 		}
 		now := time.Now()
 		s.mu.Lock()
+		s.expireUnseen(now)
 		s.dispatch(now)
 		if now.Sub(cleaned) > housekeeping {
 			cleaned = now
 			s.forgetOld(now)
-			s.expireUnseen(now)
 		}
 		s.mu.Unlock()
 		wait.For(ctx, max(dispatchGap, dispatchRest*time.Since(now)))
--- a/scheduler/fault_test.go
+++ b/scheduler/fault_test.go
@@ -205,9 +205,10 @@
 
 // inTrouble runs jobs through troubles that begin at moments a seed draws, and
 // expects that all are completed and no promise is broken.
-func inTrouble(t *testing.T, seed uint64, list ...trouble) {
+func inTrouble(t *testing.T, seed uint64, lease time.Duration, list ...trouble) {
 	t.Helper()
 	inCell(t, 4, func(c *cell) {
+		c.lease = lease
 		random := &dice{random: rand.New(rand.NewPCG(seed, 1))}
 		c.queue.Attempts = 30 // the judge counts failures; none may end a job
 		r := &run{cell: c, random: random}
@@ -243,7 +244,8 @@
 	for _, one := range troubles {
 		t.Run(one.name, func(t *testing.T) {
 			for seed := range uint64(4) {
-				inTrouble(t, seed, one)
+				inTrouble(t, seed, fleettest.MostLease, one)
+				inTrouble(t, seed, shortLease, one)
 			}
 		})
 	}
@@ -253,7 +255,8 @@
 	for _, one := range troubles {
 		for _, two := range troubles {
 			t.Run(one.name+" and "+two.name, func(t *testing.T) {
-				inTrouble(t, 11, one, two)
+				inTrouble(t, 11, fleettest.MostLease, one, two)
+				inTrouble(t, 12, shortLease, one, two)
 			})
 		}
 	}
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -18,6 +18,12 @@
 	// in the store.
 	holdPause = 200 * time.Millisecond
 	noteWait  = 300 * time.Millisecond
+	// lastExtension is how long before an owner must stop to extend leases it does so
+	// for the last time.
+	lastExtension = 150 * time.Millisecond
+	// unconfirmedWait is holdWait for an owner that may not extend leases, so that it
+	// does so soon after the store's return.
+	unconfirmedWait = 250 * time.Millisecond
 	// freshFor is how old a report may be for a worker to get new tasks.
 	freshFor = holdWait + holdSlack + holdPause
 	// clockDrift and clockSlack widen a lease that is counted on another clock.
@@ -29,7 +35,7 @@
 func (s *Scheduler) follow(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
 		order, sent := s.holdOrder(w)
-		callCtx, cancel := context.WithTimeout(ctx, order.Wait+holdSlack)
+		callCtx, cancel := context.WithTimeout(ctx, s.holdLimit(w, order))
 		report, err := s.client.Hold(callCtx, s.infoOf(w), order)
 		cancel()
 		if ctx.Err() != nil {
@@ -39,7 +45,7 @@
 			if s.holdFailed(w, err) {
 				return
 			}
-			wait.For(ctx, holdPause)
+			wait.For(ctx, s.pauseAfterFailure(w))
 			continue
 		}
 		if s.takeReport(w, report, sent) {
@@ -48,6 +54,18 @@
 	}
 }
 
+// holdLimit returns how long a call may take. One to a worker that has not answered
+// ends with its lease, so that what ran there is placed anew at once.
+func (s *Scheduler) holdLimit(w *worker, order fleet.HoldOrder) time.Duration {
+	limit := order.Wait + holdSlack
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rest := time.Until(w.leaseEnds); w.failing && rest > 0 {
+		limit = min(limit, rest+time.Millisecond)
+	}
+	return limit
+}
+
 func (s *Scheduler) infoOf(w *worker) fleet.Worker {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -66,14 +84,32 @@
 	if first || w.failing || len(w.pending) > 0 {
 		order.Wait = 0
 	}
-	if w.failing || first || now.Sub(s.reign.LastSuccess()) > confirmedFor {
+	rest := confirmedFor - now.Sub(s.reign.LastSuccess())
+	if rest < 0 {
+		order.Wait = min(order.Wait, unconfirmedWait)
+	}
+	if w.failing || first || rest < 0 {
 		return order, now
 	}
+	if rest > lastExtension && rest < holdWait {
+		order.Wait = min(order.Wait, rest-lastExtension) // then it is extended once more
+	}
 	order.Deadline = w.clockNow(now) + fleet.Clock(s.lease.Milliseconds())
 	w.extends(now, s.lease)
 	return order, now
 }
 
+// pauseAfterFailure returns how long to wait before the next call to a worker that
+// does not answer; not beyond the end of its lease.
+func (s *Scheduler) pauseAfterFailure(w *worker) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rest := time.Until(w.leaseEnds); rest > 0 {
+		return min(holdPause, rest)
+	}
+	return holdPause
+}
+
 // holdFailed notes a failed call and reports whether the life is over.
 func (s *Scheduler) holdFailed(w *worker, err error) bool {
 	var refused *fleet.RefusedError
@@ -121,6 +157,7 @@
 		w.cancel()
 	}
 	delete(s.workers, w.info.ID)
+	s.past[w.info.ID] = w.known
 	wake(s.dispatchWake)
 }
 
--- /dev/null
+++ b/scheduler/lives_test.go
@@ -0,0 +1,44 @@
+package scheduler_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/fleet/fleettest"
+	"chutereach/resource"
+	"chutereach/workload"
+)
+
+// Discovery goes on naming a life for some seconds after another one has taken its
+// address, be it of the same service or of another.
+func TestAnAddressGoesToAnotherLife(t *testing.T) {
+	for _, service := range []string{testService, "another"} {
+		t.Run("of service "+service, func(t *testing.T) {
+			inCell(t, 3, func(c *cell) {
+				o := c.rule()
+				time.Sleep(500 * time.Millisecond)
+				if err := c.submit(o, "job", jobOf(6, 8000), work(2*time.Second)); err != nil {
+					t.Fatal(err)
+				}
+				c.awaitStarts(6, time.Second)
+				var calls atomic.Int64
+				c.fleet.SetFault(func(_ fleettest.Call, worker string) fleettest.Fault {
+					if worker == "w-01" {
+						calls.Add(1)
+					}
+					return fleettest.Fault{}
+				})
+				c.fleet.Replace("w-01", fleet.Worker{
+					ID: "w-91", Service: service, Rack: "r1-0", Labels: []string{"a"},
+					Capacity: resource.Amount{CPU: 16_000, Memory: 64 * gigabyte},
+				})
+				c.await(o, "job", workload.Completed, 6*time.Second)
+				if got := calls.Load(); got > 4 { // one look, and orders under way
+					t.Errorf("%d calls to a life that was known to be over", got)
+				}
+			})
+		})
+	}
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -15,6 +15,9 @@
 	if w.over {
 		return false
 	}
+	if w.contact.IsZero() {
+		w.shorten(now, s.lease) // from now on it refuses the former owner
+	}
 	if w.failing || w.contact.IsZero() {
 		s.log.Info().Str("worker", w.info.ID).Int("running", len(report.Running)).Msg("worker answers")
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,8 +17,10 @@
 
 const (
 	// confirmedFor is how long an owner goes on extending leases after the store
-	// last confirmed its reign.
-	confirmedFor = 2 * time.Second
+	// last confirmed its reign. With a lease of 3 s, what runs outlives an outage of
+	// the store of 7 s, as long as any was seen; a successor waits as long before it
+	// takes a worker that it does not reach for idle.
+	confirmedFor = 5 * time.Second
 	// tickEvery is how often the owner looks for work that time alone makes due,
 	// dispatchGap how long it collects news between two looks.
 	tickEvery   = 25 * time.Millisecond
@@ -58,9 +60,11 @@
 	jobs    map[string]*job // all whose state can be asked for
 	active  map[string]*job // those that are not final
 	workers map[string]*worker
-	dirty   []*job
-	queues  map[string]workload.Queue
-	lanes   []*lane
+	// past are ended lives that discovery still names.
+	past   map[string]bool
+	dirty  []*job
+	queues map[string]workload.Queue
+	lanes  []*lane
 	// formerLeasesEnd is when everything that a former owner started has ended on
 	// a worker that was not reached since.
 	formerLeasesEnd time.Time
@@ -85,14 +89,13 @@
 
 // New returns a Scheduler for a reign. Load must follow, then Run.
 func New(config Config, store rowstore.Store, client fleet.Client, reign *leadership.Reign, metrics *Metrics, log zerolog.Logger) *Scheduler {
-	widest := confirmedFor + config.Lease + time.Duration(float64(config.Lease)*clockDrift) + clockSlack
 	return &Scheduler{
 		shard: config.Shard, lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, reign: reign, log: log.With().Uint64("token", reign.Token()).Logger(), metrics: metrics,
 		commitGap: commitGapFor(config.PartitionWrites),
-		jobs:      map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{},
+		jobs:      map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{}, past: map[string]bool{},
 		queues: map[string]workload.Queue{}, stopping: map[string]bool{}, fleetSpeed: 1, healthy: map[string]float64{}, bundles: map[string]*bundle{},
-		formerLeasesEnd: time.Now().Add(widest), Loaded: make(chan struct{}),
+		formerLeasesEnd: leaseEnd(reign.FormerSuccess().Add(confirmedFor), config.Lease), Loaded: make(chan struct{}),
 		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
 	}
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"chutereach/fleet"
@@ -98,10 +99,21 @@
 	}
 }
 
+// leaseEnd returns when a lease has run out on any worker's clock.
+func leaseEnd(given time.Time, lease time.Duration) time.Time {
+	return given.Add(lease + time.Duration(float64(lease)*clockDrift) + clockSlack)
+}
+
 // extends notes that an order may keep what runs there alive for a lease.
 func (w *worker) extends(sent time.Time, lease time.Duration) {
-	ends := sent.Add(lease + time.Duration(float64(lease)*clockDrift) + clockSlack)
-	if ends.After(w.leaseEnds) {
+	if ends := leaseEnd(sent, lease); ends.After(w.leaseEnds) {
+		w.leaseEnds = ends
+	}
+}
+
+// shorten notes that nobody else has given the worker a lease after a time.
+func (w *worker) shorten(last time.Time, lease time.Duration) {
+	if ends := leaseEnd(last, lease); ends.Before(w.leaseEnds) {
 		w.leaseEnds = ends
 	}
 }
@@ -143,8 +155,11 @@
 	named := make(map[string]bool, len(list))
 	for _, info := range list {
 		named[info.ID] = true
-		s.setWorker(info)
+		if !s.past[info.ID] {
+			s.setWorker(info)
+		}
 	}
+	maps.DeleteFunc(s.past, func(id string, _ bool) bool { return !named[id] })
 	for id, w := range s.workers {
 		if !named[id] && w.known {
 			w.known = false
