--- /dev/null
+++ b/leadership/commit.go
@@ -0,0 +1,213 @@
+package leadership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chutereach/codec"
+	"chutereach/rowstore"
+)
+
+const (
+	// leastPatience and mostPatience bound how long a transaction may go without an
+	// answer before the store is asked what became of it; in between that is
+	// patienceRatio times what transactions take of late.
+	leastPatience = 60 * time.Millisecond
+	mostPatience  = 1200 * time.Millisecond
+	patienceRatio = 3
+	// lookAgain is the time between two looks at a store that does not answer them, so
+	// that its return is soon noticed.
+	lookAgain = 400 * time.Millisecond
+	// slowRatio is how many times as long as a look takes a transaction may take at
+	// the same store: it waits for its turn besides.
+	slowRatio = 3
+	// maxSendings and maxLooks bound the calls for one transaction under way at once.
+	maxSendings = 4
+	maxLooks    = 8
+	callTimeout = 3 * time.Second
+	retryPause  = 25 * time.Millisecond
+)
+
+// Commit applies puts and deletes as the shard's owner. It tries until the outcome is
+// certain: nil, a DeposedError, or the error of ctx.
+//
+// A transaction without an answer may have been applied, may wait for its turn at a
+// slow store, or may never have arrived. The owner's row tells which, and reading it
+// holds up no transaction, while a second copy would take a turn of its own. So the
+// row is read first, and the transaction sent again only if the row is as before and
+// the store answers quickly enough for the first copy to have been lost. One copy at
+// most applies.
+func (r *Reign) Commit(ctx context.Context, puts []rowstore.Put, deletes []rowstore.Key) error {
+	next := r.row
+	next.Sequence++
+	c := &commit{
+		reign: r, next: next, begun: time.Now(), results: make(chan result, maxSendings+maxLooks),
+		transaction: rowstore.Transaction{
+			Conditions: []rowstore.Condition{{Key: keyOf(r.shard), Version: r.version}},
+			Puts:       append([]rowstore.Put{{Key: keyOf(r.shard), Value: codec.MustMarshal(next)}}, puts...),
+			Deletes:    deletes,
+		},
+	}
+	version, err := c.untilCertain(ctx)
+	if err != nil {
+		return err
+	}
+	r.version, r.row = version, next
+	return nil
+}
+
+// commit is one transaction on its way.
+type commit struct {
+	reign       *Reign
+	transaction rowstore.Transaction
+	next        Row
+	begun       time.Time
+	lastSent    time.Time // when it was last sent
+	results     chan result
+	sendings    int // under way
+	looks       int // under way
+}
+
+// result is what came of one call.
+type result struct {
+	look    bool
+	version uint64 // that the transaction has written; 0 of a look: not applied so far
+	err     error
+	sent    time.Time
+	took    time.Duration
+}
+
+func (c *commit) untilCertain(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	again := time.NewTimer(c.reign.patience)
+	defer again.Stop()
+	c.send(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-again.C:
+			c.reign.noAnswer(c.begun)
+			if c.sendings == 0 {
+				c.send(ctx)
+				again.Reset(c.reign.patience)
+				continue
+			}
+			c.look(ctx)
+			again.Reset(lookAgain)
+		case got := <-c.results:
+			version, err, certain := c.take(ctx, got)
+			if certain {
+				return version, err
+			}
+			if got.err != nil && c.sendings+c.looks == 0 {
+				again.Reset(retryPause) // refused: no call waits for the store's return
+			}
+		}
+	}
+}
+
+// take takes in the result of one call, and reports whether the outcome is certain.
+func (c *commit) take(ctx context.Context, got result) (version uint64, err error, certain bool) {
+	if got.look {
+		c.looks--
+	} else {
+		c.sendings--
+	}
+	var deposed *DeposedError
+	switch {
+	case errors.As(got.err, &deposed):
+		return 0, got.err, true
+	case got.err != nil:
+		c.reign.noAnswer(c.begun)
+		return 0, nil, false
+	}
+	c.reign.answered(got.sent)
+	if got.version != 0 {
+		c.reign.committed(time.Since(c.begun))
+		return got.version, nil, true
+	}
+	if time.Since(c.lastSent) > max(leastPatience, slowRatio*got.took) {
+		c.send(ctx)
+	}
+	return 0, nil, false
+}
+
+// send sends the transaction, without waiting for what comes of it.
+func (c *commit) send(ctx context.Context) {
+	if c.sendings == maxSendings {
+		return
+	}
+	c.sendings++
+	c.lastSent = time.Now()
+	go func() {
+		sent := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		version, err := c.reign.store.Commit(callCtx, c.transaction)
+		var conflict *rowstore.ConflictError
+		if errors.As(err, &conflict) {
+			version, err = c.settleConflict(conflict)
+		}
+		c.results <- result{version: version, err: err, sent: sent, took: time.Since(sent)}
+	}()
+}
+
+// look reads the owner's row, without waiting for what comes of it.
+func (c *commit) look(ctx context.Context) {
+	if c.looks == maxLooks {
+		return
+	}
+	c.looks++
+	go func() {
+		sent := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		seen, err := Look(callCtx, c.reign.store, c.reign.shard)
+		got := result{look: true, err: err, sent: sent, took: time.Since(sent)}
+		if err == nil && seen.Version != c.transaction.Conditions[0].Version {
+			got.version, got.err = c.settle(seen)
+		}
+		c.results <- got
+	}()
+}
+
+// settleConflict reads from the row of a conflict what became of the transaction.
+func (c *commit) settleConflict(conflict *rowstore.ConflictError) (uint64, error) {
+	for _, row := range conflict.Rows {
+		if row.Key != keyOf(c.reign.shard) {
+			continue
+		}
+		seen, err := sightingOf(row)
+		if err != nil {
+			return 0, err
+		}
+		return c.settle(seen)
+	}
+	return 0, &DeposedError{}
+}
+
+// settle tells from the owner's row, which has changed, whether the transaction has
+// been applied.
+func (c *commit) settle(seen Sighting) (uint64, error) {
+	if seen.Row == c.next {
+		return seen.Version, nil
+	}
+	return 0, &DeposedError{seen}
+}
+
+// noAnswer notes that the store has not answered a call in time.
+func (r *Reign) noAnswer(since time.Time) { r.failed.CompareAndSwap(0, since.UnixNano()) }
+
+// answered notes an answer by which the shard was owned by this reign.
+func (r *Reign) answered(sent time.Time) {
+	r.sent.Store(max(r.sent.Load(), sent.UnixNano()))
+	r.failed.Store(0)
+}
+
+// committed notes how long a transaction took.
+func (r *Reign) committed(took time.Duration) {
+	r.patience = min(mostPatience, max(leastPatience, (r.patience+patienceRatio*took)/2))
+}
