leadership: the owner's row is read before a transaction is sent again

Cause: the transactions of a partition take turns. Change: without an answer for three times the usual, the owner's row is read, which waits for no turn: it tells whether the transaction was applied, is still to come, or never arrived; only then it is sent again. A store that answers reads is slow, not failing.

--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -188,3 +188,50 @@
 		})
 	}
 }
+
+// A slow store is no failing one, and no copy of a transaction waits there for a turn.
+func TestASlowStoreIsAskedOnce(t *testing.T) {
+	for _, slow := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(slow.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				caller := memory.New().Caller()
+				reign := take(t, caller, "a")
+				writes := 0
+				caller.SetFault(func(write bool) memory.Fault {
+					if write {
+						writes++
+						return memory.Fault{Slow: slow}
+					}
+					return memory.Fault{Slow: slow / 2}
+				})
+				for range 3 {
+					if err := reign.Commit(t.Context(), progress("x"), nil); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if writes != 3 {
+					t.Errorf("%d sendings of 3 transactions", writes)
+				}
+				if !reign.FailingSince().IsZero() {
+					t.Error("a slow store counts as failing")
+				}
+			})
+		})
+	}
+}
+
+// The answers of the store are lost: the row tells that the transaction was applied.
+func TestALostAnswerIsReadFromTheRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller := memory.New().Caller()
+		reign := take(t, caller, "a")
+		caller.SetFault(func(write bool) memory.Fault { return memory.Fault{Mute: write} })
+		begun := time.Now()
+		if err := reign.Commit(t.Context(), progress("x"), nil); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(begun); took > 100*time.Millisecond {
+			t.Errorf("took %v", took)
+		}
+	})
+}
