--- /dev/null
+++ b/explain/losses_test.go
@@ -0,0 +1,72 @@
+package explain_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"chutereach/explain"
+)
+
+// logOf makes a log from lines "SECONDS BOX MESSAGE FIELDS", the fields as JSON.
+func logOf(t *testing.T, texts ...string) []explain.Line {
+	t.Helper()
+	var log strings.Builder
+	for _, text := range texts {
+		parts := strings.SplitN(text, "|", 4)
+		var second float64
+		if _, err := fmt.Sscan(parts[0], &second); err != nil {
+			t.Fatal(err)
+		}
+		stamp := time.Unix(1000, 0).Add(time.Duration(second * float64(time.Second))).UTC().Format(time.RFC3339Nano)
+		fields := parts[3]
+		if fields != "" {
+			fields += ","
+		}
+		fmt.Fprintf(&log, "%s {%s\"time\":%q,\"message\":%q}\n", parts[1], fields, stamp, parts[2])
+	}
+	lines, passed, err := explain.Read(strings.NewReader(log.String()), "box")
+	if err != nil || passed > 0 {
+		t.Fatalf("%v, %d lines passed over", err, passed)
+	}
+	return lines
+}
+
+const lateAfterTwo = `"job":"j","queue":"q","state":"completed","late":true,"age":2000`
+
+func TestLosses(t *testing.T) {
+	accepted := `1|a|accepted|"job":"j","queue":"q"`
+	granted := `1.05|a|granted|"job":"j"`
+	cases := []struct {
+		name  string
+		lines []string
+		want  explain.Cause // empty: nothing is lost
+	}{
+		{"in time", []string{accepted, granted, `3|a|job is final|"job":"j","queue":"q","state":"completed","late":false,"age":2000`}, ""},
+		{"cancelled", []string{accepted, `3|a|job is final|"job":"j","queue":"q","state":"cancelled","late":true,"age":2000`}, ""},
+		{"a slow store", []string{accepted, `2.2|a|slow transaction|"took":1100`, granted, `3|a|job is final|` + lateAfterTwo}, explain.CauseStore},
+		{"a takeover", []string{accepted, `2.5|b|shard loaded|"took":30`, `2.55|b|granted|"job":"j"`, `3|b|job is final|` + lateAfterTwo}, explain.CauseNoOwner},
+		{"a failed attempt", []string{accepted, granted, `2|a|attempt over|"job":"j","outcome":"failed"`, `3|a|job is final|` + lateAfterTwo}, explain.CauseAttempts},
+		{"a task that gave way", []string{accepted, granted, `1.5|a|stopping|"job":"j"`, `2|a|attempt over|"job":"j","outcome":"stopped"`, `3|a|job is final|` + lateAfterTwo}, explain.CauseGaveWay},
+		{"no room", []string{accepted, `2|a|granted|"job":"j"`, `3|a|job is final|` + lateAfterTwo}, explain.CauseWaited},
+		{"long work", []string{accepted, granted, `3|a|job is final|` + lateAfterTwo}, explain.CauseRan},
+		{"refused", []string{`1|a|refused|"job":"j","queue":"q"`}, explain.CauseRefused},
+		{"never final", []string{accepted, granted}, explain.CauseNotWritten},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			losses := explain.Losses(logOf(t, test.lines...), time.Unix(1000, 0), 2*time.Second)
+			if test.want == "" {
+				if len(losses) != 0 {
+					t.Errorf("got %+v, want nothing", losses)
+				}
+				return
+			}
+			want := explain.Loss{Queue: "q", Window: 0, Cause: test.want, Jobs: 1}
+			if len(losses) != 1 || losses[0] != want {
+				t.Errorf("got %+v, want %+v", losses, want)
+			}
+		})
+	}
+}
--- a/tool/tool.go
+++ b/tool/tool.go
@@ -71,6 +71,7 @@
 	{"drain", "take a worker, rack, hall or box out of use, or undo it", "chutereach drain rack chipre-rack-1\n  chutereach drain --undo rack chipre-rack-1", &drainCommand{}},
 	{"timeline", "show the events of all boxes in causal order", "chutereach timeline --job chipre.d4k1...\n  chutereach timeline --follow", &timelineCommand{}},
 	{"why", "tell from saved logs what became of a job, and why", "chutereach why 5c0e7a21d94b36f8 --log edge-1.log --log edge-2.log", &whyCommand{}},
+	{"losses", "count from saved logs which jobs were late or lost, when, and what held them up", "chutereach losses --log day.log --report day.json --zero 10s", &lossesCommand{}},
 	{"keys", "make the certificates by which boxes know each other", "chutereach keys --dir keys box-1 box-2 box-3", &keysCommand{}},
 	{"stand-in", "run a stand-in of the platform, for trying out", "chutereach stand-in --listen 127.0.0.1:7400 --fleet both", &standinCommand{}},
 	{"burst", "send the two users' bursts through a cell and sum up", "chutereach burst --scale 1", &burstCommand{}},
