node, scheduler: sooner takeovers; no advice is asked from the machine that is gone

Change: an owner is doubted after 0.2 s without a heartbeat (it is asked then, so a late one is not deposed), its row watched for 0.35 s; the former owner counts as lost until it answers; a cheap call for advice is given up 0.2 s after it should have ended (0.5 s).

--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -74,6 +74,8 @@
 	sick    map[string]Plan // how every attempt goes on a worker
 	refused map[fleet.Reason]int
 	begun   map[string]bool // jobs of which a task was started
+
+	unlisted bool // discovery names nobody
 }
 
 // New returns a fleet without workers.
@@ -130,10 +132,20 @@
 	}
 }
 
-// List returns the workers that live.
+// Unlist has discovery name no worker, or all again.
+func (f *Fleet) Unlist(all bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unlisted = all
+}
+
+// List returns the workers that live and are listed.
 func (f *Fleet) List() []fleet.Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.unlisted {
+		return nil
+	}
 	var list []fleet.Worker
 	for _, w := range f.workers {
 		if !w.dead || w.replaced {
--- a/leadership/commit.go
+++ b/leadership/commit.go
@@ -26,7 +26,10 @@
 	maxSendings = 4
 	maxLooks    = 8
 	callTimeout = 3 * time.Second
-	retryPause  = 25 * time.Millisecond
+	// outageFrom is how long the store must have answered nothing for that to count as
+	// an outage, in which what others keep alive there may have lapsed.
+	outageFrom = time.Second
+	retryPause = 25 * time.Millisecond
 )
 
 // Commit applies puts and deletes as the shard's owner. It tries until the outcome is
@@ -204,6 +207,9 @@
 // answered notes an answer by which the shard was owned by this reign.
 func (r *Reign) answered(sent time.Time) {
 	r.sent.Store(max(r.sent.Load(), sent.UnixNano()))
+	if since := r.FailingSince(); !since.IsZero() && time.Since(since) > outageFrom {
+		r.restored.Store(time.Now().UnixNano())
+	}
 	r.failed.Store(0)
 }
 
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -97,6 +97,9 @@
 	// when the store has answered no call; both in Unix nanoseconds.
 	sent   atomic.Int64
 	failed atomic.Int64
+	// restored is when the store last answered again after an outage, in Unix
+	// nanoseconds.
+	restored atomic.Int64
 }
 
 // Take makes a node the owner of a shard, provided that the row still is as it
@@ -113,6 +116,14 @@
 	return reign, nil
 }
 
+// RestoredAt returns when the last outage of the store ended, or the zero time.
+func (r *Reign) RestoredAt() time.Time {
+	if at := r.restored.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 // Token returns the fencing token of the reign.
 func (r *Reign) Token() uint64 { return r.token }
 
--- a/node/node.go
+++ b/node/node.go
@@ -163,8 +163,9 @@
 	return !n.storeBad && time.Since(n.storeOK) < storeFresh
 }
 
-// ownerSilent is after which silence an owner is doubted.
-const ownerSilent = 350 * time.Millisecond
+// ownerSilent is after which silence an owner is asked and its row watched: a heartbeat
+// is then late by a third. An owner that is only late answers.
+const ownerSilent = 200 * time.Millisecond
 
 // Ready returns nil if the node can serve callers.
 func (n *Node) Ready() error {
--- a/node/owner.go
+++ b/node/owner.go
@@ -16,9 +16,10 @@
 	lookEvery    = 50 * time.Millisecond
 	pingTimeout  = 150 * time.Millisecond
 	storeTimeout = 1500 * time.Millisecond
-	// unchangedFor is how long an owner's row must stay as it is for the owner to
-	// count as dead; owners write about twice in this time.
-	unchangedFor = 500 * time.Millisecond
+	// unchangedFor is how long the row of an owner that answers nothing must stay as it
+	// is for the owner to count as dead; owners write each 250 ms at least. A wrong guess
+	// costs a takeover, and no promise.
+	unchangedFor = 350 * time.Millisecond
 	rankDelay    = 120 * time.Millisecond
 	maxRank      = 12
 	// firstLoad is how long the first reading of a shard may take, and loadTimeout
@@ -107,6 +108,7 @@
 	if !n.myTurn(ctx, seen) {
 		return
 	}
+	n.lose(seen.Node)
 	n.take(ctx, seen, "the owner "+seen.Node+" is silent")
 }
 
@@ -169,6 +171,13 @@
 	return ctx.Err() == nil && n.own == nil && !n.stopping && n.beatAt.Before(begun)
 }
 
+// lose counts a node as lost until it answers a heartbeat, so that nothing waits for it.
+func (n *Node) lose(node string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers[node] = peerState{lost: true, failed: time.Now()}
+}
+
 // take makes this node the owner, if the row still is as it was seen.
 func (n *Node) take(ctx context.Context, seen leadership.Sighting, why string) error {
 	n.takeMu.Lock()
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -72,6 +72,7 @@
 	grew    map[string]uint64    // the latest growth of a worker, by service
 	pools   map[string][]*worker // usable workers by service
 	blocked map[*worker]bool     // kept free for a gang that waits
+	trusted bool                 // workers that are not listed may live
 	gangs   int                  // that wait with workers kept free
 	held    bool                 // the candidate at hand was kept off a worker
 	granted []*task              // of the candidate at hand
@@ -80,7 +81,7 @@
 
 // add puts a worker into its pool, if it is usable.
 func (p *pass) add(w *worker) {
-	usable := w.usable(p.now)
+	usable := w.usable(p.now, p.trusted)
 	if usable && (!w.wasUsable || w.freed) {
 		w.grew = p.serial
 	}
@@ -106,7 +107,7 @@
 		return
 	}
 	s.serial++
-	p := &pass{now: now, serial: s.serial, pools: map[string][]*worker{}, grew: map[string]uint64{}, blocked: map[*worker]bool{}}
+	p := &pass{now: now, serial: s.serial, pools: map[string][]*worker{}, grew: map[string]uint64{}, blocked: map[*worker]bool{}, trusted: s.listIncomplete(now)}
 	for _, w := range s.workers {
 		p.add(w)
 	}
--- a/scheduler/lane.go
+++ b/scheduler/lane.go
@@ -12,8 +12,10 @@
 	cheapAdvice = 40 * time.Millisecond
 	// laneDepth bounds the work that waits at a lane, besides one call.
 	laneDepth = 30 * time.Millisecond
-	// adviceSlack is added to what a call should take.
+	// adviceSlack is added to what a call should take, cheapSlack to what a cheap one
+	// should: urgent work waits for it.
 	adviceSlack = 500 * time.Millisecond
+	cheapSlack  = 200 * time.Millisecond
 	// lanePause spares a lane that failed.
 	lanePause = 500 * time.Millisecond
 	// cheapShare is the share of the other nodes' lanes that is kept for cheap
@@ -113,6 +115,14 @@
 	return rank
 }
 
+// limit returns how long a call of a cost may take at the lane.
+func (l *lane) limit(cost time.Duration) time.Duration {
+	if cost <= cheapAdvice {
+		return l.queued + cost/2 + cheapSlack
+	}
+	return l.queued + cost/2 + adviceSlack
+}
+
 // begin and end note a call that is under way.
 func (l *lane) begin(cost time.Duration) {
 	l.queued += cost
--- /dev/null
+++ b/scheduler/relist_test.go
@@ -0,0 +1,68 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"chutereach/rowstore/memory"
+	"chutereach/workload"
+)
+
+// Entries of workers lapse while the store is down. They are trusted for the two
+// seconds after its return, if the workers answer, and those that are still missing
+// then get nothing more.
+func TestWorkersWhoseEntriesLapsed(t *testing.T) {
+	outage := func(c *cell, o *owner) {
+		o.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Refuse: true} })
+		time.Sleep(3 * time.Second)
+		c.fleet.Unlist(true)
+		time.Sleep(600 * time.Millisecond)
+		o.caller.SetFault(nil)
+		time.Sleep(200 * time.Millisecond)
+	}
+	t.Run("get work at once", func(t *testing.T) {
+		inCell(t, 2, func(c *cell) {
+			o := c.rule()
+			time.Sleep(time.Second)
+			outage(c, o)
+			if err := c.submit(o, "job", jobOf(2, 1000), work(500*time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			c.await(o, "job", workload.Completed, time.Second)
+		})
+	})
+	t.Run("are gone if they stay missing", func(t *testing.T) {
+		inCell(t, 2, func(c *cell) {
+			o := c.rule()
+			time.Sleep(time.Second)
+			outage(c, o)
+			time.Sleep(3 * time.Second)
+			if err := c.submit(o, "job", jobOf(2, 1000), work(500*time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * time.Second)
+			if got := c.fleet.Starts(); got != 0 {
+				t.Errorf("%d starts on workers that are gone", got)
+			}
+			c.fleet.Unlist(false)
+			c.await(o, "job", workload.Completed, 3*time.Second)
+		})
+	})
+	t.Run("without an outage get nothing", func(t *testing.T) {
+		inCell(t, 2, func(c *cell) {
+			o := c.rule()
+			time.Sleep(time.Second)
+			c.fleet.Unlist(true)
+			time.Sleep(600 * time.Millisecond)
+			if err := c.submit(o, "job", jobOf(2, 1000), work(500*time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * time.Second)
+			if got := c.fleet.Starts(); got != 0 {
+				t.Errorf("%d starts on workers that have left", got)
+			}
+			c.fleet.Unlist(false)
+			c.await(o, "job", workload.Completed, 3*time.Second)
+		})
+	})
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -119,12 +119,23 @@
 	}
 }
 
-// usable reports whether the worker may get new tasks.
-func (w *worker) usable(now time.Time) bool {
-	return !w.over && w.known && !w.info.Draining && !w.failing && w.foreign == 0 &&
+// usable reports whether the worker may get new tasks. One that is not listed may if
+// trusted says that the list is not complete.
+func (w *worker) usable(now time.Time, trusted bool) bool {
+	return !w.over && (w.known || trusted) && !w.info.Draining && !w.failing && w.foreign == 0 &&
 		now.Sub(w.contact) < freshFor && now.After(w.blockedUntil)
 }
 
+// listIncomplete reports whether workers that live may be missing from the list: their
+// entries can lapse while the store is down.
+func (s *Scheduler) listIncomplete(now time.Time) bool {
+	return now.Sub(s.reign.RestoredAt()) < relistedWithin
+}
+
+// relistedWithin is how soon after an outage of the store the entries that have lapsed
+// are back; the users' platform says about two seconds.
+const relistedWithin = 2 * time.Second
+
 // advanceNoted moves noted over the ends that are in the store. The lock is held.
 func (w *worker) advanceNoted() {
 	moved := false
