scheduler: an owner that is late itself does not ask again; first calls go some at a time

Ruled out: the store (answers in 10 ms), the load of the shard (0.7 s). Change: limits grow by ten times the process's own lateness, which the node measures; calls without answer at such times say nothing of the workers; 32 first calls under way at once; only a worker that has answered before is asked again at once.

--- a/node/node.go
+++ b/node/node.go
@@ -101,6 +101,7 @@
 		changed: make(chan struct{}), members: map[string]Member{config.Self.Node: config.Self}, memberSerial: 1,
 		peers: map[string]peerState{},
 	}
+	n.config.Scheduler.Lateness = n.lag.Mean
 	n.routes.OnChange(n.tableChanged)
 	return n
 }
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -239,7 +239,7 @@
 
 func (s *Scheduler) fetchAdvice(st *step, l *lane, advisor fleet.Advisor, name string, named []*worker, cost time.Duration) {
 	s.mu.Lock()
-	limit := l.limit(cost)
+	limit := l.limit(cost) + s.patience()
 	ids := make([]string, 0, len(named))
 	for _, w := range named {
 		ids = append(ids, w.info.ID)
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -67,9 +67,24 @@
 	return was != a.lossy
 }
 
+const (
+	// latenessRatio is by how many times its own lateness an owner waits longer for
+	// answers: each goes through several goroutines.
+	latenessRatio = 10
+	// lateFrom is the lateness from which calls without answer say nothing of workers.
+	lateFrom = 5 * time.Millisecond
+)
+
+// patience returns how much longer an owner that is late itself waits for answers: to
+// give up and ask again would make it later still.
+func (s *Scheduler) patience() time.Duration { return latenessRatio * s.lateness() }
+
 // noteAnswer takes in whether a worker that had answered before answered a call. The
 // lock is held.
 func (s *Scheduler) noteAnswer(answered bool) {
+	if !answered && s.lateness() > lateFrom {
+		return
+	}
 	if s.answers.came(answered) {
 		s.log.Info().Bool("lossy", s.answers.lossy).Float64("loss", s.answers.loss).
 			Dur("limit", s.answers.limit()).Msg("share of calls to workers without answer")
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -38,10 +38,7 @@
 // follow holds a worker until its life is over or ctx ends.
 func (s *Scheduler) follow(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
-		order, sent := s.holdOrder(w)
-		callCtx, cancel := context.WithTimeout(ctx, s.holdLimit(w, order))
-		report, err := s.client.Hold(callCtx, s.infoOf(w), order)
-		cancel()
+		report, sent, err := s.hold(ctx, w)
 		if ctx.Err() != nil {
 			return
 		}
@@ -58,6 +55,35 @@
 	}
 }
 
+// hold makes one call to a worker. First calls go some at a time: at a takeover they
+// all come at once, each with a new connection.
+func (s *Scheduler) hold(ctx context.Context, w *worker) (report fleet.Report, sent time.Time, err error) {
+	if s.isFirst(w) {
+		select {
+		case s.firstCalls <- struct{}{}:
+			defer func() { <-s.firstCalls }()
+		case <-ctx.Done():
+			return fleet.Report{}, time.Time{}, ctx.Err()
+		}
+	}
+	order, sent := s.holdOrder(w)
+	callCtx, cancel := context.WithTimeout(ctx, s.holdLimit(w, order))
+	defer cancel()
+	report, err = s.client.Hold(callCtx, s.infoOf(w), order)
+	return report, sent, err
+}
+
+// maxFirstCalls bounds the first calls to workers under way.
+const maxFirstCalls = 32
+
+// isFirst reports whether a worker that was not given up yet is to be called for the
+// first time.
+func (s *Scheduler) isFirst(w *worker) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.contact.IsZero() && !w.failing
+}
+
 // holdLimit returns how long a call may take. One to a worker that has not answered
 // ends with its lease, so that what ran there is placed anew at once.
 func (s *Scheduler) holdLimit(w *worker, order fleet.HoldOrder) time.Duration {
@@ -67,6 +93,7 @@
 	if s.answers.lossy {
 		limit = order.Wait + max(lossySlack, s.answers.limit())
 	}
+	limit += s.patience()
 	if rest := time.Until(w.leaseEnds); w.failing && rest > 0 {
 		limit = min(limit, rest+time.Millisecond)
 	}
@@ -115,7 +142,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w.failures++
-	if w.failures == 1 {
+	if w.failures == 1 && !w.contact.IsZero() && s.lateness() < lateFrom {
 		return 0 // it may be the one call that was lost
 	}
 	if rest := time.Until(w.leaseEnds); rest > 0 {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -87,7 +87,7 @@
 func (s *Scheduler) answerLimit() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.answers.limit()
+	return s.answers.limit() + s.patience()
 }
 
 // startResult is what came of one call with a start.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,6 +39,17 @@
 	// PartitionWrites is how many transactions a second the store takes of the
 	// shard's partition; 0: not known.
 	PartitionWrites float64
+	// Lateness, if given, tells by how much this process serves its timers late.
+	Lateness func() time.Duration
+}
+
+// lateness returns by how much this process is late; answers that have come wait as
+// long, and more, to be taken in.
+func (c Config) lateness() time.Duration {
+	if c.Lateness == nil {
+		return 0
+	}
+	return c.Lateness()
 }
 
 // Scheduler runs one shard's jobs for the time of one reign.
@@ -47,6 +58,7 @@
 	Loaded chan struct{}
 
 	shard     string
+	lateness  func() time.Duration
 	lease     time.Duration
 	keepFinal time.Duration
 	commitGap time.Duration // the least time between the starts of two transactions
@@ -84,6 +96,7 @@
 	ctx          context.Context
 	end          context.CancelCauseFunc
 	running      wait.Group
+	firstCalls   chan struct{} // holds a token for each first call to a worker under way
 	commitWake   chan struct{}
 	dispatchWake chan struct{}
 }
@@ -91,12 +104,13 @@
 // New returns a Scheduler for a reign. Load must follow, then Run.
 func New(config Config, store rowstore.Store, client fleet.Client, reign *leadership.Reign, metrics *Metrics, log zerolog.Logger) *Scheduler {
 	return &Scheduler{
-		shard: config.Shard, lease: config.Lease, keepFinal: config.KeepFinal,
+		shard: config.Shard, lateness: config.lateness, lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, reign: reign, log: log.With().Uint64("token", reign.Token()).Logger(), metrics: metrics,
 		commitGap: commitGapFor(config.PartitionWrites),
 		jobs:      map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{}, past: map[string]bool{},
 		queues: map[string]workload.Queue{}, stopping: map[string]bool{}, fleetSpeed: 1, healthy: map[string]float64{}, bundles: map[string]*bundle{},
 		formerLeasesEnd: leaseEnd(reign.FormerSuccess().Add(confirmedFor), config.Lease), Loaded: make(chan struct{}),
+		firstCalls: make(chan struct{}, maxFirstCalls),
 		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
 	}
 }
