--- a/explain/story.go
+++ b/explain/story.go
@@ -12,7 +12,7 @@
 
 // general are the messages that matter to every job of their time.
 var general = []string{
-	"shard taken", "shard loaded", "shard cannot be loaded yet", "handing the shard over", "reign over",
+	"shard taken", "shard loaded", "shard cannot be loaded yet", "handing the shard over", "term over",
 	"store does not answer", "store answers again", "slow transaction", "configuration in force",
 }
 
--- a/leadership/commit.go
+++ b/leadership/commit.go
@@ -41,11 +41,11 @@
 // row is read first, and the transaction sent again only if the row is as before and
 // the store answers quickly enough for the first copy to have been lost. One copy at
 // most applies.
-func (r *Reign) Commit(ctx context.Context, puts []rowstore.Put, deletes []rowstore.Key) error {
+func (r *Term) Commit(ctx context.Context, puts []rowstore.Put, deletes []rowstore.Key) error {
 	next := r.row
 	next.Sequence++
 	c := &commit{
-		reign: r, next: next, begun: time.Now(), results: make(chan result, maxSendings+maxLooks),
+		term: r, next: next, begun: time.Now(), results: make(chan result, maxSendings+maxLooks),
 		transaction: rowstore.Transaction{
 			Conditions: []rowstore.Condition{{Key: keyOf(r.shard), Version: r.version}},
 			Puts:       append([]rowstore.Put{{Key: keyOf(r.shard), Value: codec.MustMarshal(next)}}, puts...),
@@ -62,7 +62,7 @@
 
 // commit is one transaction on its way.
 type commit struct {
-	reign       *Reign
+	term        *Term
 	transaction rowstore.Transaction
 	next        Row
 	begun       time.Time
@@ -84,7 +84,7 @@
 func (c *commit) untilCertain(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	again := time.NewTimer(c.reign.patience)
+	again := time.NewTimer(c.term.patience)
 	defer again.Stop()
 	c.send(ctx)
 	for {
@@ -92,10 +92,10 @@
 		case <-ctx.Done():
 			return 0, ctx.Err()
 		case <-again.C:
-			c.reign.noAnswer(c.begun)
+			c.term.noAnswer(c.begun)
 			if c.sendings == 0 {
 				c.send(ctx)
-				again.Reset(c.reign.patience)
+				again.Reset(c.term.patience)
 				continue
 			}
 			c.look(ctx)
@@ -124,12 +124,12 @@
 	case errors.As(got.err, &deposed):
 		return 0, got.err, true
 	case got.err != nil:
-		c.reign.noAnswer(c.begun)
+		c.term.noAnswer(c.begun)
 		return 0, nil, false
 	}
-	c.reign.answered(got.sent)
+	c.term.answered(got.sent)
 	if got.version != 0 {
-		c.reign.committed(time.Since(c.begun))
+		c.term.committed(time.Since(c.begun))
 		return got.version, nil, true
 	}
 	if time.Since(c.lastSent) > max(leastPatience, slowRatio*got.took) {
@@ -149,7 +149,7 @@
 		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		version, err := c.reign.store.Commit(callCtx, c.transaction)
+		version, err := c.term.store.Commit(callCtx, c.transaction)
 		var conflict *rowstore.ConflictError
 		if errors.As(err, &conflict) {
 			version, err = c.settleConflict(conflict)
@@ -168,7 +168,7 @@
 		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		seen, err := Look(callCtx, c.reign.store, c.reign.shard)
+		seen, err := Look(callCtx, c.term.store, c.term.shard)
 		got := result{look: true, err: err, sent: sent, took: time.Since(sent)}
 		if err == nil && seen.Version != c.transaction.Conditions[0].Version {
 			got.version, got.err = c.settle(seen)
@@ -180,7 +180,7 @@
 // settleConflict reads from the row of a conflict what became of the transaction.
 func (c *commit) settleConflict(conflict *rowstore.ConflictError) (uint64, error) {
 	for _, row := range conflict.Rows {
-		if row.Key != keyOf(c.reign.shard) {
+		if row.Key != keyOf(c.term.shard) {
 			continue
 		}
 		seen, err := sightingOf(row)
@@ -202,10 +202,10 @@
 }
 
 // noAnswer notes that the store has not answered a call in time.
-func (r *Reign) noAnswer(since time.Time) { r.failed.CompareAndSwap(0, since.UnixNano()) }
+func (r *Term) noAnswer(since time.Time) { r.failed.CompareAndSwap(0, since.UnixNano()) }
 
-// answered notes an answer by which the shard was owned by this reign.
-func (r *Reign) answered(sent time.Time) {
+// answered notes an answer by which the shard was owned by this term.
+func (r *Term) answered(sent time.Time) {
 	r.sent.Store(max(r.sent.Load(), sent.UnixNano()))
 	if since := r.FailingSince(); !since.IsZero() && time.Since(since) > outageFrom {
 		r.restored.Store(time.Now().UnixNano())
@@ -214,6 +214,6 @@
 }
 
 // committed notes how long a transaction took.
-func (r *Reign) committed(took time.Duration) {
+func (r *Term) committed(took time.Duration) {
 	r.patience = min(mostPatience, max(leastPatience, (r.patience+patienceRatio*took)/2))
 }
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -5,7 +5,8 @@
 // Every transaction of an owner requires the row at the version that the owner
 // last wrote and writes it anew. So a former owner's transactions fail, and so
 // does a copy of an owner's own transaction that the store carries out late. The
-// version of the row at the moment of taking is the reign's fencing token.
+// version of the row at the moment of taking is the fencing token of the owner's term:
+// the time for which it owns the shard.
 package leadership
 
 import (
@@ -29,7 +30,7 @@
 type Row struct {
 	Node     string `cbor:"1,keyasint"`
 	Address  string `cbor:"2,keyasint"` // for the other nodes
-	Reign    string `cbor:"3,keyasint"` // names one time of ownership
+	Term     string `cbor:"3,keyasint"` // names one time of ownership
 	Sequence uint64 `cbor:"4,keyasint"` // counts the owner's transactions
 }
 
@@ -81,9 +82,9 @@
 	return fmt.Sprintf("node %s owns the shard since version %d", e.By.Node, e.By.Version)
 }
 
-// Reign is one node's ownership of a shard. Commit is for one goroutine at a
+// Term is one node's ownership of a shard. Commit is for one goroutine at a
 // time; the other methods are for any.
-type Reign struct {
+type Term struct {
 	store   rowstore.Store
 	shard   string
 	token   uint64
@@ -104,40 +105,40 @@
 
 // Take makes a node the owner of a shard, provided that the row still is as it
 // was seen. It returns a DeposedError if another node was faster.
-func Take(ctx context.Context, store rowstore.Store, shard, node, address string, seen Sighting) (*Reign, error) {
-	reign := &Reign{
+func Take(ctx context.Context, store rowstore.Store, shard, node, address string, seen Sighting) (*Term, error) {
+	term := &Term{
 		store: store, shard: shard, version: seen.Version, former: seen.Since, patience: leastPatience,
-		row: Row{Node: node, Address: address, Reign: xid.New().String()},
+		row: Row{Node: node, Address: address, Term: xid.New().String()},
 	}
-	if err := reign.Commit(ctx, nil, nil); err != nil {
+	if err := term.Commit(ctx, nil, nil); err != nil {
 		return nil, err
 	}
-	reign.token = reign.version
-	return reign, nil
+	term.token = term.version
+	return term, nil
 }
 
 // RestoredAt returns when the last outage of the store ended, or the zero time.
-func (r *Reign) RestoredAt() time.Time {
+func (r *Term) RestoredAt() time.Time {
 	if at := r.restored.Load(); at != 0 {
 		return time.Unix(0, at)
 	}
 	return time.Time{}
 }
 
-// Token returns the fencing token of the reign.
-func (r *Reign) Token() uint64 { return r.token }
+// Token returns the fencing token of the term.
+func (r *Term) Token() uint64 { return r.token }
 
 // FormerSuccess returns a time before which the former owner had sent the last
 // transaction that succeeded.
-func (r *Reign) FormerSuccess() time.Time { return r.former }
+func (r *Term) FormerSuccess() time.Time { return r.former }
 
 // LastSuccess returns when the last call was sent that found the shard owned by this
-// reign.
-func (r *Reign) LastSuccess() time.Time { return time.Unix(0, r.sent.Load()) }
+// term.
+func (r *Term) LastSuccess() time.Time { return time.Unix(0, r.sent.Load()) }
 
 // FailingSince returns since when the store has answered nothing, or the zero time. A
 // store that is slow is not failing.
-func (r *Reign) FailingSince() time.Time {
+func (r *Term) FailingSince() time.Time {
 	if since := r.failed.Load(); since != 0 {
 		return time.Unix(0, since)
 	}
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -18,17 +18,17 @@
 	return []rowstore.Put{{Key: rowstore.Key{Table: "progress", Partition: shard, Name: "job"}, Value: []byte(value)}}
 }
 
-func take(t *testing.T, store rowstore.Store, node string) *leadership.Reign {
+func take(t *testing.T, store rowstore.Store, node string) *leadership.Term {
 	t.Helper()
 	seen, err := leadership.Look(t.Context(), store, shard)
 	if err != nil {
 		t.Fatal(err)
 	}
-	reign, err := leadership.Take(t.Context(), store, shard, node, node+":1", seen)
+	term, err := leadership.Take(t.Context(), store, shard, node, node+":1", seen)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return reign
+	return term
 }
 
 func value(store *memory.Store) string {
@@ -41,15 +41,15 @@
 		store := memory.New()
 		last := uint64(0)
 		for _, node := range []string{"a", "b", "a", "a"} {
-			reign := take(t, store.Caller(), node)
-			if reign.Token() <= last {
-				t.Errorf("token %d after %d", reign.Token(), last)
+			term := take(t, store.Caller(), node)
+			if term.Token() <= last {
+				t.Errorf("token %d after %d", term.Token(), last)
 			}
-			last = reign.Token()
-			if err := reign.Commit(t.Context(), progress("x"), nil); err != nil {
+			last = term.Token()
+			if err := term.Commit(t.Context(), progress("x"), nil); err != nil {
 				t.Fatal(err)
 			}
-			if reign.Token() != last {
+			if term.Token() != last {
 				t.Error("a transaction changed the token")
 			}
 		}
@@ -112,7 +112,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := memory.New()
 				caller := store.Caller()
-				reign := take(t, caller, "a")
+				term := take(t, caller, "a")
 				writes := 0
 				caller.SetFault(func(write bool) memory.Fault {
 					if !write {
@@ -125,7 +125,7 @@
 					return memory.Fault{}
 				})
 				for _, text := range []string{"first", "second"} {
-					if err := reign.Commit(t.Context(), progress(text), nil); err != nil {
+					if err := term.Commit(t.Context(), progress(text), nil); err != nil {
 						t.Fatal(err)
 					}
 					if got := value(store); got != text {
@@ -136,7 +136,7 @@
 				if got := value(store); got != "second" {
 					t.Errorf("a late copy left %q", got)
 				}
-				if err := reign.Commit(t.Context(), progress("third"), nil); err != nil {
+				if err := term.Commit(t.Context(), progress("third"), nil); err != nil {
 					t.Errorf("after the late copy: %v", err)
 				}
 			})
@@ -147,23 +147,23 @@
 func TestFailingSince(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		caller := memory.New().Caller()
-		reign := take(t, caller, "a")
-		if !reign.FailingSince().IsZero() {
+		term := take(t, caller, "a")
+		if !term.FailingSince().IsZero() {
 			t.Error("failing at the start")
 		}
 		caller.SetFault(func(bool) memory.Fault { return memory.Fault{Refuse: true} })
 		begun := time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		defer cancel()
-		if err := reign.Commit(ctx, nil, nil); !errors.Is(err, context.DeadlineExceeded) {
+		if err := term.Commit(ctx, nil, nil); !errors.Is(err, context.DeadlineExceeded) {
 			t.Errorf("got %v", err)
 		}
-		if got := reign.FailingSince(); !got.Equal(begun) {
+		if got := term.FailingSince(); !got.Equal(begun) {
 			t.Errorf("failing since %v, want %v", got, begun)
 		}
 		caller.SetFault(nil)
-		if err := reign.Commit(t.Context(), nil, nil); err != nil || !reign.FailingSince().IsZero() {
-			t.Errorf("after the store is back: %v, failing since %v", err, reign.FailingSince())
+		if err := term.Commit(t.Context(), nil, nil); err != nil || !term.FailingSince().IsZero() {
+			t.Errorf("after the store is back: %v, failing since %v", err, term.FailingSince())
 		}
 	})
 }
@@ -174,11 +174,11 @@
 		t.Run(outage.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				caller := memory.New().Caller()
-				reign := take(t, caller, "a")
+				term := take(t, caller, "a")
 				caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
 				time.AfterFunc(outage, func() { caller.SetFault(nil) })
 				begun := time.Now()
-				if err := reign.Commit(t.Context(), progress("x"), nil); err != nil {
+				if err := term.Commit(t.Context(), progress("x"), nil); err != nil {
 					t.Fatal(err)
 				}
 				if late := time.Since(begun) - outage; late > 500*time.Millisecond {
@@ -195,7 +195,7 @@
 		t.Run(slow.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				caller := memory.New().Caller()
-				reign := take(t, caller, "a")
+				term := take(t, caller, "a")
 				writes := 0
 				caller.SetFault(func(write bool) memory.Fault {
 					if write {
@@ -205,14 +205,14 @@
 					return memory.Fault{Slow: slow / 2}
 				})
 				for range 3 {
-					if err := reign.Commit(t.Context(), progress("x"), nil); err != nil {
+					if err := term.Commit(t.Context(), progress("x"), nil); err != nil {
 						t.Fatal(err)
 					}
 				}
 				if writes != 3 {
 					t.Errorf("%d sendings of 3 transactions", writes)
 				}
-				if !reign.FailingSince().IsZero() {
+				if !term.FailingSince().IsZero() {
 					t.Error("a slow store counts as failing")
 				}
 			})
@@ -224,10 +224,10 @@
 func TestALostAnswerIsReadFromTheRow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		caller := memory.New().Caller()
-		reign := take(t, caller, "a")
+		term := take(t, caller, "a")
 		caller.SetFault(func(write bool) memory.Fault { return memory.Fault{Mute: write} })
 		begun := time.Now()
-		if err := reign.Commit(t.Context(), progress("x"), nil); err != nil {
+		if err := term.Commit(t.Context(), progress("x"), nil); err != nil {
 			t.Fatal(err)
 		}
 		if took := time.Since(begun); took > 100*time.Millisecond {
--- a/node/beat.go
+++ b/node/beat.go
@@ -184,11 +184,11 @@
 	if own == nil {
 		return
 	}
-	since := own.Reign().FailingSince()
+	since := own.Term().FailingSince()
 	if since.IsZero() || time.Since(since) < storeFailing {
 		return
 	}
-	n.handOver(ctx, "the store does not answer this node", anyHeir)
+	n.handOver(ctx, "the store does not answer this node", anySuccessor)
 }
 
 // isRefused reports whether a machine answered that nobody listens there.
--- a/node/handover.go
+++ b/node/handover.go
@@ -10,8 +10,8 @@
 	"chutereach/scheduler"
 )
 
-// anyHeir is the choice of an owner that must not be.
-func anyHeir(Member, peerState) bool { return true }
+// anySuccessor is the choice of an owner that must not be.
+func anySuccessor(Member, peerState) bool { return true }
 
 // handOver has another node that reaches the store, and that fits, take the shard.
 // It asks a few of the best, each first whether it could: the owner's transactions
@@ -23,53 +23,53 @@
 		n.mu.Unlock()
 		return
 	}
-	heirs := n.heirs(fits)
-	if len(heirs) > 0 {
+	successors := n.successors(fits)
+	if len(successors) > 0 {
 		n.handOverAt = time.Now().Add(handoverPause)
 	}
 	n.mu.Unlock()
-	for _, heir := range heirs {
-		if err := n.callHeir(ctx, heir, true); err != nil {
-			n.log.Info().Str("heir", heir.Node).Str("why", why).Err(err).Msg("heir cannot take the shard")
+	for _, successor := range successors {
+		if err := n.callSuccessor(ctx, successor, true); err != nil {
+			n.log.Info().Str("successor", successor.Node).Str("why", why).Err(err).Msg("successor cannot take the shard")
 			continue
 		}
-		if n.bequeath(ctx, own, heir, why) {
+		if n.passOn(ctx, own, successor, why) {
 			return
 		}
 	}
 }
 
-// heirs returns the members that fit, the best first. The lock is held.
-func (n *Node) heirs(fits func(Member, peerState) bool) []Member {
-	var heirs []Member
+// successors returns the members that fit, the best first. The lock is held.
+func (n *Node) successors(fits func(Member, peerState) bool) []Member {
+	var successors []Member
 	for _, member := range n.others() {
 		if state := n.peers[member.Node]; state.storeOK && time.Since(state.heard) < storeFresh && fits(member, state) {
-			heirs = append(heirs, member)
+			successors = append(successors, member)
 		}
 	}
-	sort.SliceStable(heirs, func(i, k int) bool {
-		a, b := heirs[i], heirs[k]
+	sort.SliceStable(successors, func(i, k int) bool {
+		a, b := successors[i], successors[k]
 		if a.Power != b.Power {
 			return a.Power > b.Power
 		}
 		return n.peers[a.Node].lag < n.peers[b.Node].lag
 	})
-	return heirs[:min(len(heirs), maxHeirs)]
+	return successors[:min(len(successors), maxSuccessors)]
 }
 
-// callHeir asks a node to take the shard, or whether it could.
-func (n *Node) callHeir(ctx context.Context, heir Member, probe bool) error {
+// callSuccessor asks a node to take the shard, or whether it could.
+func (n *Node) callSuccessor(ctx context.Context, successor Member, probe bool) error {
 	callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	_, err := peer.Call[nothing](callCtx, n.client, heir.Address, takeoverPath, takeoverCall{n.config.Self.Node, probe})
+	_, err := peer.Call[nothing](callCtx, n.client, successor.Address, takeoverPath, takeoverCall{n.config.Self.Node, probe})
 	return err
 }
 
-// bequeath holds the owner's transactions while an heir takes the shard, and
+// passOn holds the owner's transactions while a successor takes the shard, and
 // reports whether this node owns it no more.
-func (n *Node) bequeath(ctx context.Context, own *scheduler.Scheduler, heir Member, why string) bool {
+func (n *Node) passOn(ctx context.Context, own *scheduler.Scheduler, successor Member, why string) bool {
 	patience := holdTimeout
-	if !own.Reign().FailingSince().IsZero() {
+	if !own.Term().FailingSince().IsZero() {
 		patience = failingHold
 	}
 	holdCtx, cancel := context.WithTimeout(ctx, patience)
@@ -78,8 +78,8 @@
 	if err == nil {
 		defer release()
 	}
-	err = n.callHeir(ctx, heir, false)
-	n.log.Info().Str("heir", heir.Node).Str("why", why).Err(err).Msg("handing the shard over")
+	err = n.callSuccessor(ctx, successor, false)
+	n.log.Info().Str("successor", successor.Node).Str("why", why).Err(err).Msg("handing the shard over")
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err == nil && n.own == own && n.endOwn != nil {
@@ -96,16 +96,16 @@
 		return nothing{}, err
 	}
 	var err error
-	for range heirTries {
-		if err = n.inherit(n.ctx, call.From); err == nil {
+	for range successorTries {
+		if err = n.takeFrom(n.ctx, call.From); err == nil {
 			break
 		}
 	}
 	return nothing{}, err
 }
 
-// inherit takes the shard from a node that hands it over.
-func (n *Node) inherit(parent context.Context, from string) error {
+// takeFrom takes the shard from a node that hands it over.
+func (n *Node) takeFrom(parent context.Context, from string) error {
 	ctx, cancel := context.WithTimeout(parent, storeTimeout)
 	defer cancel()
 	seen, err := leadership.Look(ctx, n.platform.Store, n.config.Scheduler.Shard)
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -9,7 +9,7 @@
 	"chutereach/rowstore/memory"
 )
 
-// The regression of trouble-2 at the grown deployment: an owner that found no heir
+// The regression of trouble-2 at the grown deployment: an owner that found no successor
 // held its transactions while it asked each of forty nodes.
 func TestAHandoverWithoutAnHeirHoldsNothingUp(t *testing.T) {
 	inCell(t, 9, func(c *cell) {
@@ -34,8 +34,8 @@
 	})
 }
 
-// The regression of own day 725: the store turned an heir away between its takeover
-// and its reading of the shard, and the heir went on trying for seven seconds.
+// The regression of own day 725: the store turned a successor away between its takeover
+// and its reading of the shard, and the successor went on trying for seven seconds.
 func TestAnHeirThatCannotLoadHandsOn(t *testing.T) {
 	inCell(t, 4, func(c *cell) {
 		if err := c.submit(c.nodes[3], "before"); err != nil {
@@ -52,7 +52,7 @@
 				taken = taken || write
 				return memory.Fault{Refuse: refuse}
 			})
-			break // the first heir that is asked
+			break // the first successor that is asked
 		}
 		former.Stop(c.ctx)
 		begun := time.Now()
--- a/node/lag.go
+++ b/node/lag.go
@@ -13,14 +13,14 @@
 	lagEvery = 50 * time.Millisecond
 	// lagWeight is the weight of the newest measurement in the mean.
 	lagWeight = 0.1
-	// slowLag is from what mean lateness on an owner looks for an heir, and
-	// heirRatio by how much less late the heir must be.
-	slowLag   = 4 * time.Millisecond
-	heirRatio = 4
-	// starvedLag is from what mean lateness on an owner looks for an heir even if
+	// slowLag is from what mean lateness on an owner looks for a successor, and
+	// successorRatio by how much less late the successor must be.
+	slowLag        = 4 * time.Millisecond
+	successorRatio = 4
+	// starvedLag is from what mean lateness on an owner looks for a successor even if
 	// its machine is as fast as ever: its share of the processor may be used up.
 	starvedLag = 40 * time.Millisecond
-	// settled is how long a reign lasts at least before the owner's lateness
+	// settled is how long a term lasts at least before the owner's lateness
 	// counts: a takeover is work.
 	settled = 1500 * time.Millisecond
 )
@@ -53,7 +53,7 @@
 
 // checkLag hands the shard over when this node has turned slow and another is
 // not, or when another is much the stronger machine. A node that has been short of
-// processor time for the whole of its reign has too much to do, not too little to
+// processor time for the whole of its term has too much to do, not too little to
 // do it with: another would fare no better, and each takeover is work.
 func (n *Node) checkLag(ctx context.Context) {
 	lag := n.lag.Mean()
@@ -78,7 +78,7 @@
 	switch {
 	case turnedSlow:
 		n.handOver(ctx, "this node is short of processor time", func(_ Member, state peerState) bool {
-			return state.lag*heirRatio < lag
+			return state.lag*successorRatio < lag
 		})
 	case self > 0 && lag < slowLag:
 		n.handOver(ctx, "another machine is much stronger", func(member Member, state peerState) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -66,7 +66,7 @@
 	own          *scheduler.Scheduler // while this node owns the shard
 	ownSince     time.Time
 	// calmSince is since when this owner's timers are in time, and wasCalm whether
-	// they have been for a while in this reign.
+	// they have been for a while in this term.
 	calmSince time.Time
 	wasCalm   bool
 	// handOverAt is when a handover may be tried next.
@@ -224,8 +224,8 @@
 	n.mu.Unlock()
 	own.Pause()
 	wait.For(ctx, pauseBeforeHandover)
-	n.handOver(ctx, "this node is stopping", anyHeir)
-	own.Resume() // without an heir it goes on to the end
+	n.handOver(ctx, "this node is stopping", anySuccessor)
+	own.Resume() // without a successor it goes on to the end
 }
 
 // pauseBeforeHandover lets starts and transactions under way end.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -203,7 +203,7 @@
 		m.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
 	}, 4 * time.Second},
 	{"it is short of processor time", func(_ *cell, m *member) {
-		time.Sleep(3 * time.Second) // a reign is given time to settle
+		time.Sleep(3 * time.Second) // a term is given time to settle
 		m.BeLate(time.Second)
 	}, time.Second},
 	{"it is stopped in order", func(c *cell, m *member) { m.Stop(c.ctx) }, 500 * time.Millisecond},
--- a/node/owner.go
+++ b/node/owner.go
@@ -33,17 +33,17 @@
 	// store that does not answer keeps it for longer.
 	holdTimeout = 200 * time.Millisecond
 	// failingHold is the same where the store has failed for a while: the transaction
-	// under way would not end, and fails once the heir has taken the shard.
+	// under way would not end, and fails once the successor has taken the shard.
 	failingHold = 10 * time.Millisecond
-	// quickLook is how quickly the store must answer an heir, and handoverTimeout
-	// how long one heir is waited for.
+	// quickLook is how quickly the store must answer a successor, and handoverTimeout
+	// how long one successor is waited for.
 	quickLook       = 150 * time.Millisecond
 	handoverTimeout = 700 * time.Millisecond
-	// maxHeirs bounds the nodes that a handover asks, and handoverPause follows it.
-	maxHeirs      = 4
+	// maxSuccessors bounds the nodes that a handover asks, and handoverPause follows it.
+	maxSuccessors = 4
 	handoverPause = 800 * time.Millisecond
-	// heirTries is how often an heir tries to take a shard that still changes.
-	heirTries = 3
+	// successorTries is how often a successor tries to take a shard that still changes.
+	successorTries = 3
 )
 
 // watchOwner takes the shard when its owner is gone.
@@ -195,22 +195,22 @@
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	self := n.config.Self
-	reign, err := leadership.Take(callCtx, n.platform.Store, n.config.Scheduler.Shard, self.Node, self.Address, seen)
+	term, err := leadership.Take(callCtx, n.platform.Store, n.config.Scheduler.Shard, self.Node, self.Address, seen)
 	if err != nil {
 		n.log.Info().Err(err).Str("why", why).Msg("shard not taken")
 		return err
 	}
 	n.storeAnswers()
-	n.log.Info().Uint64("token", reign.Token()).Uint64("from", seen.Version).Str("why", why).Msg("shard taken")
-	n.heard(ownership{self.Node, self.Address, reign.Token()})
-	n.rule(reign, begun)
+	n.log.Info().Uint64("token", term.Token()).Uint64("from", seen.Version).Str("why", why).Msg("shard taken")
+	n.heard(ownership{self.Node, self.Address, term.Token()})
+	n.rule(term, begun)
 	return nil
 }
 
-// rule runs the shard in the background until the reign ends.
-func (n *Node) rule(reign *leadership.Reign, begun time.Time) {
+// rule runs the shard in the background until the term ends.
+func (n *Node) rule(term *leadership.Term, begun time.Time) {
 	ctx, cancel := context.WithCancel(n.ctx)
-	own := scheduler.New(n.config.Scheduler, n.platform.Store, n.platform.Workers, reign, n.metrics, n.log)
+	own := scheduler.New(n.config.Scheduler, n.platform.Store, n.platform.Workers, term, n.metrics, n.log)
 	n.mu.Lock()
 	n.own, n.endOwn, n.ownSince = own, cancel, time.Now()
 	n.mu.Unlock()
@@ -220,7 +220,7 @@
 		defer cancel()
 		err := n.load(ctx, own)
 		if err == nil {
-			n.log.Info().Uint64("token", reign.Token()).Dur("took", time.Since(begun)).Msg("shard loaded")
+			n.log.Info().Uint64("token", term.Token()).Dur("took", time.Since(begun)).Msg("shard loaded")
 			n.setLanes()
 			n.tasks.Go(func() { n.platform.FollowWorkers(ctx, own.SetWorkers) })
 			n.tasks.Go(func() {
@@ -242,7 +242,7 @@
 		if over {
 			n.config.owns(false)
 		}
-		n.log.Info().Uint64("token", reign.Token()).Err(err).Msg("reign over")
+		n.log.Info().Uint64("token", term.Token()).Err(err).Msg("term over")
 	})
 }
 
@@ -267,7 +267,7 @@
 		n.loadFails.Store(true)
 		n.log.Warn().Err(err).Msg("shard cannot be loaded yet")
 		if time.Since(begun) > loadFailing && n.lookQuickly(ctx) != nil {
-			n.handOver(ctx, "the store does not let this node load the shard", anyHeir)
+			n.handOver(ctx, "the store does not let this node load the shard", anySuccessor)
 		}
 		if err := wait.For(ctx, registerWait); err != nil {
 			return err
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -58,11 +58,11 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	reign, err := leadership.Take(tb.Context(), store, "main", "n", "a", seen)
+	term, err := leadership.Take(tb.Context(), store, "main", "n", "a", seen)
 	if err != nil {
 		tb.Fatal(err)
 	}
-	s := New(Config{Shard: "main", Lease: 6 * time.Second}, store, nil, reign, NewMetrics(), zerolog.Nop())
+	s := New(Config{Shard: "main", Lease: 6 * time.Second}, store, nil, term, NewMetrics(), zerolog.Nop())
 	s.ctx = tb.Context()
 	return s
 }
--- a/scheduler/bundle.go
+++ b/scheduler/bundle.go
@@ -77,7 +77,7 @@
 
 func (s *Scheduler) nextBundle() string {
 	s.bundleCount++
-	return fmt.Sprintf("%016x.%08x", s.reign.Token(), s.bundleCount)
+	return fmt.Sprintf("%016x.%08x", s.term.Token(), s.bundleCount)
 }
 
 func (s *Scheduler) bundledOf(j *job) codec.Raw {
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -111,7 +111,7 @@
 func (e *StoreDownError) Error() string { return "the store does not answer" }
 
 func (s *Scheduler) storeIsDown() bool {
-	since := s.reign.FailingSince()
+	since := s.term.FailingSince()
 	return !since.IsZero() && time.Since(since) > refuseAfter
 }
 
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -39,7 +39,7 @@
 // shortLease is the lease that nodes give unless their settings say otherwise.
 const shortLease = 3 * time.Second
 
-// owner is one node's reign in a test.
+// owner is one node's term in a test.
 type owner struct {
 	*scheduler.Scheduler
 	caller *memory.Caller
@@ -140,7 +140,7 @@
 		if err != nil {
 			c.t.Fatal(err)
 		}
-		reign, err := leadership.Take(c.ctx, caller, testShard, "node", "address", seen)
+		term, err := leadership.Take(c.ctx, caller, testShard, "node", "address", seen)
 		var deposed *leadership.DeposedError
 		if errors.As(err, &deposed) {
 			continue // the former owner wrote in between
@@ -148,18 +148,18 @@
 		if err != nil {
 			c.t.Fatal(err)
 		}
-		return c.run(caller, reign)
+		return c.run(caller, term)
 	}
 }
 
-func (c *cell) run(caller *memory.Caller, reign *leadership.Reign) *owner {
+func (c *cell) run(caller *memory.Caller, term *leadership.Term) *owner {
 	c.t.Helper()
 	ctx, kill := context.WithCancel(c.ctx)
 	client := &pausableClient{Client: c.fleet, open: make(chan struct{})}
 	client.resume()
 	config := scheduler.Config{Shard: testShard, Lease: c.lease, KeepFinal: 2 * time.Minute}
 	o := &owner{
-		Scheduler: scheduler.New(config, caller, client, reign, scheduler.NewMetrics(), zerolog.Nop()),
+		Scheduler: scheduler.New(config, caller, client, term, scheduler.NewMetrics(), zerolog.Nop()),
 		caller:    caller, client: client, kill: kill, ended: make(chan error, 1),
 	}
 	if err := o.Load(ctx); err != nil {
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -66,7 +66,7 @@
 	j.afterSave = append(j.afterSave, saveAction{j.generation, do})
 }
 
-// commitLoop writes changes until ctx ends or the reign does.
+// commitLoop writes changes until ctx ends or the term does.
 func (s *Scheduler) commitLoop(ctx context.Context) error {
 	idle := time.NewTimer(idleCommit)
 	defer idle.Stop()
@@ -105,7 +105,7 @@
 func (s *Scheduler) commitOnce(ctx context.Context) error {
 	batch, puts, deletes := s.takeDirty()
 	begun := time.Now()
-	if err := s.reign.Commit(ctx, puts, deletes); err != nil {
+	if err := s.term.Commit(ctx, puts, deletes); err != nil {
 		return err
 	}
 	took := time.Since(begun)
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -111,7 +111,7 @@
 	for _, w := range s.workers {
 		p.add(w)
 	}
-	if since := s.reign.FailingSince(); !since.IsZero() && now.Sub(since) > holdGrants {
+	if since := s.term.FailingSince(); !since.IsZero() && now.Sub(since) > holdGrants {
 		s.keepAdvice(p, list)
 		return
 	}
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -1,5 +1,5 @@
 // Package scheduler runs the jobs of one shard on the shard's workers, as its
-// owner. A Scheduler lives for one reign; a successor loads a new one from the
+// owner. A Scheduler lives for one term; a successor loads a new one from the
 // row store and from the workers' own lists.
 //
 // # What is written, and when
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -107,13 +107,13 @@
 }
 
 // holdOrder says what to ask of a worker next. Nothing is extended while the
-// store has not confirmed the reign for a while, nor after a call without answer:
+// store has not confirmed the term for a while, nor after a call without answer:
 // then the time by which everything there has ended stays certain.
 func (s *Scheduler) holdOrder(w *worker) (fleet.HoldOrder, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	order := fleet.HoldOrder{Token: s.reign.Token(), Noted: w.noted, Wait: holdWait}
+	order := fleet.HoldOrder{Token: s.term.Token(), Noted: w.noted, Wait: holdWait}
 	if s.answers.lossy {
 		order.Wait = lossyWait
 	}
@@ -121,7 +121,7 @@
 	if first || w.failing || len(w.pending) > 0 {
 		order.Wait = 0
 	}
-	rest := confirmedFor - now.Sub(s.reign.LastSuccess())
+	rest := confirmedFor - now.Sub(s.term.LastSuccess())
 	if rest < 0 {
 		order.Wait = min(order.Wait, unconfirmedWait)
 	}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -78,7 +78,7 @@
 	w.extends(void, 0)
 	return w.info, fleet.StartOrder{
 		Task: t.id().String(), Number: number, Spec: t.step.job.record.Request.Spec,
-		Checkpoint: t.checkpoint, Ticket: t.ticket, Token: s.reign.Token(), Deadline: w.clockNow(void),
+		Checkpoint: t.checkpoint, Ticket: t.ticket, Token: s.term.Token(), Deadline: w.clockNow(void),
 	}, true
 }
 
@@ -207,7 +207,7 @@
 
 // sendStop calls the worker until it confirms the stop or the attempt is over.
 func (s *Scheduler) sendStop(ctx context.Context, w *worker, t *task, number int) {
-	order := fleet.StopOrder{Task: t.id().String(), Number: number, Token: s.reign.Token()}
+	order := fleet.StopOrder{Task: t.id().String(), Number: number, Token: s.term.Token()}
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		wanted := t.worker == w && t.attempt == number && t.state == taskStopping
@@ -235,7 +235,7 @@
 func (s *Scheduler) look(ctx context.Context, w *worker, t *task, number int) {
 	s.mu.Lock()
 	wanted := t.worker == w && t.attempt == number && t.state == taskStopping && t.begunAt.IsZero()
-	order := fleet.HoldOrder{Token: s.reign.Token(), Noted: w.noted}
+	order := fleet.HoldOrder{Token: s.term.Token(), Noted: w.noted}
 	info, sent := w.info, time.Now()
 	s.mu.Unlock()
 	if !wanted {
@@ -280,7 +280,7 @@
 	s.stopping[key] = true
 	s.log.Warn().Str("task", run.Task).Int("attempt", run.Number).Str("worker", w.info.ID).Msg("stopping a stray attempt")
 	info := w.info
-	order := fleet.StopOrder{Task: run.Task, Number: run.Number, Token: s.reign.Token()}
+	order := fleet.StopOrder{Task: run.Task, Number: run.Number, Token: s.term.Token()}
 	s.running.Go(func() {
 		callCtx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 		defer cancel()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,7 +17,7 @@
 
 const (
 	// confirmedFor is how long an owner goes on extending leases after the store
-	// last confirmed its reign. With a lease of 3 s, what runs outlives an outage of
+	// last confirmed its term. With a lease of 3 s, what runs outlives an outage of
 	// the store of 7 s, as long as any was seen; a successor waits as long before it
 	// takes a worker that it does not reach for idle.
 	confirmedFor = 5 * time.Second
@@ -52,7 +52,7 @@
 	return c.Lateness()
 }
 
-// Scheduler runs one shard's jobs for the time of one reign.
+// Scheduler runs one shard's jobs for the time of one term.
 type Scheduler struct {
 	// Loaded is closed, by who calls Load, once the shard may be asked.
 	Loaded chan struct{}
@@ -64,7 +64,7 @@
 	commitGap time.Duration // the least time between the starts of two transactions
 	store     rowstore.Store
 	client    fleet.Client
-	reign     *leadership.Reign
+	term      *leadership.Term
 	log       zerolog.Logger
 	metrics   *Metrics
 
@@ -101,15 +101,15 @@
 	dispatchWake chan struct{}
 }
 
-// New returns a Scheduler for a reign. Load must follow, then Run.
-func New(config Config, store rowstore.Store, client fleet.Client, reign *leadership.Reign, metrics *Metrics, log zerolog.Logger) *Scheduler {
+// New returns a Scheduler for a term. Load must follow, then Run.
+func New(config Config, store rowstore.Store, client fleet.Client, term *leadership.Term, metrics *Metrics, log zerolog.Logger) *Scheduler {
 	return &Scheduler{
 		shard: config.Shard, lateness: config.lateness, lease: config.Lease, keepFinal: config.KeepFinal,
-		store: store, client: client, reign: reign, log: log.With().Uint64("token", reign.Token()).Logger(), metrics: metrics,
+		store: store, client: client, term: term, log: log.With().Uint64("token", term.Token()).Logger(), metrics: metrics,
 		commitGap: commitGapFor(config.PartitionWrites),
 		jobs:      map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{}, past: map[string]bool{},
 		queues: map[string]workload.Queue{}, stopping: map[string]bool{}, fleetSpeed: 1, healthy: map[string]float64{}, bundles: map[string]*bundle{},
-		formerLeasesEnd: leaseEnd(reign.FormerSuccess().Add(confirmedFor), config.Lease), Loaded: make(chan struct{}),
+		formerLeasesEnd: leaseEnd(term.FormerSuccess().Add(confirmedFor), config.Lease), Loaded: make(chan struct{}),
 		firstCalls: make(chan struct{}, maxFirstCalls),
 		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
 	}
@@ -123,16 +123,16 @@
 	}
 }
 
-// Token returns the fencing token of the reign.
-func (s *Scheduler) Token() uint64 { return s.reign.Token() }
+// Token returns the fencing token of the term.
+func (s *Scheduler) Token() uint64 { return s.term.Token() }
 
-// Reign returns the reign.
-func (s *Scheduler) Reign() *leadership.Reign { return s.reign }
+// Term returns the term.
+func (s *Scheduler) Term() *leadership.Term { return s.term }
 
-// DeposedError says that the reign is over.
+// DeposedError says that the term is over.
 type DeposedError struct{ Why string }
 
-func (e *DeposedError) Error() string { return "the reign is over: " + e.Why }
+func (e *DeposedError) Error() string { return "the term is over: " + e.Why }
 
 func (s *Scheduler) depose(why string) {
 	s.mu.Lock()
@@ -150,7 +150,7 @@
 	}
 }
 
-// Run runs the shard until ctx ends or the reign does. It returns why.
+// Run runs the shard until ctx ends or the term does. It returns why.
 func (s *Scheduler) Run(parent context.Context) error {
 	ctx, end := context.WithCancelCause(parent)
 	defer end(nil)
@@ -193,7 +193,7 @@
 }
 
 // Hold lets the transaction under way end and starts no other until release is
-// called, so that an heir can take the shard over.
+// called, so that a successor can take the shard over.
 func (s *Scheduler) Hold(ctx context.Context) (release func(), err error) {
 	select {
 	case s.commitTurn <- struct{}{}:
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -129,7 +129,7 @@
 // listIncomplete reports whether workers that live may be missing from the list: their
 // entries can lapse while the store is down.
 func (s *Scheduler) listIncomplete(now time.Time) bool {
-	return now.Sub(s.reign.RestoredAt()) < relistedWithin
+	return now.Sub(s.term.RestoredAt()) < relistedWithin
 }
 
 // relistedWithin is how soon after an outage of the store the entries that have lapsed
