--- a/node/export_test.go
+++ b/node/export_test.go
@@ -12,3 +12,10 @@
 	defer n.mu.Unlock()
 	return len(n.members)
 }
+
+// CountsAsLost reports whether the node waits for nothing from another one.
+func (n *Node) CountsAsLost(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers[name].lost
+}
--- /dev/null
+++ b/node/lost_test.go
@@ -0,0 +1,51 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"chutereach/rowstore/memory"
+)
+
+// Who takes the shard for its owner's silence waits for nothing from the former owner,
+// until that answers again.
+func TestASilentOwnerCountsAsLost(t *testing.T) {
+	inCell(t, 3, func(c *cell) {
+		former := c.owner()
+		for _, other := range c.nodes {
+			c.network.Cut(former.name, other.name)
+			c.network.Cut(other.name, former.name)
+		}
+		former.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
+		begun := time.Now()
+		next := c.ownerBut(former, 1500*time.Millisecond)
+		if next == nil {
+			t.Fatal("no successor")
+		}
+		t.Logf("succeeded after %v", time.Since(begun))
+		if !next.CountsAsLost(former.name) {
+			t.Error("the former owner is not counted as lost at the takeover")
+		}
+		for _, other := range c.nodes {
+			c.network.Heal(former.name, other.name)
+			c.network.Heal(other.name, former.name)
+		}
+		former.caller.SetFault(nil)
+		time.Sleep(3 * time.Second)
+		if owner := c.owner(); owner != nil && owner != former && owner.CountsAsLost(former.name) {
+			t.Error("the former owner answers and still counts as lost")
+		}
+	})
+}
+
+// ownerBut waits until a node other than one owns the shard.
+func (c *cell) ownerBut(former *member, within time.Duration) *member {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, m := range c.nodes {
+			if m != former && m.Owns() {
+				return m
+			}
+		}
+	}
+	return nil
+}
