scheduler: a lease that runs out under a gang that is only granted ends no process

Old code, met sooner with short leases. Ruled out: the new calls (the trace ends in lapse, and the test below fails without them). Change: each attempt is ended if it is still on the worker. A test that fails first.

--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -180,10 +180,13 @@
 	return false
 }
 
-// lapse ends every attempt on a worker whose lease has run out.
+// lapse ends every attempt on a worker whose lease has run out. The end of one member
+// of a gang takes back the others that were only granted, so each is looked at anew.
 func (s *Scheduler) lapse(w *worker) {
 	for _, t := range w.list() {
-		s.endAttempt(t, fleet.Lapsed, "", "lease ran out")
+		if t.worker == w {
+			s.endAttempt(t, fleet.Lapsed, "", "lease ran out")
+		}
 	}
 }
 
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -6,6 +6,7 @@
 
 	"chutereach/fleet/fleettest"
 	"chutereach/rowstore/memory"
+	"chutereach/workload"
 )
 
 // inLeaseCell runs a test with short leases and one lasting task, and tells where the
@@ -95,3 +96,22 @@
 		})
 	})
 }
+
+// The lease of a worker runs out while the grants of a gang there wait for the store:
+// the end of one member takes back the others.
+func TestALeaseRunsOutUnderAGangThatIsOnlyGranted(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		c.lease = shortLease
+		o := c.rule()
+		time.Sleep(time.Second)
+		gang := jobOf(3, 2000)
+		gang.Steps[0].Gang = true
+		o.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
+		c.fleet.SetFault(func(fleettest.Call, string) fleettest.Fault { return fleettest.Fault{Lost: true} })
+		go c.submit(o, "gang", gang, work(time.Second))
+		time.Sleep(6 * time.Second)
+		o.caller.SetFault(nil)
+		c.fleet.SetFault(nil)
+		c.await(o, "gang", workload.Completed, 10*time.Second)
+	})
+}
