leadership: an owner's leases count from a time that others can see

Cause, found in reading: a look that found the owner's row unchanged, or written before, counted as the moment from which leases may be extended for 5 s; a successor counts the same 5 s from when it first saw the row, which is earlier. An owner whose writes were lost while its reads were answered could have kept a worker that only it reached running past the end that its successor had counted on. Change: the time counts from the first sending of the last transaction that was applied.

--- a/leadership/commit.go
+++ b/leadership/commit.go
@@ -77,7 +77,6 @@
 	look    bool
 	version uint64 // that the transaction has written; 0 of a look: not applied so far
 	err     error
-	sent    time.Time
 	took    time.Duration
 }
 
@@ -127,9 +126,9 @@
 		c.term.noAnswer(c.begun)
 		return 0, nil, false
 	}
-	c.term.answered(got.sent)
+	c.term.answered()
 	if got.version != 0 {
-		c.term.committed(time.Since(c.begun))
+		c.term.committed(c.begun)
 		return got.version, nil, true
 	}
 	if time.Since(c.lastSent) > max(leastPatience, slowRatio*got.took) {
@@ -154,7 +153,7 @@
 		if errors.As(err, &conflict) {
 			version, err = c.settleConflict(conflict)
 		}
-		c.results <- result{version: version, err: err, sent: sent, took: time.Since(sent)}
+		c.results <- result{version: version, err: err, took: time.Since(sent)}
 	}()
 }
 
@@ -169,7 +168,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		seen, err := Look(callCtx, c.term.store, c.term.shard)
-		got := result{look: true, err: err, sent: sent, took: time.Since(sent)}
+		got := result{look: true, err: err, took: time.Since(sent)}
 		if err == nil && seen.Version != c.transaction.Conditions[0].Version {
 			got.version, got.err = c.settle(seen)
 		}
@@ -204,16 +203,18 @@
 // noAnswer notes that the store has not answered a call in time.
 func (r *Term) noAnswer(since time.Time) { r.failed.CompareAndSwap(0, since.UnixNano()) }
 
-// answered notes an answer by which the shard was owned by this term.
-func (r *Term) answered(sent time.Time) {
-	r.sent.Store(max(r.sent.Load(), sent.UnixNano()))
+// answered notes that the store has answered.
+func (r *Term) answered() {
 	if since := r.FailingSince(); !since.IsZero() && time.Since(since) > outageFrom {
 		r.restored.Store(time.Now().UnixNano())
 	}
 	r.failed.Store(0)
 }
 
-// committed notes how long a transaction took.
-func (r *Term) committed(took time.Duration) {
-	r.patience = min(mostPatience, max(leastPatience, (r.patience+patienceRatio*took)/2))
+// committed notes a transaction that was begun at a time and has been applied. Others
+// count from when they first see its row: what this owner counts from must not be later,
+// so a look at the row that finds it unchanged, or applied long ago, counts for nothing.
+func (r *Term) committed(begun time.Time) {
+	r.sent.Store(begun.UnixNano())
+	r.patience = min(mostPatience, max(leastPatience, (r.patience+patienceRatio*time.Since(begun))/2))
 }
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -94,7 +94,7 @@
 	// patience is how long a transaction may go without an answer before the store is
 	// asked what became of it.
 	patience time.Duration
-	// sent is when the last call that found the shard owned was sent, and failed since
+	// sent is when the last transaction that was applied was first sent, and failed since
 	// when the store has answered no call; both in Unix nanoseconds.
 	sent   atomic.Int64
 	failed atomic.Int64
@@ -132,8 +132,7 @@
 // transaction that succeeded.
 func (r *Term) FormerSuccess() time.Time { return r.former }
 
-// LastSuccess returns when the last call was sent that found the shard owned by this
-// term.
+// LastSuccess returns when the last transaction that was applied was first sent.
 func (r *Term) LastSuccess() time.Time { return time.Unix(0, r.sent.Load()) }
 
 // FailingSince returns since when the store has answered nothing, or the zero time. A
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -235,3 +235,47 @@
 		}
 	})
 }
+
+// A successor counts a former owner's leases from when it first saw the row of that
+// owner's last transaction. So the owner must count from no later than that: not from a
+// look that finds the row unchanged, nor from one that finds it written before.
+func TestLastSuccessIsNotLaterThanItsRow(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault memory.Fault // of writes; reads are answered
+		done  bool
+	}{
+		{"the answer is lost", memory.Fault{Mute: true}, true},
+		{"nothing is written", memory.Fault{Silent: true}, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				caller := memory.New().Caller()
+				term := take(t, caller, "a")
+				before := term.LastSuccess()
+				caller.SetFault(func(write bool) memory.Fault {
+					if write {
+						return test.fault
+					}
+					return memory.Fault{}
+				})
+				time.Sleep(time.Second)
+				begun := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				err := term.Commit(ctx, progress("x"), nil)
+				if (err == nil) != test.done {
+					t.Fatal(err)
+				}
+				want := before
+				if test.done {
+					want = begun
+				}
+				if got := term.LastSuccess(); got.After(want) {
+					t.Errorf("last success %v after what others can have seen", got.Sub(want))
+				}
+			})
+		})
+	}
+}
