--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -120,6 +120,7 @@
 	dead    bool
 	// replaced is whether another life answers at the address of a dead one.
 	replaced bool
+	dropped  bool // discovery names it no more
 	changed  chan struct{}
 }
 
@@ -139,6 +140,13 @@
 	f.unlisted = all
 }
 
+// Drop has discovery name a worker no more, which lives on.
+func (f *Fleet) Drop(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].dropped = true
+}
+
 // List returns the workers that live and are listed.
 func (f *Fleet) List() []fleet.Worker {
 	f.mu.Lock()
@@ -148,7 +156,7 @@
 	}
 	var list []fleet.Worker
 	for _, w := range f.workers {
-		if !w.dead || w.replaced {
+		if !w.dropped && (!w.dead || w.replaced) {
 			list = append(list, w.info)
 		}
 	}
