--- a/tool/losses.go
+++ b/tool/losses.go
@@ -18,7 +18,7 @@
 
 // Execute implements flags.Commander.
 func (l *lossesCommand) Execute([]string) error {
-	lines, _, err := (&whyCommand{Logs: l.Logs}).read()
+	lines, _, err := readLogs(l.Logs)
 	if err != nil {
 		return err
 	}
--- a/tool/why.go
+++ b/tool/why.go
@@ -20,7 +20,7 @@
 
 // Execute implements flags.Commander.
 func (w *whyCommand) Execute([]string) error {
-	lines, passed, err := w.read()
+	lines, passed, err := readLogs(w.Logs)
 	if err != nil {
 		return err
 	}
@@ -37,11 +37,13 @@
 	return printStory(story)
 }
 
-func (w *whyCommand) read() (lines []explain.Line, passed int, err error) {
-	if len(w.Logs) == 0 {
+// readLogs reads saved logs, or standard input if none is named, and counts the lines
+// that are no log lines.
+func readLogs(names []string) (lines []explain.Line, passed int, err error) {
+	if len(names) == 0 {
 		return explain.Read(os.Stdin, "stdin")
 	}
-	for _, name := range w.Logs {
+	for _, name := range names {
 		file, err := os.Open(name)
 		if err != nil {
 			var cause *os.PathError
