rowstore, node, platform: transfers that grow leave lines and metrics

Counters of the exchanges and the version in force are served under node. An answer larger than the limit is an error of its own instead of broken JSON.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,7 +70,7 @@
 	d.store = platform.NewStore(set.Store.Address)
 	d.advisor = platform.NewAdvisor(set.Advice.Address)
 	directory := platform.NewDirectory(d.store, logs.For(log, logs.Store))
-	metrics := scheduler.NewMetrics()
+	metrics := node.NewMetrics()
 	d.node = node.New(ctx, node.Config{
 		Self: node.Member{Node: set.Self.Name, Address: set.Self.Peer, Hall: set.Self.Hall, Power: set.Self.Power},
 		Scheduler: scheduler.Config{
@@ -84,7 +84,7 @@
 	return d, d.listen(metrics, missed)
 }
 
-func (d *Daemon) listen(metrics *scheduler.Metrics, missed expvar.Var) (err error) {
+func (d *Daemon) listen(metrics *node.Metrics, missed expvar.Var) (err error) {
 	if d.peers, err = peer.ListenPlain(d.settings.Self.Peer, d.node.Mux()); err != nil {
 		return &ListenError{"node.peer", err}
 	}
@@ -98,7 +98,8 @@
 	if d.settings.Self.Metrics == "" {
 		return nil
 	}
-	expvar.Publish("scheduler", metrics.Var())
+	expvar.Publish("node", metrics.Var())
+	expvar.Publish("scheduler", metrics.Scheduler.Var())
 	expvar.Publish("log_lines_left_out", missed)
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, expvar.Handler())
--- a/node/beat.go
+++ b/node/beat.go
@@ -8,6 +8,7 @@
 
 	"chutereach/peer"
 	"chutereach/routing"
+	"chutereach/transfer"
 	"chutereach/wait"
 )
 
@@ -161,10 +162,19 @@
 func (n *Node) fetchTable(address string) {
 	ctx, cancel := context.WithTimeout(n.ctx, beatTimeout)
 	defer cancel()
+	begun := time.Now()
 	table, err := peer.Call[routing.Table](ctx, n.client, address, tablePath, nothing{})
-	if err == nil {
-		n.routes.Offer(table)
+	if err != nil {
+		n.metrics.tables.Add(nodeFetchFailed, 1)
+		n.log.Warn().Str("from", address).Int("bytes", transfer.ReceivedBefore(err).Bytes).
+			Dur("took", time.Since(begun)).Err(err).Msg("configuration not fetched")
+		return
 	}
+	n.metrics.tables.Add(fromNode, 1)
+	n.metrics.transferTimes.Record(time.Since(begun))
+	newer := n.routes.Offer(table)
+	n.log.Info().Str("from", address).Uint64("version", table.Version).Bool("newer", newer).
+		Dur("took", time.Since(begun)).Msg("configuration fetched")
 }
 
 func (n *Node) answerTable(context.Context, nothing) (routing.Table, error) {
@@ -172,6 +182,7 @@
 	if !ok {
 		return routing.Table{}, &NoTableError{}
 	}
+	n.metrics.tables.Add(servedToNode, 1)
 	return table, nil
 }
 
--- a/node/members.go
+++ b/node/members.go
@@ -34,12 +34,12 @@
 }
 
 func (n *Node) readMembers(ctx context.Context) error {
-	rows, _, err := rowstore.ReadAll(ctx, n.platform.Store, nodesTable, "")
+	all, err := rowstore.ReadAll(ctx, n.platform.Store, nodesTable, "")
 	if err != nil {
 		return err
 	}
-	byName := make(map[string]rowstore.Row, len(rows))
-	for _, row := range rows {
+	byName := make(map[string]rowstore.Row, len(all.Rows))
+	for _, row := range all.Rows {
 		byName[row.Name] = row
 	}
 	n.setMembers(byName)
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"expvar"
+
+	"chutereach/histogram"
+	"chutereach/scheduler"
+)
+
+// Metrics counts what a node does. Var shows it, without the scheduler's part.
+type Metrics struct {
+	Scheduler *scheduler.Metrics
+
+	tableVersion  *expvar.Int // of the configuration in force
+	tables        *expvar.Map // tables of routes by how they came, and what failed
+	transferTimes *histogram.Times
+}
+
+// NewMetrics returns Metrics that count from nothing.
+func NewMetrics() *Metrics {
+	return &Metrics{
+		Scheduler: scheduler.NewMetrics(), tableVersion: new(expvar.Int), tables: new(expvar.Map),
+		transferTimes: histogram.New(),
+	}
+}
+
+// Var is everything but the scheduler's part, as a variable of expvar.
+func (m *Metrics) Var() expvar.Var {
+	all := new(expvar.Map)
+	all.Set("config_version", m.tableVersion)
+	all.Set("config_exchanges", m.tables)
+	all.Set("config_transfer_ms", m.transferTimes)
+	return all
+}
+
+// Keys of the exchanges that bring a table of routes.
+const (
+	fromStore       = "store"
+	fromNode        = "node"
+	storeBrokenOff  = "store_broken_off"
+	nodeFetchFailed = "node_failed"
+	servedToNode    = "served"
+)
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"chutereach/routing"
 	"chutereach/rowstore"
 	"chutereach/scheduler"
+	"chutereach/transfer"
 	"chutereach/wait"
 )
 
@@ -50,7 +51,7 @@
 	platform Platform
 	client   *peer.Client
 	log      zerolog.Logger
-	metrics  *scheduler.Metrics
+	metrics  *Metrics
 	routes   routing.Newest
 
 	mu      sync.Mutex
@@ -95,7 +96,7 @@
 }
 
 // New returns a Node that may answer calls until ctx ends; Run makes it live.
-func New(ctx context.Context, config Config, platform Platform, client *peer.Client, metrics *scheduler.Metrics, log zerolog.Logger) *Node {
+func New(ctx context.Context, config Config, platform Platform, client *peer.Client, metrics *Metrics, log zerolog.Logger) *Node {
 	n := &Node{
 		ctx: ctx, config: config, platform: platform, client: client, log: log, metrics: metrics,
 		changed: make(chan struct{}), members: map[string]Member{config.Self.Node: config.Self}, memberSerial: 1,
@@ -111,7 +112,9 @@
 	ctx := n.ctx
 	n.tasks.Go(func() {
 		offer := func(table routing.Table) { n.routes.Offer(table) }
-		n.platform.FollowTable(ctx, offer, rowstore.Reach{Answered: n.storeAnswers, Failed: n.storeFails})
+		n.platform.FollowTable(ctx, offer, rowstore.Reach{
+			Answered: n.storeAnswers, Failed: n.followFails, Received: n.received,
+		})
 	})
 	n.tasks.Go(func() { n.register(ctx) })
 	n.tasks.Go(func() { n.watchOwner(ctx) })
@@ -125,6 +128,7 @@
 
 func (n *Node) tableChanged(table routing.Table) {
 	n.log.Info().Uint64("version", table.Version).Int("routes", len(table.Routes)).Msg("configuration in force")
+	n.metrics.tableVersion.Set(int64(table.Version))
 	n.mu.Lock()
 	own := n.own
 	n.mu.Unlock()
@@ -156,6 +160,33 @@
 	}
 }
 
+// largeAnswer is from how many bytes on an answer of the store leaves a line: on the
+// narrowest link at hand, 10 Mbit/s, it takes 50 ms.
+const largeAnswer = 64 << 10
+
+// received notes an answer of the feed of configurations.
+func (n *Node) received(table string, answer transfer.Received) {
+	if answer.Bytes < largeAnswer {
+		return
+	}
+	n.metrics.tables.Add(fromStore, 1)
+	n.metrics.transferTimes.Record(answer.Took)
+	n.log.Info().Str("table", table).Int("bytes", answer.Bytes).Dur("took", answer.Took).Msg("large answer of the store")
+}
+
+// followFails notes a failed call of the feed of configurations. A call whose answer broke
+// off leaves a line each time: it was long under way.
+func (n *Node) followFails(err *rowstore.FollowError) {
+	n.storeFails(err)
+	broken := transfer.ReceivedBefore(err)
+	if broken.Bytes == 0 {
+		return
+	}
+	n.metrics.tables.Add(storeBrokenOff, 1)
+	n.log.Warn().Str("table", err.Table).Str("exchange", string(err.Exchange)).Int("bytes", broken.Bytes).
+		Dur("took", err.Took).Err(err).Msg("answer of the store broke off")
+}
+
 // storeFresh is how recent an answer of the store must be for a node to count as
 // reaching it: a feed without news answers about this often.
 const storeFresh = 3 * time.Second
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -101,7 +101,7 @@
 		Self:      node.Member{Node: m.name, Address: m.name, Hall: "h"},
 		Scheduler: scheduler.Config{Shard: "main", Lease: fleettest.MostLease, KeepFinal: time.Minute},
 	}
-	m.Node = node.New(ctx, config, platform, peer.NewPlainClientOver(c.network.Dial(m.name)), scheduler.NewMetrics(), zerolog.Nop())
+	m.Node = node.New(ctx, config, platform, peer.NewPlainClientOver(c.network.Dial(m.name)), node.NewMetrics(), zerolog.Nop())
 	m.servers = peer.NewPlainServer(c.network.Listen(m.name), m.Mux())
 	go m.servers.Serve()
 	done := m.done
--- a/node/owner.go
+++ b/node/owner.go
@@ -210,7 +210,7 @@
 // rule runs the shard in the background until the term ends.
 func (n *Node) rule(term *leadership.Term, begun time.Time) {
 	ctx, cancel := context.WithCancel(n.ctx)
-	own := scheduler.New(n.config.Scheduler, n.platform.Store, n.platform.Workers, term, n.metrics, n.log)
+	own := scheduler.New(n.config.Scheduler, n.platform.Store, n.platform.Workers, term, n.metrics.Scheduler, n.log)
 	n.mu.Lock()
 	n.own, n.endOwn, n.ownSince = own, cancel, time.Now()
 	n.mu.Unlock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -9,7 +9,6 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"chutereach/codec"
+	"chutereach/transfer"
 )
 
 const (
@@ -153,7 +153,7 @@
 		return answer, classify(address, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	data, _, err := transfer.Read(resp.Body, maxBody)
 	if err != nil {
 		return answer, &LostError{address, err}
 	}
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
+	"chutereach/transfer"
 	"chutereach/wait"
 )
 
@@ -21,33 +23,66 @@
 // Reach is told how calls to a store go. The zero Reach tells nobody.
 type Reach struct {
 	Answered func()
-	Failed   func(error)
+	Failed   func(*FollowError)
+	// Received is told of each answer of a table, as it came in.
+	Received func(table string, answer transfer.Received)
 }
 
-func (r Reach) tell(err error) {
-	switch {
-	case err == nil && r.Answered != nil:
-		r.Answered()
-	case err != nil && r.Failed != nil:
+func (r Reach) failed(err *FollowError) {
+	if r.Failed != nil {
 		r.Failed(err)
 	}
 }
 
+func (r Reach) answered(table string, answer transfer.Received) {
+	if r.Answered != nil {
+		r.Answered()
+	}
+	if r.Received != nil {
+		r.Received(table, answer)
+	}
+}
+
+// Exchange is one of the two calls of Follow.
+type Exchange string
+
+// The exchanges of Follow.
+const (
+	Feed  Exchange = "feed"  // the changes since a version
+	Whole Exchange = "whole" // all rows
+)
+
+// FollowError says which call of Follow failed. The call is made again.
+type FollowError struct {
+	Table    string
+	Exchange Exchange
+	Took     time.Duration
+	Cause    error
+}
+
+func (e *FollowError) Error() string {
+	return fmt.Sprintf("%s of table %s, after %v: %v", e.Exchange, e.Table, e.Took.Round(time.Millisecond), e.Cause)
+}
+
+func (e *FollowError) Unwrap() error { return e.Cause }
+
 // Follow keeps a partition of a table in memory and calls changed with all its
 // rows after the first read and after each change, until ctx ends. Failed calls
 // are tried again.
 func Follow(ctx context.Context, store Store, table, partition string, changed func(map[string]Row), reach Reach) {
 	f := follower{store: store, table: table, partition: partition}
 	for ctx.Err() == nil {
-		news, err := f.step(ctx)
+		begun, exchange := time.Now(), f.exchange()
+		news, received, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		reach.tell(err)
 		if err != nil {
+			reach.failed(&FollowError{table, exchange, time.Since(begun), err})
 			wait.For(ctx, followPause)
 			continue
 		}
+		reach.answered(table, received)
 		if news {
 			changed(f.rows)
 		}
@@ -61,10 +96,19 @@
 	version          uint64
 }
 
+// exchange is what step does next.
+func (f *follower) exchange() Exchange {
+	if f.rows == nil {
+		return Whole
+	}
+	return Feed
+}
+
 // step reads everything, or waits for the next changes.
-func (f *follower) step(ctx context.Context) (news bool, err error) {
+func (f *follower) step(ctx context.Context) (news bool, received transfer.Received, err error) {
 	if f.rows == nil {
-		return true, f.readAll(ctx)
+		received, err = f.readAll(ctx)
+		return err == nil, received, err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, followWait+followSlack)
 	defer cancel()
@@ -73,9 +117,9 @@
 	switch {
 	case errors.As(err, &lost):
 		f.rows = nil
-		return false, nil
+		return false, received, nil
 	case err != nil:
-		return false, err
+		return false, received, err
 	}
 	for _, row := range page.Rows {
 		if row.Partition != f.partition {
@@ -89,20 +133,20 @@
 		}
 	}
 	f.version = max(f.version, page.Version)
-	return news, nil
+	return news, page.Received, nil
 }
 
-func (f *follower) readAll(ctx context.Context) error {
+func (f *follower) readAll(ctx context.Context) (transfer.Received, error) {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	rows, version, err := ReadAll(callCtx, f.store, f.table, f.partition)
+	all, err := ReadAll(callCtx, f.store, f.table, f.partition)
 	if err != nil {
-		return err
+		return transfer.Received{}, err
 	}
-	f.rows = make(map[string]Row, len(rows))
-	for _, row := range rows {
+	f.rows = make(map[string]Row, len(all.Rows))
+	for _, row := range all.Rows {
 		f.rows[row.Name] = row
 	}
-	f.version = version
-	return nil
+	f.version = all.Version
+	return all.Received, nil
 }
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -8,6 +8,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"chutereach/transfer"
 )
 
 // Key names a row. Rows with one Partition may share a transaction, whatever
@@ -56,6 +58,8 @@
 	Rows    []Row
 	More    bool
 	Version uint64 // the store's newest version at the time of the answer
+	// Received is the answer as it came in, if the store has a network in between.
+	Received transfer.Received
 }
 
 // Store is the row store. Errors are ConflictError, UnavailableError,
@@ -72,20 +76,21 @@
 
 // ReadAll reads a whole partition of a table, page by page. The version is that
 // of the first page, so that a feed from there misses nothing.
-func ReadAll(ctx context.Context, store Store, table, partition string) ([]Row, uint64, error) {
-	var rows []Row
-	version, from := uint64(0), ""
+func ReadAll(ctx context.Context, store Store, table, partition string) (Page, error) {
+	var all Page
+	from := ""
 	for {
 		page, err := store.Read(ctx, table, partition, from)
 		if err != nil {
-			return nil, 0, err
+			return Page{}, err
 		}
-		if version == 0 {
-			version = page.Version
+		if all.Version == 0 {
+			all.Version = page.Version
 		}
-		rows = append(rows, page.Rows...)
+		all.Rows = append(all.Rows, page.Rows...)
+		all.Received = all.Received.Plus(page.Received)
 		if !page.More || len(page.Rows) == 0 {
-			return rows, version, nil
+			return all, nil
 		}
 		from = page.Rows[len(page.Rows)-1].Name + "\x00"
 	}
--- a/scheduler/bundle_test.go
+++ b/scheduler/bundle_test.go
@@ -12,11 +12,11 @@
 
 // bundles returns how many bundles are in the store.
 func (c *cell) bundles() int {
-	rows, _, err := rowstore.ReadAll(c.ctx, c.store, "bundles", testShard)
+	all, err := rowstore.ReadAll(c.ctx, c.store, "bundles", testShard)
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	return len(rows)
+	return len(all.Rows)
 }
 
 // More changes than a transaction holds one by one, while the store is slow, go
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -13,18 +13,18 @@
 
 // Load reads what a former owner left. It must end well before Run.
 func (s *Scheduler) Load(ctx context.Context) error {
-	var records, progress, bundles []rowstore.Row
+	var records, progress, bundles rowstore.Page
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
-		records, _, err = rowstore.ReadAll(groupCtx, s.store, recordTable, s.shard)
+		records, err = rowstore.ReadAll(groupCtx, s.store, recordTable, s.shard)
 		return err
 	})
 	group.Go(func() (err error) {
-		progress, _, err = rowstore.ReadAll(groupCtx, s.store, progressTable, s.shard)
+		progress, err = rowstore.ReadAll(groupCtx, s.store, progressTable, s.shard)
 		return err
 	})
 	group.Go(func() (err error) {
-		bundles, _, err = rowstore.ReadAll(groupCtx, s.store, bundleTable, s.shard)
+		bundles, err = rowstore.ReadAll(groupCtx, s.store, bundleTable, s.shard)
 		return err
 	})
 	if err := group.Wait(); err != nil {
@@ -32,11 +32,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	latest, err := s.bundledRows(bundles)
+	latest, err := s.bundledRows(bundles.Rows)
 	if err != nil {
 		return err
 	}
-	return s.restore(records, progress, latest, bundles)
+	return s.restore(records.Rows, progress.Rows, latest, bundles.Rows)
 }
 
 func (s *Scheduler) restore(records, progress []rowstore.Row, latest map[string]bundled, bundles []rowstore.Row) error {
--- /dev/null
+++ b/transfer/transfer.go
@@ -0,0 +1,65 @@
+// Package transfer reads the bodies of calls whose size grows with the deployment: the
+// configuration, the members, the rows of a shard. It tells how far a body had come when
+// it broke off.
+package transfer
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+)
+
+// Received is what came of one answer's body.
+type Received struct {
+	Bytes int
+	Took  time.Duration // from the beginning of the body to its end
+}
+
+// Plus returns what came of two answers, one after the other.
+func (r Received) Plus(other Received) Received {
+	return Received{r.Bytes + other.Bytes, r.Took + other.Took}
+}
+
+// BrokenOffError says that a body ended before it was whole.
+type BrokenOffError struct {
+	Received
+	Cause error
+}
+
+func (e *BrokenOffError) Error() string {
+	return fmt.Sprintf("the answer broke off after %d bytes and %v: %v", e.Bytes, e.Took.Round(time.Millisecond), e.Cause)
+}
+
+func (e *BrokenOffError) Unwrap() error { return e.Cause }
+
+// TooLargeError says that a body is larger than the reader takes.
+type TooLargeError struct{ Limit int64 }
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the answer has more than %d bytes", e.Limit)
+}
+
+// Read reads a body of at most limit bytes to its end.
+func Read(body io.Reader, limit int64) ([]byte, Received, error) {
+	begun := time.Now()
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	received := Received{len(data), time.Since(begun)}
+	switch {
+	case err != nil:
+		return nil, received, &BrokenOffError{received, err}
+	case int64(len(data)) > limit:
+		return nil, received, &TooLargeError{limit}
+	}
+	return data, received, nil
+}
+
+// ReceivedBefore returns what had come of an answer that ended with an error: nothing, if
+// the error does not say so.
+func ReceivedBefore(err error) Received {
+	var broken *BrokenOffError
+	if errors.As(err, &broken) {
+		return broken.Received
+	}
+	return Received{}
+}
