--- a/peer/peertest/peertest.go
+++ b/peer/peertest/peertest.go
@@ -22,11 +22,12 @@
 	listeners map[string]*listener
 	cut       map[[2]string]bool
 	open      map[*conn]bool
+	links     map[string]*Link
 }
 
 // New returns a network without listeners.
 func New() *Network {
-	return &Network{listeners: map[string]*listener{}, cut: map[[2]string]bool{}, open: map[*conn]bool{}}
+	return &Network{listeners: map[string]*listener{}, cut: map[[2]string]bool{}, open: map[*conn]bool{}, links: map[string]*Link{}}
 }
 
 type address string
@@ -93,6 +94,18 @@
 	return c.Conn.Write(data)
 }
 
+// Read implements net.Conn. What comes in passes the reader's link first.
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.network.mu.Lock()
+	link := c.network.links[c.from]
+	c.network.mu.Unlock()
+	if link != nil {
+		link.Carry(context.Background(), n)
+	}
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.network.mu.Lock()
@@ -170,3 +183,10 @@
 		c.Close()
 	}
 }
+
+// SetLink has everything that a machine receives from others pass a link.
+func (n *Network) SetLink(name string, link *Link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[name] = link
+}
--- a/rowstore/memory/memory.go
+++ b/rowstore/memory/memory.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chutereach/rowstore"
+	"chutereach/transfer"
 	"chutereach/wait"
 )
 
@@ -175,8 +176,15 @@
 	store *Store
 	mu    sync.Mutex
 	fault func(write bool) Fault
+	carry Carry
 }
 
+// Carry waits until so many bytes of an answer have come in.
+type Carry func(ctx context.Context, bytes int) error
+
+// piece is how many bytes of an answer come in at once.
+const piece = 4 << 10
+
 // Caller returns the store as a new caller reaches it.
 func (s *Store) Caller() *Caller { return &Caller{store: s} }
 
@@ -187,6 +195,35 @@
 	c.fault = f
 }
 
+// SetLink has answers with rows pass a link.
+func (c *Caller) SetLink(carry Carry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carry = carry
+}
+
+// receive lets an answer come in, piece by piece.
+func (c *Caller) receive(ctx context.Context, page rowstore.Page) (rowstore.Page, error) {
+	c.mu.Lock()
+	carry := c.carry
+	c.mu.Unlock()
+	if carry == nil {
+		return page, nil
+	}
+	size, begun := 0, time.Now()
+	for _, row := range page.Rows {
+		size += len(row.Value)
+	}
+	for came := 0; came < size; came += piece {
+		if err := carry(ctx, min(piece, size-came)); err != nil {
+			broken := &transfer.BrokenOffError{Received: transfer.Received{Bytes: came, Took: time.Since(begun)}, Cause: err}
+			return rowstore.Page{}, &rowstore.UnknownError{Cause: broken}
+		}
+	}
+	page.Received = transfer.Received{Bytes: size, Took: time.Since(begun)}
+	return page, nil
+}
+
 func (c *Caller) next(write bool) Fault {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -238,7 +275,11 @@
 	if err := c.pass(ctx, c.next(false)); err != nil {
 		return rowstore.Page{}, err
 	}
-	return c.store.Read(ctx, table, partition, from)
+	page, err := c.store.Read(ctx, table, partition, from)
+	if err != nil {
+		return page, err
+	}
+	return c.receive(ctx, page)
 }
 
 // Watch implements rowstore.Store.
@@ -246,5 +287,9 @@
 	if err := c.pass(ctx, c.next(false)); err != nil {
 		return rowstore.Page{}, err
 	}
-	return c.store.Watch(ctx, table, after, limit)
+	page, err := c.store.Watch(ctx, table, after, limit)
+	if err != nil {
+		return page, err
+	}
+	return c.receive(ctx, page)
 }
