transfer, leadership, member, cell: the same cause in what is sent

An owner's transaction had 3 s for the whole, and another copy was sent beside it as soon as a small read was answered: 700 kB at 50 kB/s never applied, and at 1.25 MB/s it was sent twice (the test fails so on the code before). A box's answer with its endpoints had 1 s, and a revision between boxes 2 s. All are bounded by their progress now, sending counts as progress, and a transaction of more than 64 KiB counts as lost only after 0.5 s in which nothing of it was sent.

Found by the test of the endpoints: a reader of HTTP's chunks fills its whole buffer, so that large buffers hid progress; reads take 16 KiB at most. The link of the tests passes 4 KiB at a time. A handover's line has the owner's lateness and whether its machine is slow.

--- a/cell/status.go
+++ b/cell/status.go
@@ -11,6 +11,7 @@
 	"chutereach/peer"
 	"chutereach/publish"
 	"chutereach/timeline"
+	"chutereach/transfer"
 )
 
 // Timeline returns the events of all boxes in causal order, and the boxes that
@@ -114,11 +115,12 @@
 	return r, nil
 }
 
-// pushTimeout bounds a push; a box that misses it reads the head.
-const pushTimeout = 2 * time.Second
+// pushQuiet is for how long nothing may move of a revision between boxes. A box that a push
+// does not reach reads the head, or asks its peers.
+const pushQuiet = 2 * time.Second
 
 func (c *Cell) push(r config.Revision) {
-	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	ctx, cancel := transfer.WithStallLimit(context.Background(), pushQuiet, nil)
 	defer cancel()
 	everywhere(ctx, c, pathRevision, r, c.pushed)
 }
@@ -127,7 +129,7 @@
 func (c *Cell) CatchUp() {
 	for _, p := range c.Members.Peers() {
 		c.Publisher.Heard(p.State.Revision, func() (config.Revision, error) {
-			ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+			ctx, cancel := transfer.WithStallLimit(context.Background(), pushQuiet, nil)
 			defer cancel()
 			return peer.Call[config.Revision](ctx, c.Client, p.Row.Peer, pathCurrent, none{})
 		})
--- a/leadership/commit.go
+++ b/leadership/commit.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"chutereach/codec"
 	"chutereach/rowstore"
+	"chutereach/transfer"
 )
 
 const (
@@ -25,7 +27,13 @@
 	// maxSendings and maxLooks bound the calls for one transaction under way at once.
 	maxSendings = 4
 	maxLooks    = 8
-	callTimeout = 3 * time.Second
+	// largeBytes is more than a connection takes in at once, and largeQuiet for how long
+	// nothing may have been sent of a transaction of that size for it to count as lost: a
+	// crowded link holds packets up for half a second.
+	largeBytes = 64 << 10
+	largeQuiet = 500 * time.Millisecond
+	// callQuiet is for how long nothing may move of a call.
+	callQuiet = 3 * time.Second
 	// outageFrom is how long the store must have answered nothing for that to count as
 	// an outage, in which what others keep alive there may have lapsed.
 	outageFrom = time.Second
@@ -39,13 +47,14 @@
 // slow store, or may never have arrived. The owner's row tells which, and reading it
 // holds up no transaction, while a second copy would take a turn of its own. So the
 // row is read first, and the transaction sent again only if the row is as before and
-// the store answers quickly enough for the first copy to have been lost. One copy at
-// most applies.
+// the store answers quickly enough for the first copy to have been lost. A copy that is
+// still being sent is not lost: a large one takes long on a narrow link, and longer beside
+// a second one. One copy at most applies.
 func (r *Term) Commit(ctx context.Context, puts []rowstore.Put, deletes []rowstore.Key) error {
 	next := r.row
 	next.Sequence++
 	c := &commit{
-		term: r, next: next, begun: time.Now(), results: make(chan result, maxSendings+maxLooks),
+		term: r, next: next, begun: time.Now(), quiet: quietOf(puts), results: make(chan result, maxSendings+maxLooks),
 		transaction: rowstore.Transaction{
 			Conditions: []rowstore.Condition{{Key: keyOf(r.shard), Version: r.version}},
 			Puts:       append([]rowstore.Put{{Key: keyOf(r.shard), Value: codec.MustMarshal(next)}}, puts...),
@@ -66,10 +75,12 @@
 	transaction rowstore.Transaction
 	next        Row
 	begun       time.Time
-	lastSent    time.Time // when it was last sent
-	results     chan result
-	sendings    int // under way
-	looks       int // under way
+	lastSent    atomic.Int64 // when a part of it was last sent, in Unix nanoseconds
+	// quiet is for how long nothing of it may have been sent for a copy to count as lost.
+	quiet    time.Duration
+	results  chan result
+	sendings int // under way
+	looks    int // under way
 }
 
 // result is what came of one call.
@@ -131,22 +142,38 @@
 		c.term.committed(c.begun)
 		return got.version, nil, true
 	}
-	if time.Since(c.lastSent) > max(leastPatience, slowRatio*got.took) {
+	if time.Since(time.Unix(0, c.lastSent.Load())) > max(c.quiet, slowRatio*got.took) {
 		c.send(ctx)
 	}
 	return 0, nil, false
 }
 
+// quietOf returns for how long nothing may have been sent of a transaction that writes puts
+// for it to count as lost.
+func quietOf(puts []rowstore.Put) time.Duration {
+	size := 0
+	for _, put := range puts {
+		size += len(put.Value)
+	}
+	if size < largeBytes {
+		return leastPatience
+	}
+	return largeQuiet
+}
+
+// noteSent notes that a part of the transaction has been sent just now.
+func (c *commit) noteSent() { c.lastSent.Store(time.Now().UnixNano()) }
+
 // send sends the transaction, without waiting for what comes of it.
 func (c *commit) send(ctx context.Context) {
 	if c.sendings == maxSendings {
 		return
 	}
 	c.sendings++
-	c.lastSent = time.Now()
+	c.noteSent()
 	go func() {
 		sent := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		callCtx, cancel := transfer.WithStallLimit(ctx, callQuiet, c.noteSent)
 		defer cancel()
 		version, err := c.term.store.Commit(callCtx, c.transaction)
 		var conflict *rowstore.ConflictError
@@ -165,7 +192,7 @@
 	c.looks++
 	go func() {
 		sent := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, callQuiet)
 		defer cancel()
 		seen, err := Look(callCtx, c.term.store, c.term.shard)
 		got := result{look: true, err: err, took: time.Since(sent)}
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"chutereach/leadership"
+	"chutereach/peer/peertest"
 	"chutereach/rowstore"
 	"chutereach/rowstore/memory"
 )
@@ -220,6 +223,36 @@
 	}
 }
 
+// A large transaction takes long on a narrow link. It is sent once, and for as long as it
+// goes on: a second copy would make both take twice as long.
+func TestALargeTransactionIsSentOnce(t *testing.T) {
+	for _, rate := range []int{1_250_000, 250_000, 50_000} {
+		t.Run(fmt.Sprintf("%d bytes a second", rate), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memory.New()
+				caller := store.Caller()
+				term := take(t, caller, "a")
+				link := peertest.NewLink(rate)
+				caller.SetUplink(link.Carry)
+				text := strings.Repeat("x", 700_000)
+				needs := time.Duration(len(text)) * time.Second / time.Duration(rate)
+				begun := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), 2*needs)
+				defer cancel()
+				if err := term.Commit(ctx, progress(text), nil); err != nil {
+					t.Errorf("after %v, with %d bytes sent: %v", time.Since(begun), link.Carried(), err)
+				}
+				if took := time.Since(begun); took > needs+100*time.Millisecond {
+					t.Errorf("took %v, the link needs %v", took, needs)
+				}
+				if link.Carried() > len(text)+1000 {
+					t.Errorf("%d bytes were sent for %d", link.Carried(), len(text))
+				}
+			})
+		})
+	}
+}
+
 // The answers of the store are lost: the row tells that the transaction was applied.
 func TestALostAnswerIsReadFromTheRow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/member/member.go
+++ b/member/member.go
@@ -18,6 +18,7 @@
 	"chutereach/hall"
 	"chutereach/peer"
 	"chutereach/timeline"
+	"chutereach/transfer"
 	"chutereach/wait"
 )
 
@@ -82,8 +83,8 @@
 const (
 	// interval is between two questions to a peer.
 	interval = time.Second
-	// askTimeout bounds one question.
-	askTimeout = time.Second
+	// askQuiet is for how long nothing may come of one answer.
+	askQuiet = time.Second
 	// silentAfter is when a peer that does not answer counts as gone.
 	silentAfter = 3 * time.Second
 	statePath   = "/peer/state"
@@ -199,7 +200,7 @@
 }
 
 func (m *Members) ask(ctx context.Context, p *member) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := transfer.WithStallLimit(ctx, askQuiet, nil) // an answer may hold every endpoint
 	defer cancel()
 	a := Ask{From: m.self.Incarnation, Stamp: m.clock.Now(), Have: m.have()}
 	s, err := peer.Call[State](ctx, m.client, p.Row.Peer, statePath, a)
@@ -282,7 +283,7 @@
 // SayLeaving tells every peer that this box leaves, so that none sends it another
 // request while it waits for the last ones.
 func (m *Members) SayLeaving(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, askQuiet)
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, p := range m.Peers() {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -1,12 +1,17 @@
 package member
 
 import (
+	"fmt"
+	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"chutereach/control"
 	"chutereach/hall"
+	"chutereach/peer"
+	"chutereach/peer/peertest"
 	"chutereach/timeline"
 )
 
@@ -68,3 +73,38 @@
 		})
 	}
 }
+
+// An answer with the endpoints of a large unit takes longer than a box may be silent; it
+// is read to its end all the same.
+func TestALargeAnswerIsTakenIn(t *testing.T) {
+	const endpoints, rate = 10_000, 100_000 // bytes a second: some four seconds
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.New()
+		other := control.BoxRow{Incarnation: "other.1", Peer: "other:80"}
+		large := New(other, nil, &timeline.Clock{}, func() State { return State{Incarnation: other.Incarnation} })
+		list := make([]hall.Endpoint, endpoints)
+		for i := range list {
+			list[i] = hall.Endpoint{Service: "s", Attempt: fmt.Sprintf("attempt-%d", i), Address: "10.0.0.1:80", Slots: 8}
+		}
+		large.SetOwn("u", 1, list)
+		mux := http.NewServeMux()
+		peer.Handle(mux, large.Path(), large.Answer)
+		server := peer.NewPlainServer(network.Listen(other.Peer), mux)
+		go server.Serve()
+		client := peer.NewPlainClientOver(network.Dial("me"))
+		network.SetLink("me", peertest.NewLink(rate))
+		m := New(control.BoxRow{Incarnation: "me.1"}, client, &timeline.Clock{}, func() State { return State{} })
+		p := &member{Peer: Peer{Row: other}}
+		m.peers[other.Incarnation] = p
+		begun := time.Now()
+		m.ask(t.Context(), p)
+		if got := len(m.endpoints["u"].List); got != endpoints || !p.Alive() {
+			t.Errorf("%d endpoints after %v, want %d", got, time.Since(begun), endpoints)
+		}
+		if took := time.Since(begun); took < silentAfter {
+			t.Errorf("the answer took %v, too short to show anything", took)
+		}
+		client.Close()
+		server.Close()
+	})
+}
--- a/node/handover.go
+++ b/node/handover.go
@@ -79,7 +79,8 @@
 		defer release()
 	}
 	err = n.callSuccessor(ctx, successor, false)
-	n.log.Info().Str("successor", successor.Node).Str("why", why).Err(err).Msg("handing the shard over")
+	n.log.Info().Str("successor", successor.Node).Str("why", why).Dur("lag", n.lag.Mean()).
+		Bool("machine_slow", n.speed.slow()).Err(err).Msg("handing the shard over")
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err == nil && n.own == own && n.endOwn != nil {
--- a/peer/peertest/peertest.go
+++ b/peer/peertest/peertest.go
@@ -94,15 +94,19 @@
 	return c.Conn.Write(data)
 }
 
+// piece is how many bytes pass a link at once.
+const piece = 4 << 10
+
 // Read implements net.Conn. What comes in passes the reader's link first.
 func (c *conn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data)
 	c.network.mu.Lock()
 	link := c.network.links[c.from]
 	c.network.mu.Unlock()
-	if link != nil {
-		link.Carry(context.Background(), n)
+	if link == nil {
+		return c.Conn.Read(data)
 	}
+	n, err := c.Conn.Read(data[:min(len(data), piece)])
+	link.Carry(context.Background(), n)
 	return n, err
 }
 
--- a/platformhttp/client.go
+++ b/platformhttp/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,6 +11,7 @@
 
 	"chutereach/codec"
 	"chutereach/provider"
+	"chutereach/transfer"
 )
 
 const (
@@ -60,7 +60,7 @@
 		return answer, classify(s, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	data, _, err := transfer.Read(ctx, resp.Body, maxBody)
 	if err != nil {
 		return answer, &provider.UnknownError{Service: s, Cause: err}
 	}
--- a/rowstore/memory/memory.go
+++ b/rowstore/memory/memory.go
@@ -176,10 +176,11 @@
 	store *Store
 	mu    sync.Mutex
 	fault func(write bool) Fault
-	carry Carry
+	down  Carry // of answers
+	up    Carry // of transactions
 }
 
-// Carry waits until so many bytes of an answer have come in.
+// Carry waits until so many bytes have passed a link.
 type Carry func(ctx context.Context, bytes int) error
 
 // piece is how many bytes of an answer come in at once.
@@ -199,32 +200,59 @@
 func (c *Caller) SetLink(carry Carry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.carry = carry
+	c.down = carry
 }
 
-// receive lets an answer come in, piece by piece.
+// SetUplink has what transactions write pass a link.
+func (c *Caller) SetUplink(carry Carry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.up = carry
+}
+
+// pass lets so many bytes pass a link, piece by piece.
+func (carry Carry) pass(ctx context.Context, size int) error {
+	begun := time.Now()
+	for passed := 0; carry != nil && passed < size; passed += piece {
+		if err := carry(ctx, min(piece, size-passed)); err != nil {
+			return &transfer.BrokenOffError{Received: transfer.Received{Bytes: passed, Took: time.Since(begun)}, Cause: err}
+		}
+		transfer.Progressed(ctx)
+	}
+	return nil
+}
+
+// receive lets an answer come in.
 func (c *Caller) receive(ctx context.Context, page rowstore.Page) (rowstore.Page, error) {
 	c.mu.Lock()
-	carry := c.carry
+	down := c.down
 	c.mu.Unlock()
-	if carry == nil {
-		return page, nil
-	}
 	size, begun := 0, time.Now()
 	for _, row := range page.Rows {
 		size += len(row.Value)
 	}
-	for came := 0; came < size; came += piece {
-		if err := carry(ctx, min(piece, size-came)); err != nil {
-			broken := &transfer.BrokenOffError{Received: transfer.Received{Bytes: came, Took: time.Since(begun)}, Cause: err}
-			return rowstore.Page{}, &rowstore.UnknownError{Cause: broken}
-		}
-		transfer.Progressed(ctx)
+	if err := down.pass(ctx, size); err != nil {
+		return rowstore.Page{}, &rowstore.UnknownError{Cause: err}
 	}
 	page.Received = transfer.Received{Bytes: size, Took: time.Since(begun)}
 	return page, nil
 }
 
+// send lets a transaction go out.
+func (c *Caller) send(ctx context.Context, transaction rowstore.Transaction) error {
+	c.mu.Lock()
+	up := c.up
+	c.mu.Unlock()
+	size := 0
+	for _, put := range transaction.Puts {
+		size += len(put.Value)
+	}
+	if err := up.pass(ctx, size); err != nil {
+		return &rowstore.UnknownError{Cause: err}
+	}
+	return nil
+}
+
 func (c *Caller) next(write bool) Fault {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -252,6 +280,9 @@
 // Commit implements rowstore.Store.
 func (c *Caller) Commit(ctx context.Context, transaction rowstore.Transaction) (uint64, error) {
 	fault := c.next(true)
+	if err := c.send(ctx, transaction); err != nil {
+		return 0, err
+	}
 	if err := c.pass(ctx, fault); err != nil {
 		return 0, err
 	}
--- a/transfer/limit.go
+++ b/transfer/limit.go
@@ -16,10 +16,10 @@
 // Timeout marks the error as one of time, as net.Error does.
 func (e *StalledError) Timeout() bool { return true }
 
-// WithStallLimit returns a context for one exchange that ends when nothing has come for
+// WithStallLimit returns a context for one exchange that ends when nothing has moved for
 // the limit, and goes on for as long as something does: a limit for the whole would make
-// every exchange above some size impossible. Whoever reads the answer says so by
-// Progressed, as Read does; progressed, if given, is called then.
+// every exchange above some size impossible. Whoever sends the request or reads the answer
+// says so by Progressed, as Sending and Read do; progressed, if given, is called then.
 func WithStallLimit(ctx context.Context, limit time.Duration, progressed func()) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchdog{limit: limit, progressed: progressed}
@@ -30,7 +30,7 @@
 	}
 }
 
-// Progressed notes that something of an exchange's answer has come.
+// Progressed notes that something of an exchange has come, or has been sent.
 func Progressed(ctx context.Context) {
 	if w, ok := ctx.Value(watchdogKey{}).(*watchdog); ok {
 		w.note()
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -4,6 +4,7 @@
 package transfer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -56,6 +57,20 @@
 	return data, received, nil
 }
 
+// Sending returns a request's body that notes progress, of the exchange that ctx is for, as
+// it is sent. A small one is sent at once, and copied less.
+func Sending(ctx context.Context, data []byte) io.ReadCloser {
+	if len(data) <= grain {
+		return io.NopCloser(bytes.NewReader(data))
+	}
+	return io.NopCloser(&noting{ctx, bytes.NewReader(data)})
+}
+
+// grain is how many bytes are read at once at most, so that progress is noted that often. A
+// reader of HTTP's chunks fills all of the buffer that it is given before it returns: on a
+// slow link a large buffer would look like a stall.
+const grain = 16 << 10
+
 // noting is a body that notes progress.
 type noting struct {
 	ctx  context.Context
@@ -64,7 +79,7 @@
 
 // Read implements io.Reader.
 func (r *noting) Read(data []byte) (int, error) {
-	n, err := r.body.Read(data)
+	n, err := r.body.Read(data[:min(len(data), grain)])
 	if n > 0 {
 		Progressed(r.ctx)
 	}
--- a/transfer/transfer_test.go
+++ b/transfer/transfer_test.go
@@ -102,3 +102,37 @@
 		}
 	})
 }
+
+// greedyBody fills every buffer to its end, as a reader of HTTP's chunks does, at a rate.
+type greedyBody struct {
+	ctx  context.Context
+	left int
+	rate int // bytes a second
+}
+
+// Read implements io.Reader.
+func (b *greedyBody) Read(data []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(b.left, len(data))
+	select {
+	case <-time.After(time.Duration(n) * time.Second / time.Duration(b.rate)):
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+	b.left -= n
+	return n, nil
+}
+
+func TestALargeBufferIsNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, rate = 1_000_000, 50_000
+		ctx, cancel := transfer.WithStallLimit(t.Context(), time.Second, nil)
+		defer cancel()
+		data, _, err := transfer.Read(ctx, &greedyBody{ctx, size, rate}, 2*size)
+		if err != nil || len(data) != size {
+			t.Errorf("%d bytes, %v", len(data), err)
+		}
+	})
+}
