rowstore: a store slower than half a second is no store that fails

The same cause once more, in time instead of size: a call of a feed asked the store to wait 2 s and had 2.5 s in all, so each call without news failed at a store that takes longer than 0.5 s for an answer, and the node counted as one without the store. After a failure the feed asks to wait for 0.5 s only, until the store is quick again. Two methods of the node get names that say what they are about.

--- a/node/table.go
+++ b/node/table.go
@@ -42,7 +42,7 @@
 func (n *Node) followTable(ctx context.Context) {
 	offer := func(table routing.Table) { n.routes.Offer(table) }
 	n.platform.FollowTable(ctx, offer, rowstore.Reach{
-		Answered: n.tableArrived, Failed: n.followFails, Progressed: n.tableArrives, Received: n.received,
+		Answered: n.tableArrived, Failed: n.tableFails, Progressed: n.tableArrives, Received: n.tableReceived,
 	})
 }
 
@@ -80,8 +80,8 @@
 	e.arriving = arriving
 }
 
-// received notes an answer of the feed of configurations.
-func (n *Node) received(table string, answer transfer.Received) {
+// tableReceived notes an answer of the feed of configurations.
+func (n *Node) tableReceived(table string, answer transfer.Received) {
 	if answer.Bytes < largeAnswer {
 		return
 	}
@@ -90,9 +90,9 @@
 	n.log.Info().Str("table", table).Int("bytes", answer.Bytes).Dur("took", answer.Took).Msg("large answer of the store")
 }
 
-// followFails notes a failed call of the feed of configurations. A call whose answer broke
+// tableFails notes a failed call of the feed of configurations. A call whose answer broke
 // off leaves a line each time: it was long under way.
-func (n *Node) followFails(err *rowstore.FollowError) {
+func (n *Node) tableFails(err *rowstore.FollowError) {
 	n.storeFails(err)
 	n.tables.setArriving(false)
 	broken := transfer.ReceivedBefore(err)
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -17,6 +17,10 @@
 	followWait  = 2 * time.Second
 	followQuiet = followWait + 500*time.Millisecond
 	followPause = 100 * time.Millisecond
+	// shortWait replaces followWait at a store that takes slowAnswer or more for an answer,
+	// so that its calls without news have four times as long.
+	shortWait  = 500 * time.Millisecond
+	slowAnswer = 250 * time.Millisecond
 	// readQuiet is for how long nothing may come while all rows are read, at the first try.
 	// A store that is slow needs more: each failure doubles it, up to followQuiet.
 	readQuiet = time.Second
@@ -75,7 +79,7 @@
 // rows after the first read and after each change, until ctx ends. Failed calls
 // are tried again.
 func Follow(ctx context.Context, store Store, table, partition string, changed func(map[string]Row), reach Reach) {
-	f := follower{store: store, table: table, partition: partition, quiet: readQuiet, progressed: reach.Progressed}
+	f := follower{store: store, table: table, partition: partition, wait: followWait, quiet: readQuiet, progressed: reach.Progressed}
 	for ctx.Err() == nil {
 		begun, exchange := time.Now(), f.exchange()
 		news, received, err := f.step(ctx)
@@ -99,6 +103,7 @@
 	table, partition string
 	rows             map[string]Row // nil before the first read
 	version          uint64
+	wait             time.Duration // for how long a call of the feed stays open
 	quiet            time.Duration // for how long nothing may come while all rows are read
 	progressed       func()        // nil: nobody is told
 }
@@ -119,7 +124,9 @@
 	}
 	callCtx, cancel := transfer.WithStallLimit(ctx, followQuiet, f.progressed)
 	defer cancel()
-	page, err := f.store.Watch(callCtx, f.table, f.version, followWait)
+	begun := time.Now()
+	page, err := f.store.Watch(callCtx, f.table, f.version, f.wait)
+	f.adaptWait(time.Since(begun), len(page.Rows), err)
 	var (
 		lost  *HistoryLostError
 		large *transfer.TooLargeError
@@ -149,6 +156,17 @@
 	return news, page.Received, nil
 }
 
+// adaptWait chooses how long the next call of the feed stays open, from one that took so
+// long and brought so many rows: only one without news tells how quick the store is.
+func (f *follower) adaptWait(took time.Duration, rows int, err error) {
+	switch {
+	case err != nil:
+		f.wait = shortWait
+	case rows == 0 && took-f.wait < slowAnswer:
+		f.wait = followWait
+	}
+}
+
 func (f *follower) readAll(ctx context.Context) (transfer.Received, error) {
 	callCtx, cancel := transfer.WithStallLimit(ctx, f.quiet, f.progressed)
 	defer cancel()
--- a/rowstore/follow_test.go
+++ b/rowstore/follow_test.go
@@ -99,6 +99,36 @@
 	})
 }
 
+// A store that is slower than the slack of a call with the longest wait is no store that
+// fails: it is asked to wait for less.
+func TestASlowStoreDoesNotCountAsFailing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		caller := store.Caller()
+		caller.SetFault(func(bool) memory.Fault { return memory.Fault{Slow: 800 * time.Millisecond} })
+		ctx, cancel := context.WithCancel(t.Context())
+		var v view
+		failed := 0
+		done := make(chan struct{})
+		go func() {
+			rowstore.Follow(ctx, caller, table, "", v.take, rowstore.Reach{Failed: func(*rowstore.FollowError) { failed++ }})
+			close(done)
+		}()
+		time.Sleep(20 * time.Second)
+		write(t, store, "a", "1", 1)
+		v.assertWithin(t, "a", "1", 2*time.Second)
+		caller.SetFault(nil)
+		time.Sleep(20 * time.Second)
+		write(t, store, "a", "2", 1)
+		v.assertWithin(t, "a", "2", time.Second)
+		cancel()
+		<-done
+		if failed > 1 {
+			t.Errorf("%d calls failed, want 1 at most", failed)
+		}
+	})
+}
+
 // A store that falls silent in the middle of an answer is asked again soon.
 func TestAnAnswerThatStopsIsAskedForAgain(t *testing.T) {
 	link := peertest.NewLink(1_000_000)
