routing: the table can be had while its change is told

Cause: Newest held its lock while it told the node of a new table, and the node waited there for its own lock, which the sender of heartbeats held while it asked Newest for the current table. Heartbeats stopped, and no node took the shard, for the owner's transactions went on. Ruled out: the soak's ports (the processes lived), the store (other nodes had all versions).

The table is read without a lock now. The test fails on the code before (a reader waits for 10 s while a change is told).

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"chutereach/workload"
 )
@@ -66,10 +67,13 @@
 }
 
 // Newest holds the newest table that was offered. The zero Newest holds none.
+//
+// The table can be had without a lock: who is told of a change may wait for others, who
+// may ask for the table meanwhile.
 type Newest struct {
-	mu       sync.Mutex
-	table    Table
-	known    bool
+	table atomic.Pointer[Table]
+
+	mu       sync.Mutex // held while a table is taken and told of, in order
 	onChange []func(Table)
 }
 
@@ -89,10 +93,10 @@
 	table = table.WithIndex()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.known && table.Version <= n.table.Version {
+	if !n.Lacks(table.Version) {
 		return false
 	}
-	n.table, n.known = table, true
+	n.table.Store(&table)
 	for _, f := range n.onChange {
 		f(table)
 	}
@@ -101,14 +105,15 @@
 
 // Lacks reports whether a table of this version would be newer than the one held.
 func (n *Newest) Lacks(version uint64) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !n.known || version > n.table.Version
+	table, known := n.Current()
+	return !known || version > table.Version
 }
 
 // Current returns the newest table, if there is one.
 func (n *Newest) Current() (Table, bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.table, n.known
+	table := n.table.Load()
+	if table == nil {
+		return Table{}, false
+	}
+	return *table, true
 }
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
 	"chutereach/routing"
 	"chutereach/workload"
@@ -61,3 +62,28 @@
 		t.Error("an old table was taken")
 	}
 }
+
+// Finding of the soak, seed 2042: who was told of a new table waited for a lock whose holder
+// asked for the current one, and an owner stood still for good.
+func TestTheTableIsThereWhileItsChangeIsTold(t *testing.T) {
+	var newest routing.Newest
+	newest.Offer(table(1))
+	newest.OnChange(func(changed routing.Table) {
+		seen := make(chan uint64)
+		go func() {
+			current, _ := newest.Current()
+			newest.Lacks(changed.Version)
+			seen <- current.Version
+		}()
+		select {
+		case version := <-seen:
+			if version != changed.Version {
+				t.Errorf("version %d is current while %d is told", version, changed.Version)
+			}
+		case <-time.After(10 * time.Second):
+			t.Error("the current table cannot be had while a change is told")
+			go func() { <-seen }()
+		}
+	})
+	newest.Offer(table(2))
+}
