--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"chutereach/resource"
@@ -25,6 +26,13 @@
 	Remaining time.Duration
 }
 
+// Equal reports whether both say the same of the same life.
+func (w Worker) Equal(other Worker) bool {
+	return w.ID == other.ID && w.Service == other.Service && w.Address == other.Address && w.Zone == other.Zone &&
+		w.Rack == other.Rack && slices.Equal(w.Labels, other.Labels) && w.Capacity == other.Capacity &&
+		w.Draining == other.Draining && w.Remaining == other.Remaining
+}
+
 // HasLabel reports whether the worker bears a label; every worker bears the
 // empty one.
 func (w Worker) HasLabel(label string) bool {
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -17,6 +17,9 @@
 	followWait  = 2 * time.Second
 	followQuiet = followWait + 500*time.Millisecond
 	followPause = 100 * time.Millisecond
+	// newsGap is the least time between two answers with news. A table of 1,100 rows, each
+	// of which changes now and then, would otherwise be asked for a hundred times a second.
+	newsGap = 50 * time.Millisecond
 	// shortWait replaces followWait at a store that takes slowAnswer or more for an answer,
 	// so that its calls without news have four times as long.
 	shortWait  = 500 * time.Millisecond
@@ -95,6 +98,9 @@
 			changed(f.rows)
 		}
 		reach.answered(table, received)
+		if news {
+			wait.For(ctx, newsGap-time.Since(begun))
+		}
 	}
 }
 
--- a/rowstore/follow_test.go
+++ b/rowstore/follow_test.go
@@ -187,3 +187,34 @@
 		}
 	})
 }
+
+// A table of which something changes all the time is asked for at bounded intervals, and
+// the last change is told all the same.
+func TestSteadyChangesAreToldTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		write(t, store, "a", "0", 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		var v view
+		told := 0
+		done := make(chan struct{})
+		go func() {
+			rowstore.Follow(ctx, store, table, "", func(rows map[string]rowstore.Row) {
+				told++
+				v.take(rows)
+			}, rowstore.Reach{})
+			close(done)
+		}()
+		for range 1000 {
+			write(t, store, "a", "1", 1)
+			time.Sleep(time.Millisecond)
+		}
+		write(t, store, "a", "2", 1)
+		v.assertWithin(t, "a", "2", 100*time.Millisecond)
+		cancel()
+		<-done
+		if told > 25 {
+			t.Errorf("told %d times in a second, want 25 at most", told)
+		}
+	})
+}
