scheduler: what a wide gang needs is asked for in several calls at once

Cause: a step had one call for advice under way at a time, of 100 workers at the most. The wide recalculations are gangs of up to 240 tasks of which three workers in ten may run a task: they need some 300 workers.

Change: up to 400 workers are asked about at a time, divided among calls on different lanes, of as many workers each as lengthen a call by half at most.

The new test fails on the code before: one call, room for 300 of 480 tasks.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -6,11 +6,18 @@
 	"time"
 
 	"chutereach/fleet"
+	"chutereach/workload"
 )
 
 const (
-	// adviceMost is how many workers one call may name.
-	adviceMost = 100
+	// adviceMost bounds the workers that are asked about for a step at a time. They are
+	// divided among calls, which take 100 each at most: what a gang of 240 tasks needs
+	// would take four calls of a second each, and the tickets of the first run out meanwhile.
+	adviceMost = 400
+	// adviceCall is how many workers one call may name, and adviceStretch by what share of a
+	// call's fixed cost those that it names may lengthen it.
+	adviceCall    = 100
+	adviceStretch = 0.5
 	// adviceLeast is how many workers a call names if that many have room. A call
 	// has a fixed cost, of which this many add about a third.
 	adviceLeast = 24
@@ -50,7 +57,7 @@
 	asked   map[*worker]bool
 	permits []*permit
 	at      map[*worker]*permit // the same by worker
-	asking  bool
+	asking  int       // calls under way
 	checkAt time.Time // nothing need be asked before
 }
 
@@ -85,6 +92,16 @@
 	}
 }
 
+// adviceAtOnce returns how many workers one call names, so that it takes little longer than
+// one that names a single worker.
+func adviceAtOnce(policy workload.AdvicePolicy) int {
+	if policy.Each <= 0 {
+		return adviceCall
+	}
+	count := int(adviceStretch * float64(policy.Decision) / float64(policy.Each))
+	return max(adviceLeast, min(count, adviceCall))
+}
+
 // checkAfter returns when the step at a place in the order of urgency is looked at again.
 func checkAfter(place int) time.Duration {
 	if place < checkFirst {
@@ -99,7 +116,7 @@
 func (s *Scheduler) askAdvice(p *pass, c candidate, again time.Duration) {
 	st := c.step
 	a, policy := &st.advice, st.job.record.Queue.Advice
-	if !policy.Needed() || a.asking || p.now.Before(a.checkAt) || s.chooseLane(policy.Cost(1), p.now) == nil {
+	if !policy.Needed() || a.asking > 0 || p.now.Before(a.checkAt) || s.chooseLane(policy.Cost(1), p.now) == nil {
 		return
 	}
 	if c.tasks = st.waiting(); len(c.tasks) == 0 {
@@ -110,15 +127,25 @@
 		a.checkAt = p.now.Add(again)
 		return
 	}
-	cost := policy.Cost(len(named))
-	l := s.chooseLane(cost, p.now)
+	for part := range slices.Chunk(named, adviceAtOnce(policy)) {
+		if !s.sendQuestion(st, part, p.now) {
+			return
+		}
+	}
+}
+
+// sendQuestion asks about some workers for a step, if a lane is free.
+func (s *Scheduler) sendQuestion(st *step, named []*worker, now time.Time) bool {
+	cost := st.job.record.Queue.Advice.Cost(len(named))
+	l := s.chooseLane(cost, now)
 	if l == nil {
-		return
+		return false
 	}
-	a.asking = true
+	st.advice.asking++
 	l.begin(cost)
 	name, advisor := st.stepName(), l.Advisor
 	s.running.Go(func() { s.fetchAdvice(st, l, advisor, name, named, cost) })
+	return true
 }
 
 func (st *step) stepName() string { return st.tasks[0].id().StepName() }
@@ -316,7 +343,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l.end(cost)
-	st.advice.asking = false
+	st.advice.asking--
 	if err != nil {
 		if s.ctx.Err() == nil {
 			s.log.Warn().Str("job", st.job.id).Str("step", name).Str("lane", l.Node).Err(err).Msg("no advice")
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -1,8 +1,11 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"chutereach/fleet"
@@ -85,6 +88,57 @@
 	})
 }
 
+// silentAdvisor keeps the calls that come to it and answers none.
+type silentAdvisor struct {
+	mu    sync.Mutex
+	calls [][]string
+}
+
+func (a *silentAdvisor) Advise(ctx context.Context, _ string, workers []string) (fleet.Advice, error) {
+	a.mu.Lock()
+	a.calls = append(a.calls, workers)
+	a.mu.Unlock()
+	<-ctx.Done()
+	return fleet.Advice{}, &fleet.AdvisorError{Cause: ctx.Err()}
+}
+
+// A gang's tickets are all shown at one moment, so what it needs is asked for at once.
+func TestAWideGangAsksInSeveralCallsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, c := advisedStep(t, func(int) resource.Amount { return resource.Amount{CPU: 8000} })
+		ctx, cancel := context.WithCancel(t.Context())
+		s.ctx = ctx
+		var advisor silentAdvisor
+		lanes := []Lane{{Node: "self", Self: true, Advisor: &advisor}}
+		for i := range 40 {
+			lanes = append(lanes, Lane{Node: fmt.Sprintf("node-%d", i), Advisor: &advisor})
+		}
+		s.SetLanes(lanes)
+		st := c.step
+		st.spec.Gang, st.spec.Count = true, 240
+		for i := len(st.tasks); i < st.spec.Count; i++ {
+			st.tasks = append(st.tasks, &task{step: st, index: i})
+		}
+		st.job.record.Queue.Advice = workload.AdvicePolicy{Decision: 390 * time.Millisecond, Each: 5600 * time.Microsecond, Valid: 2 * time.Second}
+		s.mu.Lock()
+		s.askAdvice(p, c, checkAgain)
+		s.mu.Unlock()
+		synctest.Wait()
+		room := 0
+		for _, named := range advisor.calls {
+			if len(named) > adviceCall {
+				t.Errorf("a call names %d workers, want %d at most", len(named), adviceCall)
+			}
+			room += 3 * len(named) // tasks that an idle half of a worker takes
+		}
+		if want := int(float64(st.spec.Count) / firstHealthy); room < want {
+			t.Errorf("%d calls name room for %d tasks, want %d", len(advisor.calls), room, want)
+		}
+		cancel()
+		s.running.Close()
+	})
+}
+
 // BenchmarkQuestion finds the workers to ask about for one step among 1,100 that have no
 // room. It took 74 µs when each of them was looked at, and takes 21 µs.
 func BenchmarkQuestion(b *testing.B) {
