--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -57,8 +57,8 @@
 	asked   map[*worker]bool
 	permits []*permit
 	at      map[*worker]*permit // the same by worker
-	asking  int       // calls under way
-	checkAt time.Time // nothing need be asked before
+	asking  int                 // calls under way
+	checkAt time.Time           // nothing need be asked before
 }
 
 // drop forgets a ticket that a worker has refused.
