--- a/logs/batch_test.go
+++ b/logs/batch_test.go
@@ -1,48 +1,97 @@
-package logs_test
+package logs
 
 import (
-	"bytes"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
-
-	"github.com/rs/zerolog"
-
-	"chutereach/logs"
+	"testing/synctest"
+	"time"
 )
 
-// collector keeps each write that comes to it.
-type collector struct {
+// countingWriter counts the writes that reach it.
+type countingWriter struct {
 	mu     sync.Mutex
-	writes [][]byte
+	writes int
+	split  bool // a write did not end with a line
+	text   strings.Builder
+	err    error
+}
+
+func (w *countingWriter) Write(data []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writes++
+	w.split = w.split || !strings.HasSuffix(string(data), "\n")
+	w.text.Write(data)
+	return len(data), w.err
 }
 
-func (c *collector) Write(data []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writes = append(c.writes, bytes.Clone(data))
-	return len(data), nil
+func (w *countingWriter) seen() (int, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.writes, w.text.String()
 }
 
-// A collector that takes 8 KiB of each write gets every line whole.
-func TestWritesAreShortAndOfWholeLines(t *testing.T) {
-	const taken = 8 << 10
-	var c collector
-	writer, _ := logs.Bounded(&c, 4096)
-	log := logs.New(writer, true, zerolog.InfoLevel)
-	for i := range 500 {
-		log.Info().Str("why", strings.Repeat("x", i)).Msg("stopping")
-	}
-	writer.Close()
-	if len(c.writes) < 2 {
-		t.Errorf("%d writes, want lines to be collected in several", len(c.writes))
-	}
-	for _, write := range c.writes {
-		if len(write) > taken {
-			t.Errorf("a write of %d bytes, want %d at most", len(write), taken)
+func TestBatch(t *testing.T) {
+	const lines = 50
+	t.Run("lines of a moment are written together", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := &countingWriter{}
+			b := newBatch(w)
+			for range lines {
+				b.Write([]byte("granted\n"))
+			}
+			time.Sleep(2 * batchTime)
+			writes, text := w.seen()
+			if writes != 1 || strings.Count(text, "\n") != lines {
+				t.Errorf("%d lines in %d writes, want %d in 1", strings.Count(text, "\n"), writes, lines)
+			}
+			b.Write([]byte("later\n"))
+			time.Sleep(2 * batchTime)
+			if _, text := w.seen(); !strings.HasSuffix(text, "later\n") {
+				t.Error("a later line was not written")
+			}
+		})
+	})
+	t.Run("many lines do not wait", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := &countingWriter{}
+			b := newBatch(w)
+			b.Write(make([]byte, batchBytes))
+			b.Write(make([]byte, batchBytes))
+			if writes, _ := w.seen(); writes == 0 {
+				t.Error("nothing was written")
+			}
+			b.Close()
+		})
+	})
+	t.Run("no line is split", func(t *testing.T) {
+		w := &countingWriter{}
+		b := newBatch(w)
+		line := strings.Repeat("x", 999) + "\n"
+		for range 100 {
+			b.Write([]byte(line))
+		}
+		b.Close()
+		if w.split || w.writes < 2 {
+			t.Errorf("in %d writes, a line was split: %v", w.writes, w.split)
+		}
+	})
+	t.Run("the rest is written at the end", func(t *testing.T) {
+		w := &countingWriter{}
+		b := newBatch(w)
+		b.Write([]byte("stopped\n"))
+		b.Close()
+		if _, text := w.seen(); text != "stopped\n" {
+			t.Errorf("written: %q", text)
 		}
-		if !bytes.HasSuffix(write, []byte("}\n")) {
-			t.Errorf("a write ends with %q", write[max(0, len(write)-20):])
+	})
+	t.Run("a writer that fails holds nothing up", func(t *testing.T) {
+		b := newBatch(&countingWriter{err: errors.New("broken pipe")})
+		b.Write([]byte("stopped\n"))
+		if err := b.Close(); err != nil {
+			t.Error(err)
 		}
-	}
+	})
 }
