--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -159,7 +159,7 @@
 
 // survey looks for a step at the workers of which it has tickets, and then at others
 // until there is enough: a look at all 1,100 workers of a deployment for each step that
-// waits took a fifth of the owner's processor time.
+// waits took 0.15 of a core (BenchmarkOwner).
 func (s *Scheduler) survey(p *pass, c candidate) survey {
 	st := c.step
 	lasting := p.now.Add(st.job.record.Queue.Advice.Cost(adviceLeast) + ticketMargin)
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -40,8 +40,8 @@
 }
 
 // dispatchRest is how many times as long as a look takes the owner does other
-// things before the next one: looks take an eighth of the processor at most. With a
-// quarter, an owner of 1,100 workers was late with the calls to them.
+// things before the next one: looks take an eighth of the processor at most. Allowed a
+// quarter, they took it at 1,100 workers, whatever a single look cost (BenchmarkOwner).
 const dispatchRest = 7
 
 // urgency orders steps; lower goes first.
