--- a/logs/bounded.go
+++ b/logs/bounded.go
@@ -13,8 +13,8 @@
 const (
 	// batchBytes and batchTime bound what is collected before it is written: each
 	// write is a call to the system, and may wake a reader. Who collects logs may take no
-	// more than 8 KiB of one write: with 16 KiB, 293 of 25,326 lines were torn, all of them
-	// 8,192 bytes after the beginning of a write.
+	// more than 8 KiB of one write: with 16 KiB, 293 of 25,326 lines were torn, most of them
+	// 8,192 bytes after the first line of the same moment, and no more came whole at once.
 	batchBytes = 8 << 10
 	batchTime  = 20 * time.Millisecond
 )
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -17,8 +17,8 @@
 	followWait  = 2 * time.Second
 	followQuiet = followWait + 500*time.Millisecond
 	followPause = 100 * time.Millisecond
-	// newsGap is the least time between two answers with news. A table of 1,100 rows, each
-	// of which changes now and then, would otherwise be asked for a hundred times a second.
+	// newsGap is the least time between two calls that bring news. A table of which a row
+	// changes each millisecond would otherwise be told a thousand times a second.
 	newsGap = 50 * time.Millisecond
 	// shortWait replaces followWait at a store that takes slowAnswer or more for an answer,
 	// so that its calls without news have four times as long.
