scheduler: log lines tie a worker's end to the attempts lost with it

The incident's logs could not tell that a worker's end and the attempts lost with it belong together, nor how long they had run there: the lease runs out before another life answers, and by then the line named 0 attempts. "worker is over" now lists them, and "attempt over" tells how long the attempt is known to have run. No logic has changed.

--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -53,7 +53,16 @@
 	}
 	event.Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).
 		Str("worker", t.worker.info.ID).Str("outcome", string(outcome)).Str("why", why).
-		Int("failures", t.failures).Msg("attempt over")
+		Dur("ran", t.ran()).Int("failures", t.failures).Msg("attempt over")
+}
+
+// ran returns for how long the attempt at hand is known to have run: from when its worker
+// confirmed it until the last answer of the worker.
+func (t *task) ran() time.Duration {
+	if t.begunAt.IsZero() {
+		return 0
+	}
+	return max(0, t.worker.contact.Sub(t.begunAt))
 }
 
 // taskDone takes in that a task is done; a gang is done with its first member.
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -185,6 +185,7 @@
 func (s *Scheduler) lapse(w *worker) {
 	for _, t := range w.list() {
 		if t.worker == w {
+			w.lost = append(w.lost, t.attemptName())
 			s.endAttempt(t, fleet.Lapsed, "", "lease ran out")
 		}
 	}
@@ -196,8 +197,9 @@
 		return
 	}
 	w.over = true
-	s.log.Info().Str("worker", w.info.ID).Str("why", why).Int("attempts", len(w.tasks)).Msg("worker is over")
 	s.lapse(w)
+	s.log.Info().Str("worker", w.info.ID).Str("why", why).Strs("lost", w.lost).
+		Dur("silent", time.Since(w.contact)).Msg("worker is over")
 	if w.cancel != nil {
 		w.cancel()
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -45,6 +46,9 @@
 	return workload.TaskID{Job: t.step.job.id, Round: t.step.round, Step: t.step.index, Index: t.index}
 }
 
+// attemptName names the attempt at hand in log lines: TASK#ATTEMPT.
+func (t *task) attemptName() string { return fmt.Sprintf("%s#%d", t.id(), t.attempt) }
+
 // hosted reports whether the task takes room on a worker.
 func (t *task) hosted() bool { return t.worker != nil }
 
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -24,7 +24,7 @@
 	if !w.failing {
 		s.noteAnswer(true)
 	}
-	w.contact, w.failing, w.failures = now, false, 0
+	w.contact, w.failing, w.failures, w.lost = now, false, 0, nil
 	w.sawClock(report.Clock, now)
 	for _, end := range report.Ended {
 		s.takeEnd(w, end)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -25,6 +25,7 @@
 	leaseEnds time.Time // when everything there has ended, if nothing else is sent
 	failing   bool      // the last call had no answer
 	failures  int       // calls in a row without answer
+	lost      []string  // TASK#ATTEMPT that were over for the lease when it did not answer
 
 	seen     uint64 // the last end that was taken in
 	noted    uint64 // ends up to here are in the store
