--- /dev/null
+++ b/fleet/fleettest/crash.go
@@ -0,0 +1,104 @@
+package fleettest
+
+import (
+	"fmt"
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/workload"
+)
+
+const (
+	// RestartTime is how long the process of a worker that has crashed is away, and
+	// listedFor how long discovery goes on naming the life that is over: three heartbeats.
+	RestartTime = 3200 * time.Millisecond
+	listedFor   = 3 * time.Second
+	// mostCrashes is how many workers may crash under a task before its starts are
+	// counted, and mostRetries how many more starts it may then have.
+	mostCrashes = 3
+	mostRetries = 2
+)
+
+// crashes is what the judge has seen of a task that crashes its workers.
+type crashes struct {
+	workers int
+	starts  int // after mostCrashes
+}
+
+// crashUnder ends the process of the worker on which a task has just run to the end of its
+// plan.
+func (f *Fleet) crashUnder(w *worker, task workload.TaskID) {
+	name := task.String()
+	if f.crashes[name] == nil {
+		f.crashes[name] = new(crashes)
+	}
+	f.crashes[name].workers++
+	f.restart(w)
+}
+
+// judgeCrashes looks at a start of a task that may have crashed workers.
+func (f *Fleet) judgeCrashes(task workload.TaskID) {
+	c := f.crashes[task.String()]
+	if c == nil || c.workers < mostCrashes {
+		return
+	}
+	if c.starts++; c.starts == mostRetries+1 { // said once
+		f.breaks("%s was started %d times after %d workers had crashed under it", task, c.starts, mostCrashes)
+	}
+}
+
+// Restart ends the process of a worker, as a crash does. Its connections break at once, and
+// another life takes its address after RestartTime.
+func (f *Fleet) Restart(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restart(f.workers[id])
+}
+
+func (f *Fleet) restart(w *worker) {
+	w.closed = true
+	w.die()
+	f.lives++
+	next := w.info
+	next.ID = fmt.Sprintf("%s-life-%d", baseOf(w), f.lives)
+	time.AfterFunc(listedFor, func() { f.Drop(w.info.ID) })
+	time.AfterFunc(RestartTime, func() {
+		f.add(next, baseOf(w))
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		w.replaced = true
+	})
+}
+
+// baseOf returns the name of the first life at a worker's address.
+func baseOf(w *worker) string {
+	if w.base != "" {
+		return w.base
+	}
+	return w.info.ID
+}
+
+// Crashed returns how many workers a task has crashed.
+func (f *Fleet) Crashed(task string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.crashes[task]; c != nil {
+		return c.workers
+	}
+	return 0
+}
+
+// Lives returns how many processes of workers have ended and were started again.
+func (f *Fleet) Lives() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lives
+}
+
+// add adds a worker at the address of an earlier life.
+func (f *Fleet) add(info fleet.Worker, base string) {
+	f.Add(info)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[info.ID].base = base
+}
--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -20,6 +20,7 @@
 	Work    time.Duration
 	Outcome fleet.Outcome // Done if empty
 	Hangs   bool
+	Crashes bool // the worker's process ends with the attempt, and is back after RestartTime
 }
 
 // Kind is what the judge knows of the tasks of a step.
@@ -65,10 +66,12 @@
 	dones   map[string]bool // tasks with an end done that was noted and binds, by name
 	well    map[string]bool // tasks with an end done that was noted, by name
 	failed  map[string]int  // noted failures
+	crashes map[string]*crashes
 	gangs   map[string]*gang
 	tickets map[string]time.Time
 	broken  []string
 	starts  int
+	lives   int // that have ended and were started again
 	advice  int
 	fault   func(call Call, worker string) Fault
 	sick    map[string]Plan // how every attempt goes on a worker
@@ -82,7 +85,7 @@
 func New() *Fleet {
 	return &Fleet{
 		workers: map[string]*worker{}, kinds: map[string]Kind{}, dones: map[string]bool{}, well: map[string]bool{}, failed: map[string]int{},
-		gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, begun: map[string]bool{},
+		crashes: map[string]*crashes{}, gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, begun: map[string]bool{},
 	}
 }
 
@@ -107,6 +110,7 @@
 
 type worker struct {
 	info    fleet.Worker
+	base    string // the name of the first life at its address; empty: its own
 	booted  time.Time
 	token   uint64
 	lease   time.Time
@@ -120,8 +124,10 @@
 	dead    bool
 	// replaced is whether another life answers at the address of a dead one.
 	replaced bool
-	dropped  bool // discovery names it no more
-	changed  chan struct{}
+	// closed is whether the machine of a dead one refuses its connections; it is silent if not.
+	closed  bool
+	dropped bool // discovery names it no more
+	changed chan struct{}
 }
 
 // Add adds a worker.
@@ -156,7 +162,7 @@
 	}
 	var list []fleet.Worker
 	for _, w := range f.workers {
-		if !w.dropped && (!w.dead || w.replaced) {
+		if !w.dropped && (!w.dead || w.replaced || w.closed) {
 			list = append(list, w.info)
 		}
 	}
@@ -168,7 +174,11 @@
 func (f *Fleet) Crash(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := f.workers[id]
+	f.workers[id].die()
+}
+
+// die ends a life and all it runs.
+func (w *worker) die() {
 	w.dead = true
 	for _, r := range w.runs {
 		r.timer.Stop()
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"chutereach/fleet"
@@ -29,8 +31,11 @@
 	}
 	silent := w == nil || w.dead || fault.Lost
 	replaced := w != nil && w.replaced && !fault.Lost
+	closed := w != nil && w.dead && w.closed && !fault.Lost
 	f.mu.Unlock()
 	switch {
+	case closed && !replaced:
+		return none, &fleet.UnansweredError{Cause: syscall.ECONNREFUSED}
 	case replaced:
 		return none, &fleet.ReplacedError{ID: info.ID}
 	case fault.Busy:
@@ -127,6 +132,7 @@
 func (f *Fleet) begin(w *worker, task workload.TaskID, order fleet.StartOrder, kind Kind) {
 	f.starts++
 	f.judge(w, task, order, kind)
+	f.judgeCrashes(task)
 	r := &run{task: task, number: order.Number, saved: order.Checkpoint}
 	if task.Step < len(kind.Request.Steps) {
 		r.need = kind.Request.Steps[task.Step].Need
@@ -162,6 +168,10 @@
 		if w.dead || w.runs[r.task.String()] != r {
 			return
 		}
+		if plan.Crashes {
+			f.crashUnder(w, r.task)
+			return
+		}
 		outcome := plan.Outcome
 		if outcome == "" {
 			outcome = fleet.Done
@@ -216,7 +226,11 @@
 		f.mu.Lock()
 		w := f.workers[info.ID]
 		if w.dead {
+			closed := w.closed
 			f.mu.Unlock()
+			if closed {
+				return fleet.Report{}, &fleet.UnansweredError{Cause: io.ErrUnexpectedEOF}
+			}
 			<-ctx.Done()
 			return fleet.Report{}, &fleet.UnansweredError{Cause: errNoAnswer}
 		}
