scheduler: the test of the given-back room waits for the next report

In simulated time the report that follows a confirmed stop is asked for in the same instant, and only a later one counts.

--- a/scheduler/late_end_test.go
+++ b/scheduler/late_end_test.go
@@ -29,6 +29,7 @@
 		reachable = true
 		c.await(o, "job", workload.Completed, 2*time.Second)
 		c.fleet.SetFault(nil)
+		time.Sleep(1500 * time.Millisecond) // the next report
 		if err := c.submit(o, "wide", jobOf(2, 16000), work(500*time.Millisecond)); err != nil {
 			t.Fatal(err)
 		}
