--- a/scheduler/late_end_test.go
+++ b/scheduler/late_end_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,12 +22,12 @@
 		}
 		c.awaitStarts(1, time.Second)
 		first := c.fleet.HostOf("job.0.0.0")
-		reachable := false
+		var reachable atomic.Bool
 		c.fleet.SetFault(func(call fleettest.Call, worker string) fleettest.Fault {
-			return fleettest.Fault{Lost: worker == first && !reachable || worker != first && call == fleettest.CallStart}
+			return fleettest.Fault{Lost: worker == first && !reachable.Load() || worker != first && call == fleettest.CallStart}
 		})
 		time.Sleep(5200 * time.Millisecond) // the lease has run out, and the task is started elsewhere
-		reachable = true
+		reachable.Store(true)
 		c.await(o, "job", workload.Completed, 2*time.Second)
 		c.fleet.SetFault(nil)
 		time.Sleep(1500 * time.Millisecond) // the next report
