scheduler: a task under which too many workers end is given up

Cause: an attempt that is lost with its worker ends as "lapsed", and only ends that a worker lists as "failed" were counted. A worker that has ended lists nothing, so a task that crashes each worker that starts it was started again every 3.1 s for ever. Class: a retry whose failures leave no trace is not bounded.

Ruled out: a count that is lost (the owner was the same throughout, and nothing counted), and starts carried out late (the one start without answer had been refused at the connection).

Change: for each task the workers are counted that ended under it (workload.Crashes, kept in the row of progress, so takeovers keep it). A loss counts only once the worker has turned out to have ended: another life at its address, or gone from the list; a worker that answers again clears it. Two workers that went as soon as the task had begun, alone, give its job up; after three in any way it has two more attempts. While the fate of the deciding worker is open, the task waits. A task lost before it had run for 0.25 s is under suspicion: it is tried on a worker on which nothing else has just begun and nothing else begins until it has settled, so that another crash tells whose doing it is. Workers that end together with others (racks, waves) blame nobody. A start that never reached its worker is taken back at once instead of waiting for the lease.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -156,7 +157,27 @@
 
 // UnansweredError says that a call had no answer; it may have been done, or may
 // be done later.
-type UnansweredError struct{ Cause error }
+type UnansweredError struct {
+	Cause error
+	// Unsent is whether the call never reached the worker, for certain.
+	Unsent bool
+	// Closed is whether the worker's side closed or refused the connection, as it does
+	// when the worker's process has ended.
+	Closed bool
+}
+
+// IsUnsent reports whether a call failed without having reached the worker.
+func IsUnsent(err error) bool {
+	var unanswered *UnansweredError
+	return errors.As(err, &unanswered) && unanswered.Unsent
+}
+
+// IsClosed reports whether a call failed for a connection that the worker's side closed or
+// refused.
+func IsClosed(err error) bool {
+	var unanswered *UnansweredError
+	return errors.As(err, &unanswered) && unanswered.Closed
+}
 
 func (e *UnansweredError) Error() string {
 	return fmt.Sprintf("the worker did not answer: %v", e.Cause)
--- a/fleet/fleettest/crash.go
+++ b/fleet/fleettest/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"chutereach/fleet"
@@ -57,7 +58,7 @@
 
 func (f *Fleet) restart(w *worker) {
 	w.closed = true
-	w.die()
+	f.die(w)
 	f.lives++
 	next := w.info
 	next.ID = fmt.Sprintf("%s-life-%d", baseOf(w), f.lives)
@@ -88,6 +89,20 @@
 	return 0
 }
 
+// EndedUnder returns how many workers have ended under a task of a job: under the one with
+// the most.
+func (f *Fleet) EndedUnder(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for name, count := range f.under {
+		if strings.HasPrefix(name, job+".") {
+			most = max(most, count)
+		}
+	}
+	return most
+}
+
 // Lives returns how many processes of workers have ended and were started again.
 func (f *Fleet) Lives() int {
 	f.mu.Lock()
@@ -102,3 +117,18 @@
 	defer f.mu.Unlock()
 	f.workers[info.ID].base = base
 }
+
+// Alive reports whether a worker's process runs.
+func (f *Fleet) Alive(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	return w != nil && !w.dead
+}
+
+// PlanOf returns the plan of a job that the judge knows.
+func (f *Fleet) PlanOf(job string) func(workload.TaskID, int) Plan {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.kinds[job].Plan
+}
--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -67,6 +67,7 @@
 	well    map[string]bool // tasks with an end done that was noted, by name
 	failed  map[string]int  // noted failures
 	crashes map[string]*crashes
+	under   map[string]int // workers that ended while a task ran there
 	gangs   map[string]*gang
 	tickets map[string]time.Time
 	broken  []string
@@ -85,7 +86,7 @@
 func New() *Fleet {
 	return &Fleet{
 		workers: map[string]*worker{}, kinds: map[string]Kind{}, dones: map[string]bool{}, well: map[string]bool{}, failed: map[string]int{},
-		crashes: map[string]*crashes{}, gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, begun: map[string]bool{},
+		crashes: map[string]*crashes{}, under: map[string]int{}, gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, begun: map[string]bool{},
 	}
 }
 
@@ -174,14 +175,18 @@
 func (f *Fleet) Crash(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id].die()
+	f.die(f.workers[id])
 }
 
-// die ends a life and all it runs.
-func (w *worker) die() {
+// die ends a life and all it runs. The other members of gangs there end soon after.
+func (f *Fleet) die(w *worker) {
 	w.dead = true
-	for _, r := range w.runs {
+	for name, r := range w.runs {
 		r.timer.Stop()
+		f.under[name]++
+		if g := f.gangs[gangName(r.task, r.number)]; g != nil {
+			time.AfterFunc(brokenAfter, func() { f.breakUp(r) })
+		}
 	}
 	clear(w.runs)
 	if w.lapse != nil {
@@ -284,21 +289,10 @@
 	w.next++
 	w.ended = append(w.ended, fleet.End{Sequence: w.next, Task: name, Number: r.number, Outcome: outcome, Checkpoint: r.checkpoint()})
 	w.wake()
-	g := f.gangs[gangName(r.task, r.number)]
-	if g == nil {
-		return
-	}
-	rest := fleet.Broken
 	if outcome == fleet.Done {
-		rest = fleet.Done
-	}
-	delete(f.gangs, gangName(r.task, r.number))
-	for index, host := range g.members {
-		member := r.task
-		member.Index = index
-		if other := host.runs[member.String()]; other != nil && !host.dead && other.number == r.number {
-			f.end(host, other, rest)
-		}
+		f.endGang(r, fleet.Done)
+	} else {
+		f.endGang(r, fleet.Broken)
 	}
 }
 
--- a/fleet/fleettest/gang.go
+++ b/fleet/fleettest/gang.go
@@ -10,6 +10,33 @@
 
 type gang struct{ members map[int]*worker }
 
+// brokenAfter is how long after the end of a worker the other members of its gangs end.
+const brokenAfter = 200 * time.Millisecond
+
+// breakUp ends a gang of which a member was lost with its worker.
+func (f *Fleet) breakUp(lost *run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endGang(lost, fleet.Broken)
+}
+
+// endGang ends the members of an attempt's gang that still run.
+func (f *Fleet) endGang(r *run, outcome fleet.Outcome) {
+	name := gangName(r.task, r.number)
+	g := f.gangs[name]
+	if g == nil {
+		return
+	}
+	delete(f.gangs, name)
+	for index, host := range g.members {
+		member := r.task
+		member.Index = index
+		if other := host.runs[member.String()]; other != nil && !host.dead && other.number == r.number {
+			f.end(host, other, outcome)
+		}
+	}
+}
+
 func gangName(task workload.TaskID, number int) string {
 	return fmt.Sprintf("%s#%d", task.StepName(), number)
 }
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -35,7 +35,7 @@
 	f.mu.Unlock()
 	switch {
 	case closed && !replaced:
-		return none, &fleet.UnansweredError{Cause: syscall.ECONNREFUSED}
+		return none, &fleet.UnansweredError{Cause: syscall.ECONNREFUSED, Unsent: true, Closed: true}
 	case replaced:
 		return none, &fleet.ReplacedError{ID: info.ID}
 	case fault.Busy:
@@ -229,7 +229,7 @@
 			closed := w.closed
 			f.mu.Unlock()
 			if closed {
-				return fleet.Report{}, &fleet.UnansweredError{Cause: io.ErrUnexpectedEOF}
+				return fleet.Report{}, &fleet.UnansweredError{Cause: io.ErrUnexpectedEOF, Closed: true}
 			}
 			<-ctx.Done()
 			return fleet.Report{}, &fleet.UnansweredError{Cause: errNoAnswer}
--- /dev/null
+++ b/scheduler/crash_waves_test.go
@@ -0,0 +1,174 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/fleet/fleettest"
+	"chutereach/resource"
+	"chutereach/rowstore/memory"
+	"chutereach/workload"
+)
+
+// When a third of all workers end at once, three times in ten seconds, no task is to blame:
+// every job is completed, also those that had begun just before each of the waves.
+func TestWavesOfCrashesGiveNoJobUp(t *testing.T) {
+	inCell(t, 24, func(c *cell) {
+		c.lease = shortLease
+		o := c.rule()
+		time.Sleep(500 * time.Millisecond)
+		random := rand.New(rand.NewPCG(1, 2))
+		jobs := 0
+		for tick := range 120 { // twelve seconds
+			if tick%33 == 20 {
+				c.crashShare(random, 3)
+			}
+			name := fmt.Sprintf("job-%d", jobs)
+			if err := c.submit(o, name, jobOf(2, 2000), work(700*time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			jobs++
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i := range jobs {
+			c.await(o, fmt.Sprintf("job-%d", i), workload.Completed, 30*time.Second)
+		}
+	})
+}
+
+// crashShare ends one in a number of the workers that live, all at once.
+func (c *cell) crashShare(random *rand.Rand, among int) {
+	for _, w := range c.alive() {
+		if random.IntN(among) == 0 {
+			c.fleet.Restart(w.ID)
+		}
+	}
+}
+
+// alive returns the workers of the fleet that run.
+func (c *cell) alive() []fleet.Worker {
+	var list []fleet.Worker
+	for _, w := range c.fleet.List() {
+		if c.fleet.Alive(w.ID) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// Several tasks that crash their workers begin in the same moment, again and again. Each is
+// told from the others all the same.
+func TestCulpritsOfOneMoment(t *testing.T) {
+	inCell(t, 24, func(c *cell) {
+		c.lease = shortLease
+		o := c.rule()
+		time.Sleep(500 * time.Millisecond)
+		const culprits = 6
+		for i := range culprits {
+			if err := c.submit(o, fmt.Sprintf("culprit-%d", i), jobOf(1, 9000), crashing(0)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i := range culprits {
+			c.await(o, fmt.Sprintf("culprit-%d", i), workload.Failed, 40*time.Second)
+			c.assertCrashes(fmt.Sprintf("culprit-%d.0.0.0", i), 3)
+		}
+	})
+}
+
+// Tasks that crash their workers, workers that crash by themselves, and owners that are
+// killed, cut off from workers or from the store, in random orders: the judge of the fleet
+// sees no promise broken, every culprit is given up, and every other job is completed, unless
+// two workers have ended under one of its tasks.
+func TestCrashesInAnyOrder(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			inCell(t, 16, func(c *cell) { c.crashesInAnyOrder(rand.New(rand.NewPCG(seed, 7))) })
+		})
+	}
+}
+
+func (c *cell) crashesInAnyOrder(random *rand.Rand) {
+	c.lease = shortLease
+	o := c.rule()
+	time.Sleep(500 * time.Millisecond)
+	var culprits, others []string
+	for round := range 40 { // some twelve seconds
+		name := fmt.Sprintf("job-%d", round)
+		request := jobOf(1+random.IntN(4), resource.MilliCPU(500+random.IntN(4000)))
+		request.Steps[0].Gang = random.IntN(4) == 0
+		plan := work(time.Duration(200+random.IntN(1500)) * time.Millisecond)
+		if random.IntN(8) == 0 {
+			plan = crashing(0)
+			culprits = append(culprits, name)
+		} else {
+			others = append(others, name)
+		}
+		c.know(name, request, plan)
+		o = c.submitSomehow(o, name, request)
+		o = c.trouble(o, random)
+		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+	}
+	o.caller.SetFault(nil)
+	c.fleet.SetFault(nil)
+	for _, name := range culprits {
+		c.await(o, name, workload.Failed, 20*time.Second)
+	}
+	for _, name := range others {
+		if state, _ := o.State(c.ctx, name); state == workload.Failed && c.fleet.EndedUnder(name) >= 2 {
+			continue
+		}
+		c.await(o, name, workload.Completed, 20*time.Second)
+	}
+}
+
+// submitSomehow hands a job in until it is accepted, if need be at a new owner.
+func (c *cell) submitSomehow(o *owner, name string, request workload.Request) *owner {
+	c.t.Helper()
+	for range 5 {
+		err := c.submit(o, name, request, c.fleet.PlanOf(name))
+		if err == nil {
+			return o
+		}
+		o.caller.SetFault(nil)
+		o.kill()
+		time.Sleep(300 * time.Millisecond)
+		o = c.rule()
+	}
+	c.t.Errorf("job %s was not accepted", name)
+	return o
+}
+
+// trouble does one thing or nothing.
+func (c *cell) trouble(o *owner, random *rand.Rand) *owner {
+	switch random.IntN(12) {
+	case 0:
+		o.kill()
+		time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+		return c.rule()
+	case 1:
+		alive := c.alive()
+		if len(alive) > 4 {
+			c.fleet.Restart(alive[random.IntN(len(alive))].ID)
+		}
+	case 2:
+		cut := c.alive()[0].ID
+		c.fleet.SetFault(func(_ fleettest.Call, worker string) fleettest.Fault {
+			return fleettest.Fault{Lost: worker == cut}
+		})
+	case 3:
+		c.fleet.SetFault(nil)
+	case 4:
+		o.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
+		time.Sleep(time.Duration(random.IntN(900)) * time.Millisecond)
+		o.caller.SetFault(nil)
+	case 5:
+		o.client.pause()
+		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+		o.client.resume()
+	}
+	return o
+}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -31,6 +31,7 @@
 		if now.Sub(cleaned) > housekeeping {
 			cleaned = now
 			s.forgetOld(now)
+			s.settleListed(now)
 		}
 		took := time.Since(now)
 		s.mu.Unlock()
@@ -184,7 +185,7 @@
 		if st.done() || now.Before(st.retryAt) || !r.ready(st) {
 			continue
 		}
-		if !st.anyWaiting() || st.spec.Gang && !st.idle() {
+		if !st.anyWaiting() || st.spec.Gang && (!st.idle() || st.anyHeld()) {
 			continue
 		}
 		deadline := st.job.deadline
@@ -224,6 +225,10 @@
 		s.placeTogether(p, c)
 		return
 	}
+	if st.suspected {
+		s.placeOnTrial(p, c)
+		return
+	}
 	if st.tried >= p.grew[st.job.record.Queue.Service] {
 		return
 	}
@@ -273,6 +278,10 @@
 	if !c.step.allows(w) {
 		return false
 	}
+	if w.trial.against(c.step.job, p.now) {
+		p.held = true
+		return false
+	}
 	if c.urgency != urgentInTime && (w.reserved.against(c.step, p.now) || p.blocked[w]) {
 		p.held = true
 		return false
@@ -339,6 +348,9 @@
 	j := t.step.job
 	t.attempt = attempt
 	t.ticket, _ = t.step.advice.ticketFor(w, now)
+	if t.step.suspected {
+		w.tryOn(t.step, true, now)
+	}
 	w.host(t, taskGranted)
 	s.metrics.grants.Add(1)
 	s.change(j)
--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -23,6 +23,13 @@
 	s.metrics.end(outcome)
 	w.health.ended(t, outcome, stopping, time.Now())
 	w.release(t)
+	switch {
+	case !t.told:
+		t.crashes = t.crashes.WithSpareAttempt()
+	case outcome != fleet.Lapsed && !t.begunAt.IsZero():
+		t.crashes = t.crashes.WithSettled() // its worker has outlived it
+	}
+	s.settleTrial(w, time.Now())
 	t.ticket, t.recovered = "", false
 	if t.state != taskDone {
 		t.state = taskWaiting
@@ -44,6 +51,9 @@
 	if st.spec.Gang && !st.done() && !j.state.Final() {
 		s.breakGang(st, t.attempt)
 	}
+	if !j.state.Final() {
+		s.giveUpCrashing(t)
+	}
 }
 
 func (s *Scheduler) logEnd(t *task, outcome fleet.Outcome, why string) {
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -51,6 +51,9 @@
 		s.keepFree(p, c)
 		return
 	}
+	if c.step.suspected && !claim(p, c, shares) {
+		return
+	}
 	c.step.releaseRoom()
 	attempt := 0
 	for _, t := range c.tasks {
@@ -72,7 +75,7 @@
 	var shares []share
 	c.step.options(p, func(w *worker) {
 		if slots := p.slots(c, w); slots > 0 {
-			shares = append(shares, share{w, slots, s.scoreOf(c.step, w, p.now)})
+			shares = append(shares, share{w, slots, s.scoreOf(c.step, w, p.now) - c.step.claimed(w, p.now)})
 		}
 	})
 	return shares
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -122,7 +122,7 @@
 // turned slow, so that it ends sooner elsewhere.
 func (s *Scheduler) dragging(t *task, now time.Time) bool {
 	spec := t.step.spec
-	return t.state == taskRunning && t.step.job.record.Queue.Priority == 0 && !spec.Gang && !spec.Lasting && !t.movedOnce &&
+	return t.state == taskRunning && t.step.job.record.Queue.Priority == 0 && !spec.Gang && !spec.Lasting && !t.movedOnce && !t.crashes.Numbered() &&
 		t.percent < dragPercent && now.Sub(t.begunAt) > dragAfter && t.worker.health.slowness(s.fleetSpeed, now) > implicated
 }
 
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -117,6 +117,9 @@
 	if s.answers.lossy {
 		order.Wait = lossyWait
 	}
+	if w.trial.step != nil {
+		order.Wait = min(order.Wait, trialWait)
+	}
 	first := w.contact.IsZero()
 	if first || w.failing || len(w.pending) > 0 {
 		order.Wait = 0
@@ -167,7 +170,10 @@
 	}
 	if !w.failing {
 		s.noteAnswer(false)
-		w.failing = true
+		w.failing, w.failedAt, w.closed = true, time.Now(), fleet.IsClosed(err)
+		if w.closed {
+			s.noteBreak(w, w.failedAt)
+		}
 		s.log.Warn().Str("worker", w.info.ID).Err(err).Msg("worker does not answer")
 	}
 	if time.Now().After(w.leaseEnds) {
@@ -185,7 +191,7 @@
 func (s *Scheduler) lapse(w *worker) {
 	for _, t := range w.list() {
 		if t.worker == w {
-			w.lost = append(w.lost, t.attemptName())
+			s.noteLost(t)
 			s.endAttempt(t, fleet.Lapsed, "", "lease ran out")
 		}
 	}
@@ -198,8 +204,9 @@
 	}
 	w.over = true
 	s.lapse(w)
-	s.log.Info().Str("worker", w.info.ID).Str("why", why).Strs("lost", w.lost).
+	s.log.Info().Str("worker", w.info.ID).Str("why", why).Strs("lost", names(w.lost)).Bool("leaving", w.leaving).
 		Dur("silent", time.Since(w.contact)).Msg("worker is over")
+	s.settleEnded(w)
 	if w.cancel != nil {
 		w.cancel()
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -40,14 +40,16 @@
 	failedOn   *worker   // where it failed last
 	movedOnce  bool      // off a worker that had turned slow
 	preempted  int       // how often it gave way
+	told       bool      // the worker may have begun the attempt
+	crashes    workload.Crashes
 }
 
 func (t *task) id() workload.TaskID {
 	return workload.TaskID{Job: t.step.job.id, Round: t.step.round, Step: t.step.index, Index: t.index}
 }
 
-// attemptName names the attempt at hand in log lines: TASK#ATTEMPT.
-func (t *task) attemptName() string { return fmt.Sprintf("%s#%d", t.id(), t.attempt) }
+// attemptName names an attempt in log lines: TASK#ATTEMPT.
+func (t *task) attemptName(number int) string { return fmt.Sprintf("%s#%d", t.id(), number) }
 
 // unwanted reports whether the attempt at hand is to be stopped: it is in doubt, or the
 // task turned out to be done by an earlier one.
@@ -76,6 +78,10 @@
 	// reserved are workers whose room is kept for the step until roomUntil.
 	reserved  []*worker
 	roomUntil time.Time
+	// suspected is whether a task may have crashed its worker, and passed whether a worker
+	// has stood the step since.
+	suspected bool
+	passed    bool
 }
 
 func (st *step) done() bool { return st.left == 0 }
@@ -84,16 +90,24 @@
 func (st *step) waiting() []*task {
 	var list []*task
 	for _, t := range st.tasks {
-		if t.state == taskWaiting {
+		if t.mayStart() {
 			list = append(list, t)
 		}
 	}
 	return list
 }
 
+// mayStart reports whether the task could be placed now.
+func (t *task) mayStart() bool { return t.state == taskWaiting && !t.crashes.Held() }
+
+// anyHeld reports whether a task waits for the fate of a worker.
+func (st *step) anyHeld() bool {
+	return slices.ContainsFunc(st.tasks, func(t *task) bool { return t.state != taskDone && t.crashes.Held() })
+}
+
 // anyWaiting reports whether a task could be placed.
 func (st *step) anyWaiting() bool {
-	return slices.ContainsFunc(st.tasks, func(t *task) bool { return t.state == taskWaiting })
+	return slices.ContainsFunc(st.tasks, (*task).mayStart)
 }
 
 // idle reports whether no task of the step is on a worker.
@@ -281,7 +295,7 @@
 		case t.state == taskDone:
 			sp.Done = workload.SetBit(sp.Done, t.index)
 		case t.attempt > 0 || t.checkpoint != "":
-			tp := workload.TaskProgress{Index: t.index, Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint}
+			tp := workload.TaskProgress{Index: t.index, Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes}
 			if t.worker != nil {
 				tp.Worker = t.worker.info.ID
 			}
@@ -314,10 +328,15 @@
 			continue
 		}
 		t := st.tasks[tp.Index]
-		t.attempt, t.failures, t.checkpoint = tp.Attempt, tp.Failures, tp.Checkpoint
+		t.attempt, t.failures, t.checkpoint, t.crashes = tp.Attempt, tp.Failures, tp.Checkpoint, tp.Crashes
+		st.suspected = st.suspected || t.crashes.Suspect
 		if tp.Worker != "" {
 			hosts(tp.Worker).host(t, taskStarting)
-			t.recovered = true
+			t.recovered, t.told = true, true
+		}
+		for _, lost := range t.crashes.Open {
+			w := hosts(lost.ID)
+			w.lost = append(w.lost, lostAttempt{t, t.attempt})
 		}
 	}
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -62,7 +62,7 @@
 		if s.startAnswered(t, number, startResult{clock, err, time.Since(begun), void, doubtful}) {
 			return
 		}
-		doubtful = true
+		doubtful = doubtful || !fleet.IsUnsent(err)
 		wait.For(ctx, orderPause)
 	}
 }
@@ -76,6 +76,7 @@
 	}
 	w := t.worker
 	w.extends(void, 0)
+	t.told = true
 	return w.info, fleet.StartOrder{
 		Task: t.id().String(), Number: number, Spec: t.step.job.record.Request.Spec,
 		Checkpoint: t.checkpoint, Ticket: t.ticket, Token: s.term.Token(), Deadline: w.clockNow(void),
@@ -134,6 +135,8 @@
 		s.notStarted(t, "busy", result.doubtful)
 	case t.state != taskStarting:
 		return true
+	case w.failing && fleet.IsUnsent(err) && !result.doubtful:
+		s.notStarted(t, "out of reach", false)
 	case now.After(result.void):
 		s.log.Warn().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", number).
 			Str("worker", w.info.ID).Err(err).Msg("start has no answer")
@@ -171,6 +174,7 @@
 		s.stop(t, "refused after a call without answer")
 		return
 	}
+	t.told = false
 	s.endAttempt(t, fleet.Stopped, "", "refused: "+reason)
 }
 
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -70,7 +70,7 @@
 	if t.state != taskRunning || !spec.Checkpoints || spec.Gang || spec.Lasting || j.record.Request.Timed() {
 		return false
 	}
-	if t.preempted >= mostPreempted || now.Sub(t.begunAt) < leastRun {
+	if t.preempted >= mostPreempted || t.crashes.Numbered() || now.Sub(t.begunAt) < leastRun {
 		return false
 	}
 	rest := j.rounds[t.step.round].chainLeft(&j.record.Request) - min(spec.Estimate, now.Sub(t.begunAt))
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -24,7 +24,8 @@
 	if !w.failing {
 		s.noteAnswer(true)
 	}
-	w.contact, w.failing, w.failures, w.lost = now, false, 0, nil
+	w.contact, w.failing, w.failures = now, false, 0
+	s.settleFound(w)
 	w.sawClock(report.Clock, now)
 	for _, end := range report.Ended {
 		s.takeEnd(w, end)
@@ -42,6 +43,7 @@
 		}
 	}
 	w.advanceNoted()
+	s.settleTrial(w, now)
 	wake(s.dispatchWake)
 	return len(w.pending) > 0
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -89,6 +89,7 @@
 	fleetSpeed      float64       // mean speed of all tasks against their estimates
 	percentSeen     bool          // workers report progress
 	answers         answers       // of workers to calls
+	breaks          []breakage    // of connections to workers, of late
 	freshBuffer     []share       // of freshRoom
 	commitTurn      chan struct{} // holds a token while a transaction is under way
 	deposed         error
--- /dev/null
+++ b/scheduler/trial.go
@@ -0,0 +1,176 @@
+package scheduler
+
+import (
+	"time"
+)
+
+// Trials: a step of which a task may have crashed its worker is placed so that another
+// crash tells whose doing it is, and takes little along. Its tasks go to a worker on which
+// nothing else has just begun, nothing else begins there until they have settled, and until
+// a first worker has stood it only one is tried at a time.
+
+const (
+	// trialWait is how long a worker on trial may keep a call open, so that its report
+	// comes soon after the attempts have settled.
+	trialWait = 200 * time.Millisecond
+	// mostTrial bounds for how long a worker takes nothing else for the sake of a trial.
+	mostTrial = 2 * time.Second
+)
+
+// trial keeps a worker for the unsettled attempts of one job.
+type trial struct {
+	step  *step
+	until time.Time
+	begun bool // attempts were granted; until then the worker waits for others to settle
+}
+
+// against reports whether a trial keeps a job off the worker.
+func (t trial) against(j *job, now time.Time) bool {
+	return t.step != nil && t.step.job != j && now.Before(t.until)
+}
+
+// onTrial reports whether a trial of a step is under way on the worker.
+func (w *worker) onTrial(st *step, now time.Time) bool {
+	return w.trial.step == st && now.Before(w.trial.until)
+}
+
+// quiet reports whether no attempt of another job on the worker is unsettled.
+func (w *worker) quiet(j *job, now time.Time) bool {
+	for _, t := range w.tasks {
+		if t.step.job != j && !t.settledBy(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// tryOn has the worker take nothing but a step's job for a while.
+func (w *worker) tryOn(st *step, begun bool, now time.Time) {
+	w.trial = trial{st, now.Add(mostTrial), begun}
+}
+
+// unsettled reports whether attempts of the step on trial have not run for long enough.
+func (w *worker) unsettled(now time.Time) bool {
+	for _, t := range w.tasks {
+		if t.step == w.trial.step && !t.settledBy(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// settleTrial ends the worker's trial once every attempt of its step there has settled or
+// is over, or when it has taken too long. The lock is held.
+func (s *Scheduler) settleTrial(w *worker, now time.Time) {
+	if w.trial.step == nil {
+		return
+	}
+	stood := w.trial.begun && !w.unsettled(now) && !w.failing && !w.over
+	if !stood && now.Before(w.trial.until) {
+		return
+	}
+	st := w.trial.step
+	if stood {
+		st.passed = true
+		st.clearOn(w)
+	}
+	w.trial, w.freed = trial{}, true
+	wake(s.dispatchWake)
+}
+
+// clearOn takes the suspicion from the step's tasks on a worker, and from the step if no
+// other is left.
+func (st *step) clearOn(w *worker) {
+	st.suspected = false
+	for _, t := range st.tasks {
+		if t.worker == w {
+			t.crashes = t.crashes.WithSettled()
+		}
+		st.suspected = st.suspected || t.state != taskDone && t.crashes.Suspect
+	}
+}
+
+// placeOnTrial places tasks of a step under suspicion on one worker. The worker is kept for
+// it from the moment it is chosen, so that what has just begun there settles.
+func (s *Scheduler) placeOnTrial(p *pass, c candidate) {
+	st := c.step
+	var best *worker
+	st.options(p, func(w *worker) {
+		if p.slots(c, w) == 0 {
+			return
+		}
+		if best == nil || betterTrial(st, w, best, p.now) {
+			best = w
+		}
+	})
+	if best == nil {
+		return
+	}
+	if !best.onTrial(st, p.now) {
+		if st.trialUnderWay(p) {
+			return
+		}
+		best.tryOn(st, false, p.now)
+	}
+	if !best.quiet(st.job, p.now) {
+		return
+	}
+	for _, t := range st.waiting() {
+		if p.slots(c, best) == 0 {
+			return
+		}
+		s.grant(p, t, best, t.attempt+1)
+	}
+}
+
+// claim keeps the workers that a step under suspicion needs together, and reports whether
+// nothing else has just begun on them.
+func claim(p *pass, c candidate, shares []share) bool {
+	quiet, left := true, len(c.tasks)
+	for _, part := range shares {
+		if left <= 0 {
+			break
+		}
+		left -= part.tasks
+		if !part.worker.onTrial(c.step, p.now) {
+			part.worker.tryOn(c.step, false, p.now)
+		}
+		quiet = quiet && part.worker.quiet(c.step.job, p.now)
+	}
+	return quiet
+}
+
+// claimed is what a worker that is kept for the step gains over others, more than all
+// that makes one the better: the same workers are to be chosen until they are quiet.
+func (st *step) claimed(w *worker, now time.Time) float64 {
+	if st.suspected && w.onTrial(st, now) {
+		return 100
+	}
+	return 0
+}
+
+// betterTrial reports whether a worker is better for a trial than another: the one that is
+// on trial already, or the one with the least that a crash would take along.
+func betterTrial(st *step, w, other *worker, now time.Time) bool {
+	if w.onTrial(st, now) != other.onTrial(st, now) {
+		return w.onTrial(st, now)
+	}
+	if w.used.CPU != other.used.CPU {
+		return w.used.CPU < other.used.CPU
+	}
+	return w.info.ID < other.info.ID
+}
+
+// trialUnderWay reports whether another worker is tried with the step already, and no
+// worker has stood it yet.
+func (st *step) trialUnderWay(p *pass) bool {
+	if st.passed {
+		return false
+	}
+	for _, w := range p.pools[st.job.record.Queue.Service] {
+		if w.onTrial(st, p.now) {
+			return true
+		}
+	}
+	return false
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -22,10 +22,14 @@
 	contact   time.Time // when the last report came
 	clock     fleet.Clock
 	clockAt   time.Time
-	leaseEnds time.Time // when everything there has ended, if nothing else is sent
-	failing   bool      // the last call had no answer
-	failures  int       // calls in a row without answer
-	lost      []string  // TASK#ATTEMPT that were over for the lease when it did not answer
+	leaseEnds time.Time     // when everything there has ended, if nothing else is sent
+	failing   bool          // the last call had no answer
+	failures  int           // calls in a row without answer
+	failedAt  time.Time     // when the first of these was given up
+	closed    bool          // that one's connection was closed or refused by the worker's side
+	leaving   bool          // it drains, or went off the list while it answered
+	lost      []lostAttempt // with it, while it is not known whether it has ended
+	trial     trial
 
 	seen     uint64 // the last end that was taken in
 	noted    uint64 // ends up to here are in the store
@@ -62,7 +66,7 @@
 // host gives a task room on the worker.
 func (w *worker) host(t *task, state taskState) {
 	t.worker, t.state = w, state
-	t.begunAt, t.stoppedAt, t.movedAt, t.percent = time.Time{}, time.Time{}, time.Time{}, 0
+	t.begunAt, t.stoppedAt, t.movedAt, t.percent, t.told = time.Time{}, time.Time{}, time.Time{}, 0, false
 	t.sampledAt, t.sampled = time.Time{}, 0
 	w.used = w.used.Plus(t.step.need())
 	w.tasks[t.id().String()] = t
@@ -176,6 +180,7 @@
 	for id, w := range s.workers {
 		if !named[id] && w.known {
 			w.known = false
+			w.leaving = w.leaving || !w.failing
 			s.log.Info().Str("worker", id).Int("attempts", len(w.tasks)).Msg("worker is no longer listed")
 		}
 	}
@@ -192,7 +197,7 @@
 	if info.Draining && !w.info.Draining {
 		s.log.Info().Str("worker", info.ID).Dur("remaining", info.Remaining).Msg("worker drains")
 	}
-	w.info, w.known = info, true
+	w.info, w.known, w.leaving = info, true, info.Draining
 	if w.cancel == nil && s.ctx != nil {
 		ctx, cancel := context.WithCancel(s.ctx)
 		w.cancel = cancel
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -28,6 +28,7 @@
 	Failures   int    `cbor:"3,keyasint,omitempty"`
 	Worker     string `cbor:"4,keyasint,omitempty"` // where the attempt may be; empty: nowhere
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
+	Crashes
 }
 
 // StepProgress is what must last of a step.
