job, hall: a task under which workers reboot in a row has failed

A reboot is known for certain here (the grant names the worker's boot), so it is counted in the task's row: after three in a row within 2 minutes of a start the task has failed; a replica of a service waits longer each time instead, since its service is never given up. A longer run sets the count back.

--- a/hall/decide.go
+++ b/hall/decide.go
@@ -207,7 +207,7 @@
 		return
 	}
 	t.ready = time.Now()
-	if wait := retryPause(next.Failures + t.refusals); wait > 0 {
+	if wait := retryPause(next.Failures + next.Reboots + t.refusals); wait > 0 {
 		time.AfterFunc(wait, func() { u.requeue(t) })
 		return
 	}
--- a/hall/watch.go
+++ b/hall/watch.go
@@ -239,9 +239,23 @@
 
 // gone records an attempt that surely runs no more and did not reach its end.
 func (u *Unit) gone(t *taskState, checkpoint, why string) {
+	u.lost(t, t.task.WithLoss(t.job.job.Template, checkpoint, time.Now()), why)
+}
+
+// rebooted records an attempt of which the worker has rebooted.
+func (u *Unit) rebooted(t *taskState) {
+	next := t.task.WithReboot(t.job.job.Template, time.Now())
+	why := "the worker rebooted"
+	if next.State == job.Failed {
+		why = "as many workers in a row have rebooted under it as are allowed"
+	}
+	u.lost(t, next, why)
+}
+
+// lost records what becomes of a task whose attempt did not reach its end.
+func (u *Unit) lost(t *taskState, next job.Task, why string) {
 	u.Stats.Lost++
 	now := time.Now()
-	next := t.task.WithLoss(t.job.job.Template, checkpoint, now)
 	if t.job.job.Stopped {
 		next = next.WithStopped(now)
 	}
@@ -266,7 +280,7 @@
 			u.notRun(t, "the worker rebooted before the start")
 		case unstarted:
 		case g.Boot != w.boot:
-			u.gone(t, "", "the worker rebooted")
+			u.rebooted(t)
 		case asked.After(t.startBy.Add(u.set.ClockError)):
 			// The worker remembers every attempt until told to forget, and a
 			// start call that is still on its way would come too late.
--- a/job/task.go
+++ b/job/task.go
@@ -67,6 +67,8 @@
 	Checkpoint string    `json:"checkpoint,omitempty" cbor:"7,keyasint,omitempty"`
 	Worker     string    `json:"worker,omitempty" cbor:"8,keyasint,omitempty"` // of the last attempt
 	Changed    time.Time `json:"changed" cbor:"9,keyasint"`
+	// Reboots counts the workers in a row that have rebooted soon after a start.
+	Reboots int `json:"reboots,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // NewTask returns a task that was not started yet.
@@ -129,6 +131,32 @@
 	return t
 }
 
+const (
+	// mostReboots is how many workers in a row may reboot soon after a task was started
+	// there. A task that makes them reboot takes all that runs there along: without a
+	// bound it was started for as long as it was kept.
+	mostReboots = 3
+	// rebootSoon is how soon after a start a reboot counts. It includes the time that the
+	// worker is away.
+	rebootSoon = 2 * time.Minute
+)
+
+// WithReboot returns t after an attempt of which the worker has rebooted. It is as good as
+// lost, and after some in a row the task has failed. A service's replica is started again
+// all the same, after pauses that grow.
+func (t Task) WithReboot(tm config.Template, now time.Time) Task {
+	reboots := t.Reboots + 1
+	if now.Sub(t.Changed) > rebootSoon {
+		reboots = 0
+	}
+	t = t.WithLoss(tm, "", now)
+	t.Reboots = reboots
+	if t.State == Waiting && reboots >= mostReboots && tm.Form != config.FormService {
+		t.State = Failed
+	}
+	return t
+}
+
 // WithStopped returns t as one that shall run no more.
 func (t Task) WithStopped(now time.Time) Task {
 	t.State, t.Changed = Stopped, now
--- a/job/task_test.go
+++ b/job/task_test.go
@@ -17,6 +17,9 @@
 	end := func(tm config.Template, ok bool) func(Task) Task {
 		return func(t Task) Task { return t.WithEnd(tm, ok, nil, noon) }
 	}
+	reboot := func(after time.Duration) func(Task) Task {
+		return func(t Task) Task { return t.WithReboot(always, noon.Add(after)) }
+	}
 	loss := func(tm config.Template, checkpoint string) func(Task) Task {
 		return func(t Task) Task { return t.WithLoss(tm, checkpoint, noon) }
 	}
@@ -32,6 +35,10 @@
 		{"replica ends well", []func(Task) Task{end(service, true)}, Waiting},
 		{"replica fails", []func(Task) Task{end(service, false)}, Waiting},
 		{"is lost", []func(Task) Task{loss(always, "")}, Waiting},
+		{"its workers reboot twice", []func(Task) Task{reboot(time.Second), reboot(time.Second)}, Waiting},
+		{"its workers reboot three times", []func(Task) Task{reboot(time.Second), reboot(time.Second), reboot(time.Second)}, Failed},
+		{"its workers reboot now and then", []func(Task) Task{reboot(time.Second), reboot(time.Second), reboot(time.Hour), reboot(time.Second)}, Waiting},
+		{"is a replica, and its workers reboot", []func(Task) Task{reboot(time.Second), reboot(time.Second), func(t Task) Task { return t.WithReboot(service, noon) }}, Waiting},
 		{"is lost and may not be repeated", []func(Task) Task{loss(never, "")}, Unknown},
 		{"is lost without a checkpoint", []func(Task) Task{loss(resume, "")}, Unknown},
 		{"is lost after a checkpoint", []func(Task) Task{loss(resume, "c"), loss(resume, "")}, Waiting},
