--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -53,7 +53,7 @@
 		{"a1", []string{"completed, late, after 2.5s", "placed 40ms after it was accepted, with 900ms to spare", "changed its owner 1 times meanwhile: the owner edge-1 is silent", "did not answer 1 boxes"}, 6},
 		{"b2", []string{"refused: not taken: the store does not answer", "changed its owner 1 times"}, 3},
 		{"c3", []string{"failed, in time, after 350ms: a task has failed", "2 attempts were failed (listed by the worker), on 1 workers"}, 7},
-		{"d4", []string{"failed, in time, after 30ms: workers have ended under its task", "2 workers ended under d4.0.0.0: w-3, w-4."}, 4},
+		{"d4", []string{"failed, in time, after 30ms: workers have ended under its task", "2 workers ended under d4.0.0.0: w-3, w-4."}, 7},
 	} {
 		t.Run(c.job, func(t *testing.T) {
 			story, err := explain.Tell(lines, c.job)
