scheduler: room that a worker loses or gains while it runs counts at once

Cause: room was looked at when a task was placed, and not again. Room that a worker gained was not used until something ended there, since steps that had found no room look again only at workers that grew.

Change: a start is checked once more before it is first sent, nothing is placed on a worker that has less than runs there, and a resized worker counts as one that may take more. What runs on a shrunk worker stays.

--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -128,6 +128,7 @@
 	// closed is whether the machine of a dead one refuses its connections; it is silent if not.
 	closed  bool
 	dropped bool // discovery names it no more
+	former  []formerCapacity
 	changed chan struct{}
 }
 
--- /dev/null
+++ b/scheduler/capacity_test.go
@@ -0,0 +1,110 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"chutereach/resource"
+	"chutereach/rowstore/memory"
+	"chutereach/workload"
+)
+
+// half and whole are capacities of a worker that shrinks and grows while it runs.
+var (
+	half  = resource.Amount{CPU: 8_000, Memory: 32 * gigabyte}
+	whole = resource.Amount{CPU: 16_000, Memory: 64 * gigabyte}
+)
+
+// A worker that has shrunk while the grants of its tasks were being written does not start
+// more than it has room for now.
+func TestAWorkerShrinksUnderAGrant(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		o := c.rule()
+		time.Sleep(500 * time.Millisecond)
+		o.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Slow: 1100 * time.Millisecond} })
+		if err := c.submitSlowly(o, "job", jobOf(2, 8_000)); err != nil {
+			t.Fatal(err)
+		}
+		c.fleet.Resize("w-00", half)
+		time.Sleep(3 * time.Second)
+		o.caller.SetFault(nil)
+		c.await(o, "job", workload.Completed, 20*time.Second)
+	})
+}
+
+// Room that a worker has got is used as soon as discovery tells of it.
+func TestAWorkerGrows(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		c.fleet.Resize("w-00", half)
+		o := c.rule()
+		time.Sleep(2 * time.Second)
+		if err := c.submit(o, "job", jobOf(2, 8_000), work(5*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		c.awaitStarts(1, time.Second)
+		time.Sleep(time.Second)
+		c.fleet.Resize("w-00", whole)
+		c.awaitStarts(2, time.Second)
+	})
+}
+
+// Whatever the order of shrinking, growing, starts, stops and takeovers, no start brings a
+// worker over what it has: the judge of the fleet looks at each.
+func TestCapacityInAnyOrder(t *testing.T) {
+	const orders = 1000
+	inRounds(t, orders, func(t *testing.T, seed uint64) {
+		inCell(t, 3, func(c *cell) { c.resizeInAnyOrder(rand.New(rand.NewPCG(seed, 3))) })
+	})
+}
+
+// inRounds runs a test for a number of seeds, some at a time.
+func inRounds(t *testing.T, seeds int, test func(*testing.T, uint64)) {
+	t.Helper()
+	const rounds = 20
+	for round := range rounds {
+		t.Run(fmt.Sprintf("round %d", round), func(t *testing.T) {
+			for i := range seeds / rounds {
+				test(t, uint64(round*seeds/rounds+i))
+			}
+		})
+	}
+}
+
+func (c *cell) resizeInAnyOrder(random *rand.Rand) {
+	o := c.rule()
+	time.Sleep(500 * time.Millisecond)
+	for i := range 12 {
+		switch random.IntN(6) {
+		case 0, 1:
+			size := []resource.Amount{half, whole, {CPU: 4_000, Memory: 16 * gigabyte}, {CPU: 24_000, Memory: 64 * gigabyte}}[random.IntN(4)]
+			c.fleet.Resize(fmt.Sprintf("w-%02d", random.IntN(3)), size)
+		case 2:
+			o.kill()
+			o = c.rule()
+		case 3:
+			o.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Slow: 300 * time.Millisecond} })
+		case 4:
+			o.caller.SetFault(nil)
+		}
+		name := fmt.Sprintf("job-%d", i)
+		request := jobOf(1+random.IntN(4), resource.MilliCPU(1000+random.IntN(7000)))
+		request.Steps[0].Gang = random.IntN(4) == 0
+		if err := c.submitSlowly(o, name, request); err != nil {
+			c.t.Errorf("job %s: %v", name, err)
+		}
+		if random.IntN(4) == 0 {
+			if err := o.Cancel(c.ctx, fmt.Sprintf("job-%d", random.IntN(i+1))); err != nil {
+				c.t.Error(err)
+			}
+		}
+		time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
+	}
+}
+
+// submitSlowly hands a job in and waits for the store, however slow it is.
+func (c *cell) submitSlowly(o *owner, id string, request workload.Request) error {
+	c.know(id, request, work(700*time.Millisecond))
+	return o.Submit(c.ctx, id, workload.Record{Request: request, Queue: c.queue, Accepted: time.Now().UnixMilli()})
+}
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -10,6 +10,9 @@
 // fittingInto returns how many tasks of the step fit into an amount on a worker.
 func (st *step) fittingInto(free resource.Amount, w *worker) int {
 	need := st.need()
+	if !free.Valid() {
+		return 0 // it has shrunk below what runs there
+	}
 	count := st.spec.Count
 	limit := func(have, want int64) {
 		if want > 0 {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -75,6 +75,11 @@
 		return fleet.Worker{}, fleet.StartOrder{}, false
 	}
 	w := t.worker
+	if !t.told && w.overfull() {
+		s.metrics.refused("its worker has shrunk since the grant")
+		s.endAttempt(t, fleet.Stopped, "", "its worker has shrunk since the grant")
+		return fleet.Worker{}, fleet.StartOrder{}, false
+	}
 	w.extends(void, 0)
 	t.told = true
 	return w.info, fleet.StartOrder{
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -63,6 +63,10 @@
 // free returns what the worker has left.
 func (w *worker) free() resource.Amount { return w.info.Capacity.Minus(w.used) }
 
+// overfull reports whether more was granted than the worker has. It can shrink while it
+// runs; what runs there stays, and nothing more begins until it fits.
+func (w *worker) overfull() bool { return !w.used.Fits(w.info.Capacity) }
+
 // host gives a task room on the worker.
 func (w *worker) host(t *task, state taskState) {
 	t.worker, t.state = w, state
@@ -194,6 +198,11 @@
 		w.leaseEnds = s.formerLeasesEnd
 		s.workers[info.ID] = w
 	}
+	if info.Capacity != w.info.Capacity && w.known {
+		s.log.Info().Str("worker", info.ID).Stringer("was", w.info.Capacity).Stringer("is", info.Capacity).
+			Stringer("used", w.used).Msg("worker is resized")
+		w.freed = true // steps that found no room look again
+	}
 	if info.Draining && !w.info.Draining {
 		s.log.Info().Str("worker", info.ID).Dur("remaining", info.Remaining).Msg("worker drains")
 	}
