clock, leadership, ownership: certainty counts the time in which a machine was suspended

Cause: an owner extends workers' leases for 5 s after the store's last word, and its successor waits as long before it takes an unreached worker for idle. The owner measured that by a time without a steady reading (nanoseconds since 1970 turned back into a time), so a step of the time of day backward lengthened it, and by no clock that counts a suspension: with the store silent to it after 10 s asleep it went on extending leases for 4.6 s that the successor had written off. A box of the product's own cell was sure of its units for as long.

If the system does not tell, one line at the start says so (it does under the users' platform).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chutereach/clock"
 	"chutereach/logs"
 	"chutereach/node"
 	"chutereach/peer"
@@ -125,6 +126,9 @@
 	defer signal.Stop(signals)
 	var living sync.WaitGroup
 	living.Go(d.node.Run)
+	if err := clock.Check(); err != nil {
+		d.log.Warn().Err(err).Msg("suspensions of the machine are not counted")
+	}
 	d.log.Info().Str("node", d.settings.Self.Name).Str("front", d.settings.Self.Front).Msg("started")
 	warnDefaulted(d.log, d.settings)
 	for {
--- a/leadership/commit.go
+++ b/leadership/commit.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
+	"chutereach/clock"
 	"chutereach/codec"
 	"chutereach/rowstore"
 	"chutereach/transfer"
@@ -54,7 +54,7 @@
 	next := r.row
 	next.Sequence++
 	c := &commit{
-		term: r, next: next, begun: time.Now(), quiet: quietOf(puts), results: make(chan result, maxSendings+maxLooks),
+		term: r, next: next, begun: clock.Now(), quiet: quietOf(puts), results: make(chan result, maxSendings+maxLooks),
 		transaction: rowstore.Transaction{
 			Conditions: []rowstore.Condition{{Key: keyOf(r.shard), Version: r.version}},
 			Puts:       append([]rowstore.Put{{Key: keyOf(r.shard), Value: codec.MustMarshal(next)}}, puts...),
@@ -74,8 +74,8 @@
 	term        *Term
 	transaction rowstore.Transaction
 	next        Row
-	begun       time.Time
-	lastSent    atomic.Int64 // when a part of it was last sent, in Unix nanoseconds
+	begun       clock.Instant
+	lastSent    clock.Atomic // when a part of it was last sent
 	// quiet is for how long nothing of it may have been sent for a copy to count as lost.
 	quiet    time.Duration
 	results  chan result
@@ -142,7 +142,7 @@
 		c.term.committed(c.begun)
 		return got.version, nil, true
 	}
-	if time.Since(time.Unix(0, c.lastSent.Load())) > max(c.quiet, slowRatio*got.took) {
+	if c.lastSent.Load().Since() > max(c.quiet, slowRatio*got.took) {
 		c.send(ctx)
 	}
 	return 0, nil, false
@@ -162,7 +162,7 @@
 }
 
 // noteSent notes that a part of the transaction has been sent just now.
-func (c *commit) noteSent() { c.lastSent.Store(time.Now().UnixNano()) }
+func (c *commit) noteSent() { c.lastSent.Store(clock.Now()) }
 
 // send sends the transaction, without waiting for what comes of it.
 func (c *commit) send(ctx context.Context) {
@@ -228,20 +228,20 @@
 }
 
 // noAnswer notes that the store has not answered a call in time.
-func (r *Term) noAnswer(since time.Time) { r.failed.CompareAndSwap(0, since.UnixNano()) }
+func (r *Term) noAnswer(since clock.Instant) { r.failed.StoreFirst(since) }
 
 // answered notes that the store has answered.
 func (r *Term) answered() {
 	if since := r.FailingSince(); !since.IsZero() && time.Since(since) > outageFrom {
-		r.restored.Store(time.Now().UnixNano())
+		r.restored.Store(clock.Now())
 	}
-	r.failed.Store(0)
+	r.failed.Store(clock.Instant{})
 }
 
 // committed notes a transaction that was begun at a time and has been applied. Others
 // count from when they first see its row: what this owner counts from must not be later,
 // so a look at the row that finds it unchanged, or applied long ago, counts for nothing.
-func (r *Term) committed(begun time.Time) {
-	r.sent.Store(begun.UnixNano())
-	r.patience = min(mostPatience, max(leastPatience, (r.patience+patienceRatio*time.Since(begun))/2))
+func (r *Term) committed(begun clock.Instant) {
+	r.sent.Store(begun)
+	r.patience = min(mostPatience, max(leastPatience, (r.patience+patienceRatio*begun.Since())/2))
 }
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -12,11 +12,11 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/xid"
 
+	"chutereach/clock"
 	"chutereach/codec"
 	"chutereach/rowstore"
 )
@@ -95,12 +95,11 @@
 	// asked what became of it.
 	patience time.Duration
 	// sent is when the last transaction that was applied was first sent, and failed since
-	// when the store has answered no call; both in Unix nanoseconds.
-	sent   atomic.Int64
-	failed atomic.Int64
-	// restored is when the store last answered again after an outage, in Unix
-	// nanoseconds.
-	restored atomic.Int64
+	// when the store has answered no call.
+	sent   clock.Atomic
+	failed clock.Atomic
+	// restored is when the store last answered again after an outage.
+	restored clock.Atomic
 }
 
 // Take makes a node the owner of a shard, provided that the row still is as it
@@ -118,12 +117,7 @@
 }
 
 // RestoredAt returns when the last outage of the store ended, or the zero time.
-func (r *Term) RestoredAt() time.Time {
-	if at := r.restored.Load(); at != 0 {
-		return time.Unix(0, at)
-	}
-	return time.Time{}
-}
+func (r *Term) RestoredAt() time.Time { return r.restored.Load().Time() }
 
 // Token returns the fencing token of the term.
 func (r *Term) Token() uint64 { return r.token }
@@ -133,13 +127,13 @@
 func (r *Term) FormerSuccess() time.Time { return r.former }
 
 // LastSuccess returns when the last transaction that was applied was first sent.
-func (r *Term) LastSuccess() time.Time { return time.Unix(0, r.sent.Load()) }
+func (r *Term) LastSuccess() time.Time { return r.sent.Load().Time() }
+
+// Unconfirmed returns for how long the store has not confirmed the term: the time since
+// LastSuccess, with that in which the machine was suspended. A successor may have taken the
+// shard meanwhile, and counts from there when leases have run out.
+func (r *Term) Unconfirmed() time.Duration { return r.sent.Load().Since() }
 
 // FailingSince returns since when the store has answered nothing, or the zero time. A
 // store that is slow is not failing.
-func (r *Term) FailingSince() time.Time {
-	if since := r.failed.Load(); since != 0 {
-		return time.Unix(0, since)
-	}
-	return time.Time{}
-}
+func (r *Term) FailingSince() time.Time { return r.failed.Load().Time() }
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/rs/xid"
 	"github.com/rs/zerolog"
 
+	"chutereach/clock"
 	"chutereach/commit"
 	"chutereach/control"
 	"chutereach/provider"
@@ -50,8 +51,8 @@
 	log    zerolog.Logger
 
 	mu       sync.Mutex
-	version  uint64    // of the heartbeat's row
-	sure     time.Time // until when no other box can have taken over
+	version  uint64        // of the heartbeat's row
+	beaten   clock.Instant // when the last heartbeat that was written was sent
 	took     time.Duration
 	dead     error // why this incarnation is over
 	held     map[string]Hold
@@ -89,11 +90,15 @@
 	k.units = units
 }
 
-// Sure returns until when no other box can have taken over this box's units.
+// Sure returns until when no other box can have taken over this box's units. Other boxes
+// count from its last heartbeat, also while this machine is suspended.
 func (k *Keeper) Sure() time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.sure
+	if k.beaten.IsZero() {
+		return time.Time{}
+	}
+	return k.beaten.After(k.set.Lapse)
 }
 
 // View returns the newest view.
@@ -156,7 +161,7 @@
 	k.self.Beat++
 	row, version := k.self, k.version
 	k.mu.Unlock()
-	sent := time.Now()
+	sent := clock.Now()
 	t := provider.Txn{ID: xid.New().String()}.Put(row.Key(), version, control.Encode(row))
 	next, err := k.sender.DoNow(ctx, t)
 	var conflict *provider.ConflictError
@@ -169,8 +174,8 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.version, k.took = next, time.Since(sent)
-	k.sure = sent.Add(k.set.Lapse)
+	k.version, k.took = next, sent.Since()
+	k.beaten = sent
 }
 
 // survey reads the control rows and acts on them, and once more at once if
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -55,6 +55,15 @@
 	mu    sync.Mutex
 	open  chan struct{} // closed: calls go through
 	lacks string        // the worker that this owner does not reach
+	// extendedAt is when a lease was last extended.
+	extendedAt time.Time
+}
+
+// lastExtended returns when this owner has last extended a lease.
+func (c *pausableClient) lastExtended() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.extendedAt
 }
 
 // cutOff keeps this owner's calls from a worker; others reach it.
@@ -103,6 +112,11 @@
 	if err := c.wait(ctx, w.ID); err != nil {
 		return fleet.Report{}, err
 	}
+	if o.Deadline > 0 {
+		c.mu.Lock()
+		c.extendedAt = time.Now()
+		c.mu.Unlock()
+	}
 	return c.Client.Hold(ctx, w, o)
 }
 
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -124,7 +124,7 @@
 	if first || w.failing || len(w.pending) > 0 {
 		order.Wait = 0
 	}
-	rest := confirmedFor - now.Sub(s.term.LastSuccess())
+	rest := confirmedFor - s.term.Unconfirmed()
 	if rest < 0 {
 		order.Wait = min(order.Wait, unconfirmedWait)
 	}
--- /dev/null
+++ b/scheduler/suspend_test.go
@@ -0,0 +1,38 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"chutereach/clock/clocktest"
+	"chutereach/rowstore/memory"
+)
+
+// An owner whose machine was suspended extends leases no longer after the store's last word
+// than one whose was not: a successor counts from there when they have run out.
+func TestASuspendedOwnerExtendsNoLeases(t *testing.T) {
+	const confirmedFor = 5 * time.Second
+	cases := []struct{ suspended, extends time.Duration }{
+		{0, confirmedFor},
+		{2 * time.Second, confirmedFor - 2*time.Second},
+		{10 * time.Second, 0},
+		{time.Minute, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.suspended.String(), func(t *testing.T) {
+			machine := clocktest.New(t)
+			inCell(t, 2, func(c *cell) {
+				c.lease = shortLease
+				o := c.rule()
+				time.Sleep(2 * time.Second)
+				o.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
+				machine.Suspend(test.suspended)
+				woken := time.Now()
+				time.Sleep(8 * time.Second)
+				if got := o.client.lastExtended().Sub(woken); got > test.extends {
+					t.Errorf("the last lease is extended %v after the machine was resumed, want %v at most", got, test.extends)
+				}
+			})
+		})
+	}
+}
