--- a/fleet/fleettest/crash.go
+++ b/fleet/fleettest/crash.go
@@ -62,15 +62,49 @@
 	f.lives++
 	next := w.info
 	next.ID = fmt.Sprintf("%s-life-%d", baseOf(w), f.lives)
-	time.AfterFunc(listedFor, func() { f.Drop(w.info.ID) })
+	news := f.news
+	time.AfterFunc(listedFor, func() {
+		f.Drop(w.info.ID)
+		news.Gone(w.info.ID)
+	})
 	time.AfterFunc(RestartTime, func() {
 		f.add(next, baseOf(w))
 		f.mu.Lock()
-		defer f.mu.Unlock()
 		w.replaced = true
+		f.mu.Unlock()
+		news.Born(w.info.ID, next)
 	})
 }
 
+// News is told of lives that end and begin, by a stand-in of discovery beside the fleet's
+// own List.
+type News interface {
+	// Gone is called when the entry of a life that has ended lapses.
+	Gone(id string)
+	// Born is called when another life has taken the address of a former one.
+	Born(former string, next fleet.Worker)
+}
+
+type noNews struct{}
+
+func (noNews) Gone(string)               {}
+func (noNews) Born(string, fleet.Worker) {}
+
+// Tell has lives that end and begin told to news.
+func (f *Fleet) Tell(news News) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.news = news
+}
+
+// placeOf returns the name of the first life at the address of a worker.
+func (f *Fleet) placeOf(id string) string {
+	if w := f.workers[id]; w != nil {
+		return baseOf(w)
+	}
+	return id
+}
+
 // baseOf returns the name of the first life at a worker's address.
 func baseOf(w *worker) string {
 	if w.base != "" {
--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -73,6 +73,8 @@
 	broken  []string
 	starts  int
 	lives   int // that have ended and were started again
+	news    News
+	grace   time.Duration // see SetResizeGrace
 	advice  int
 	fault   func(call Call, worker string) Fault
 	sick    map[string]Plan // how every attempt goes on a worker
@@ -86,7 +88,7 @@
 func New() *Fleet {
 	return &Fleet{
 		workers: map[string]*worker{}, kinds: map[string]Kind{}, dones: map[string]bool{}, well: map[string]bool{}, failed: map[string]int{},
-		crashes: map[string]*crashes{}, under: map[string]int{}, gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, begun: map[string]bool{},
+		crashes: map[string]*crashes{}, under: map[string]int{}, news: noNews{}, grace: resizeGrace, gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, begun: map[string]bool{},
 	}
 }
 
@@ -186,6 +188,7 @@
 		r.timer.Stop()
 		f.under[name]++
 		if g := f.gangs[gangName(r.task, r.number)]; g != nil {
+			g.lost = true
 			time.AfterFunc(brokenAfter, func() { f.breakUp(r) })
 		}
 	}
@@ -285,6 +288,9 @@
 		return
 	}
 	r.timer.Stop()
+	if g := f.gangs[gangName(r.task, r.number)]; g != nil && g.lost && outcome == fleet.Done {
+		outcome = fleet.Broken
+	}
 	delete(w.runs, name)
 	w.highest[name] = max(w.highest[name], r.number)
 	w.next++
--- a/fleet/fleettest/gang.go
+++ b/fleet/fleettest/gang.go
@@ -8,7 +8,10 @@
 	"chutereach/workload"
 )
 
-type gang struct{ members map[int]*worker }
+type gang struct {
+	members map[int]*worker
+	lost    bool // a member's worker has ended: the others can't end well
+}
 
 // brokenAfter is how long after the end of a worker the other members of its gangs end.
 const brokenAfter = 200 * time.Millisecond
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -291,7 +291,9 @@
 // ticketValid is for how long a ticket is good.
 const ticketValid = 2 * time.Second
 
-// Advise implements fleet.Advisor: two of three workers may run a step.
+// Advise implements fleet.Advisor: two of three workers may run a step, whichever of their
+// lives. If that hung on the life, the lives that stay would be those that no step that
+// crashes workers may go to.
 func (f *Fleet) Advise(ctx context.Context, step string, workers []string) (fleet.Advice, error) {
 	if wait.For(ctx, 10*time.Millisecond) != nil {
 		return fleet.Advice{}, &fleet.AdvisorError{Cause: ctx.Err()}
@@ -301,7 +303,7 @@
 	f.advice++
 	advice := fleet.Advice{Tickets: map[string]string{}, Valid: ticketValid}
 	for _, id := range workers {
-		if (len(step)+int(id[len(id)-1]))%3 == 0 {
+		if place := f.placeOf(id); (len(step)+int(place[len(place)-1]))%3 == 0 {
 			continue
 		}
 		text := fmt.Sprintf("%s/%s/%d", step, id, f.advice)
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -86,11 +86,19 @@
 	evidence := s.evidence(t)
 	t.crashes = t.crashes.WithLost(w.info.ID, evidence)
 	if evidence != workload.RanOn {
-		t.step.suspected, t.step.passed = true, false
+		s.suspect(t.step)
 	}
 	w.lost = append(w.lost, lostAttempt{t, t.attempt})
 }
 
+// suspect puts a step under suspicion.
+func (s *Scheduler) suspect(st *step) {
+	if !st.suspected {
+		s.metrics.suspected.Add(1)
+	}
+	st.suspected, st.passed = true, false
+}
+
 // evidence judges the attempt at hand, which is lost with its worker.
 func (s *Scheduler) evidence(t *task) workload.Evidence {
 	w := t.worker
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -374,6 +374,7 @@
 		}
 	}
 	s.log.Info().Str("job", j.id).Str("step", c.step.stepName()).Array("tasks", places).Dur("age", p.now.Sub(j.arrived)).
-		Dur("slack", j.deadline.Sub(p.now)).Dur("report_age", p.now.Sub(oldest)).Msg("granted")
+		Dur("slack", j.deadline.Sub(p.now)).Dur("report_age", p.now.Sub(oldest)).
+		Bool("trial", c.step.suspected).Msg("granted")
 	p.granted = p.granted[:0]
 }
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -13,7 +13,7 @@
 type Metrics struct {
 	admissions, outcomes, refusals, finals *expvar.Map
 	stops, grants, adviceFailed, late      *expvar.Int
-	preempted, crashed, gaveUp             *expvar.Int
+	preempted, crashed, gaveUp, suspected  *expvar.Int
 	commitTimes, startTimes, adviceTimes   *histogram.Times
 	completedTimes, lookTimes              *histogram.Times
 	commitJobs                             *expvar.Int
@@ -26,7 +26,7 @@
 		stops: new(expvar.Int), grants: new(expvar.Int), adviceFailed: new(expvar.Int), late: new(expvar.Int),
 		commitTimes: histogram.New(), startTimes: histogram.New(), adviceTimes: histogram.New(),
 		completedTimes: histogram.New(), lookTimes: histogram.New(), commitJobs: new(expvar.Int), preempted: new(expvar.Int),
-		crashed: new(expvar.Int), gaveUp: new(expvar.Int),
+		crashed: new(expvar.Int), gaveUp: new(expvar.Int), suspected: new(expvar.Int),
 	}
 }
 
@@ -41,6 +41,7 @@
 	all.Set("stops", m.stops)
 	all.Set("preempted", m.preempted)
 	all.Set("lost_with_worker", m.crashed)
+	all.Set("steps_suspected", m.suspected)
 	all.Set("given_up_for_crashes", m.gaveUp)
 	all.Set("grants", m.grants)
 	all.Set("advice_failed", m.adviceFailed)
