--- a/scheduler/crash_waves_test.go
+++ b/scheduler/crash_waves_test.go
@@ -93,6 +93,9 @@
 
 func (c *cell) crashesInAnyOrder(random *rand.Rand) {
 	c.lease = shortLease
+	if random.IntN(2) == 0 {
+		c.queue.Advice = workload.AdvicePolicy{Decision: 5 * time.Millisecond, Each: time.Millisecond, Valid: 2 * time.Second}
+	}
 	o := c.rule()
 	time.Sleep(500 * time.Millisecond)
 	var culprits, others []string
@@ -100,6 +103,11 @@
 		name := fmt.Sprintf("job-%d", round)
 		request := jobOf(1+random.IntN(4), resource.MilliCPU(500+random.IntN(4000)))
 		request.Steps[0].Gang = random.IntN(4) == 0
+		if random.IntN(3) == 0 {
+			second := step(1+random.IntN(3), 1000)
+			second.After, second.Checkpoints = []int{0}, true
+			request.Steps = append(request.Steps, second)
+		}
 		plan := work(time.Duration(200+random.IntN(1500)) * time.Millisecond)
 		if random.IntN(8) == 0 {
 			plan = crashing(0)
