--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -17,4 +17,16 @@
 // certain: its end was listed; or the worker answered a stop and a later report
 // did not show it; or another life of the worker answered; or the worker's lease
 // has run out since the last order that could have extended it.
+//
+// # Tasks under which workers end
+//
+// A worker that has ended lists nothing of what ran there. The owner counts for each
+// task the workers that were lost with it and have ended (crash.go), gives up one with
+// too many, and tries a step under suspicion where another end tells whose doing it is
+// (trial.go).
+//
+// # Room
+//
+// What a worker has may change while it runs. Room is looked at when a task is placed,
+// and again before its start is first sent; what is being stopped still takes room.
 package scheduler
