cell: a job that its unit has not taken in yet is found in the table

When the unit's owner is this very box, its word that it has no such job came as a type that embeds NoJobError, which errors.As does not look into; a peer's word has a code and was understood. So the job, still in the inbox, was not looked for in the table, and a caller of a job that was just accepted could get 500.

Ruled out: the account check (the same answer for both accounts), the inbox itself (read after it).

Change: the type unwraps. The new test fails before. The failing subtests need the unit to be slower than the caller, and were not had again by hand.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -119,6 +119,9 @@
 
 func (noJob) Code() peer.Code { return CodeNoJob }
 
+// Unwrap lets callers on this box find the NoJobError.
+func (e noJob) Unwrap() error { return e.NoJobError }
+
 func coded(err error) error {
 	var missing *hall.NoJobError
 	if errors.As(err, &missing) {
