--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -87,8 +87,10 @@
 // New returns a fleet without workers.
 func New() *Fleet {
 	return &Fleet{
-		workers: map[string]*worker{}, kinds: map[string]Kind{}, dones: map[string]bool{}, well: map[string]bool{}, failed: map[string]int{},
-		crashes: map[string]*crashes{}, under: map[string]int{}, news: noNews{}, grace: resizeGrace, gangs: map[string]*gang{}, tickets: map[string]time.Time{}, sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, begun: map[string]bool{},
+		workers: map[string]*worker{}, kinds: map[string]Kind{}, gangs: map[string]*gang{}, tickets: map[string]time.Time{},
+		dones: map[string]bool{}, well: map[string]bool{}, failed: map[string]int{}, begun: map[string]bool{},
+		crashes: map[string]*crashes{}, under: map[string]int{},
+		sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, news: noNews{}, grace: resizeGrace,
 	}
 }
 
