job: an end that a worker lists sets the count of reboots back

Found in reading the change: reboots are counted in a row, but an attempt that ran to its end did not end the row. A replica with several reboots behind it waited up to a minute after an ordinary end months later, and a task was given up for reboots that were not in a row. The new case fails before (failed in place of waiting).

--- a/job/task.go
+++ b/job/task.go
@@ -97,6 +97,7 @@
 // template allows and only if it may be repeated at all.
 func (t Task) WithEnd(tm config.Template, ok bool, result []byte, now time.Time) Task {
 	t.Result, t.Changed = result, now
+	t.Reboots = 0 // its worker has outlived it
 	if !ok {
 		t.Failures++
 	}
--- a/job/task_test.go
+++ b/job/task_test.go
@@ -38,6 +38,7 @@
 		{"its workers reboot twice", []func(Task) Task{reboot(time.Second), reboot(time.Second)}, Waiting},
 		{"its workers reboot three times", []func(Task) Task{reboot(time.Second), reboot(time.Second), reboot(time.Second)}, Failed},
 		{"its workers reboot now and then", []func(Task) Task{reboot(time.Second), reboot(time.Second), reboot(time.Hour), reboot(time.Second)}, Waiting},
+		{"its workers reboot, with an end that it listed in between", []func(Task) Task{reboot(time.Second), reboot(time.Second), end(always, false), reboot(time.Second)}, Waiting},
 		{"is a replica, and its workers reboot", []func(Task) Task{reboot(time.Second), reboot(time.Second), func(t Task) Task { return t.WithReboot(service, noon) }}, Waiting},
 		{"is lost and may not be repeated", []func(Task) Task{loss(never, "")}, Unknown},
 		{"is lost without a checkpoint", []func(Task) Task{loss(resume, "")}, Unknown},
