--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -126,12 +126,10 @@
 // transaction that succeeded.
 func (r *Term) FormerSuccess() time.Time { return r.former }
 
-// LastSuccess returns when the last transaction that was applied was first sent.
-func (r *Term) LastSuccess() time.Time { return r.sent.Load().Time() }
-
-// Unconfirmed returns for how long the store has not confirmed the term: the time since
-// LastSuccess, with that in which the machine was suspended. A successor may have taken the
-// shard meanwhile, and counts from there when leases have run out.
+// Unconfirmed returns for how long the store has not confirmed the term: the time since the
+// last transaction that was applied was first sent, with that in which the machine was
+// suspended. A successor may have taken the shard meanwhile, and counts from there when
+// leases have run out.
 func (r *Term) Unconfirmed() time.Duration { return r.sent.Load().Since() }
 
 // FailingSince returns since when the store has answered nothing, or the zero time. A
