account: client accounts, their keys as digests, terms and quotas in one place

The own cell had a quota and a hash of tokens of its own; the node is about to need both. Quota, its comparison and the digest of a key now stand in package account, and config, declare and hall use them.

How many tasks fit a quota agrees with whether their sum is allowed (property test).

--- /dev/null
+++ b/account/account_test.go
@@ -0,0 +1,99 @@
+package account_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"chutereach/account"
+	"chutereach/resource"
+)
+
+func amount(t *rapid.T, name string, least, most int64) resource.Amount {
+	return resource.Amount{
+		CPU:          resource.MilliCPU(rapid.Int64Range(least, most).Draw(t, name+" cpu")),
+		Memory:       resource.Bytes(rapid.Int64Range(least, most).Draw(t, name+" memory")),
+		Accelerators: rapid.Int64Range(least, most).Draw(t, name+" accelerators"),
+	}
+}
+
+// As many tasks fit as the quota allows one by one.
+func TestFittingAgreesWithAllows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		quota := account.Quota(amount(t, "quota", -2, 40))
+		used := amount(t, "used", 0, 30)
+		need := amount(t, "need", 0, 7)
+		limit := rapid.IntRange(0, 9).Draw(t, "limit")
+		got := quota.Fitting(used, need, limit)
+		if got < 0 || got > limit {
+			t.Fatalf("%d of at most %d", got, limit)
+		}
+		if !quota.Allows(used) {
+			return // more runs than is allowed: only kinds that are not needed can be over
+		}
+		if got > 0 && !quota.Allows(used.Plus(need.Times(int64(got)))) {
+			t.Fatalf("%d tasks fit, and are not allowed", got)
+		}
+		if got < limit && quota.Allows(used.Plus(need.Times(int64(got+1)))) {
+			t.Fatalf("only %d tasks fit, and one more is allowed", got)
+		}
+	})
+}
+
+func TestQuotaOfEachKind(t *testing.T) {
+	need := resource.Amount{CPU: 2, Memory: 3}
+	cases := []struct {
+		name  string
+		quota account.Quota
+		used  resource.Amount
+		want  int
+	}{
+		{"no bound", account.Quota{}, resource.Amount{CPU: 1 << 40}, 5},
+		{"processors", account.Quota{CPU: 5}, resource.Amount{}, 2},
+		{"memory", account.Quota{CPU: 50, Memory: 5}, resource.Amount{}, 1},
+		{"in use", account.Quota{CPU: 5}, resource.Amount{CPU: 4}, 0},
+		{"over it", account.Quota{CPU: 5}, resource.Amount{CPU: 9}, 0},
+		{"over what is not needed", account.Quota{Accelerators: 1}, resource.Amount{Accelerators: 9}, 5},
+		{"nothing allowed", account.Quota{Memory: -1}, resource.Amount{}, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.quota.Fitting(test.used, need, 5); got != test.want {
+				t.Errorf("%d fit, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestDirectory(t *testing.T) {
+	terms := func(name string, weight float64) account.Terms { return account.Terms{Name: name, Weight: weight} }
+	d := account.NewDirectory([]account.Account{
+		{Terms: terms("a", 1), Keys: []account.Digest{account.DigestOf("k1"), account.DigestOf("k2")}},
+		{Terms: terms("b", 2), Keys: []account.Digest{account.DigestOf("k2"), account.DigestOf("k3")}},
+		{Terms: terms("a", 9), Keys: []account.Digest{account.DigestOf("k4")}},
+	})
+	cases := []struct{ key, want string }{{"k1", "a"}, {"k2", "a"}, {"k3", "b"}, {"k4", "a"}, {"k5", ""}, {"", ""}}
+	for _, test := range cases {
+		got, known := d.ByKey(account.DigestOf(test.key))
+		if got.Name != test.want || known != (test.want != "") {
+			t.Errorf("key %q belongs to %q, want %q", test.key, got.Name, test.want)
+		}
+	}
+	if got, _ := d.Named("a"); got.Weight != 1 {
+		t.Errorf("of two accounts with one name the terms %+v are in force, want the first ones", got)
+	}
+	if _, known := (account.Directory{}).ByKey(account.DigestOf("k1")); known || d.Len() != 2 {
+		t.Errorf("the empty directory knows a key, or %d accounts, want 2", d.Len())
+	}
+}
+
+func TestDigestsAreNotWritten(t *testing.T) {
+	digest := account.DigestOf("secret")
+	for _, text := range []string{fmt.Sprint(digest), fmt.Sprintf("%v", account.Account{Keys: []account.Digest{digest}})} {
+		if strings.Contains(text, fmt.Sprint(digest[0])) || strings.Contains(text, "secret") {
+			t.Errorf("a digest is written as %s", text)
+		}
+	}
+}
--- a/config/others.go
+++ b/config/others.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"time"
 
+	"chutereach/account"
 	"chutereach/resource"
 )
 
@@ -76,7 +77,7 @@
 // Account is a customer whose jobs and services are created from templates.
 type Account struct {
 	Name      string            `json:"name"`
-	Quota     resource.Amount   `json:"quota"` // granted at once; a zero part is unlimited
+	Quota     account.Quota     `json:"quota"`
 	Templates []string          `json:"templates,omitempty"`
 	Params    map[string]string `json:"params,omitempty"`
 	TokenHash string            `json:"token_hash,omitempty"` // SHA-256 in hex
@@ -86,7 +87,7 @@
 func (a Account) Check() []*InvalidError {
 	c := checker{kind: KindAccount, name: a.Name}
 	c.want(validName.MatchString(a.Name), "name", "must be lower-case letters, digits and hyphens, 63 at most")
-	c.want(a.Quota.Valid(), "quota", "must not be negative")
+	c.want(resource.Amount(a.Quota).Valid(), "quota", "must not be negative")
 	sum, err := hex.DecodeString(a.TokenHash)
 	c.want(err == nil && len(sum) == sha256.Size, "token-sha256", "must be a SHA-256 in 64 hexadecimal digits")
 	return c.errs
@@ -94,8 +95,8 @@
 
 // HashToken returns a token as accounts keep it.
 func HashToken(token string) string {
-	sum := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(sum[:])
+	digest := account.DigestOf(token)
+	return hex.EncodeToString(digest[:])
 }
 
 // Admits reports whether a token with this hash is a's, in a time that does not
--- a/declare/declare.go
+++ b/declare/declare.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"chutereach/account"
 	"chutereach/config"
 	"chutereach/ini"
 	"chutereach/resource"
@@ -78,8 +79,8 @@
 	return config.Policy{Name: name, Scoring: config.Scoring(p.Scoring), Ageing: p.Ageing}
 }
 
-// account is an [account NAME] section.
-type account struct {
+// accountSection is an [account NAME] section.
+type accountSection struct {
 	CPU          resource.MilliCPU `long:"quota-cpu"`
 	Memory       resource.Bytes    `long:"quota-memory"`
 	Accelerators int64             `long:"quota-accelerators"`
@@ -88,9 +89,9 @@
 	TokenHash    string            `long:"token-sha256"`
 }
 
-func (a *account) build(name string) config.Account {
+func (a *accountSection) build(name string) config.Account {
 	return config.Account{
-		Name: name, Quota: resource.Amount{CPU: a.CPU, Memory: a.Memory, Accelerators: a.Accelerators},
+		Name: name, Quota: account.Quota{CPU: a.CPU, Memory: a.Memory, Accelerators: a.Accelerators},
 		Templates: a.Templates, Params: a.Params, TokenHash: a.TokenHash,
 	}
 }
@@ -203,7 +204,7 @@
 	case config.KindPolicy:
 		return &policy{}
 	case config.KindAccount:
-		return &account{}
+		return &accountSection{}
 	case config.KindHall:
 		return &hall{}
 	}
@@ -219,7 +220,7 @@
 		r.set.Routes[name] = d.build(name)
 	case *policy:
 		r.set.Policies[name] = d.build(name)
-	case *account:
+	case *accountSection:
 		r.set.Accounts[name] = d.build(name)
 	case *hall:
 		r.set.Halls[name] = d.build(name)
--- a/hall/decide.go
+++ b/hall/decide.go
@@ -84,15 +84,9 @@
 // in this unit. A quota that spans units is not shared out between them yet.
 func (u *Unit) overQuota(j *jobState) bool {
 	quota := u.deps.Config().Set.Accounts[j.job.Account].Quota
-	after := u.queue.Used(j.job.Account).Plus(j.job.Template.Need)
-	return exceeds(int64(after.CPU), int64(quota.CPU)) ||
-		exceeds(int64(after.Memory), int64(quota.Memory)) ||
-		exceeds(after.Accelerators, quota.Accelerators)
+	return !quota.Allows(u.queue.Used(j.job.Account).Plus(j.job.Template.Need))
 }
 
-// exceeds reports whether n is over a bound; 0 is no bound.
-func exceeds(n, bound int64) bool { return bound > 0 && n > bound }
-
 // choose returns the worker for the job's next task. The caller holds u.mu.
 func (u *Unit) choose(j *jobState) (provider.Worker, bool) {
 	tm := &j.job.Template
