node, scheduler, platform: keys of client accounts on every call, quotas at every start

Missing, malformed or unknown: 401 at once, never handed on. A table that may be old (no word of the store or the owner for 2.5 s, or a newer one is known of) turns nobody away: 503, which costs nobody a call. The owner looks again at calls that come with an older table than its own, so that a node that missed a change serves nothing by it. Keys are kept and sent as digests; lines tell the reason and the account's name.

Accounts: a job belongs to the account that handed it in, which its row keeps with the terms of that moment. To other accounts it is not there (410), and its id cannot be taken (503).

Quotas: what an account has granted, on the way, running, being stopped or in doubt counts; a step gets as many tasks as its account may start, so that a wide one goes in waves; what the quota holds back is passed over: no place in the order, no kept room, no advice, nobody of another account stopped for it. Its own lesser work may give way. A gang or task that can never fit is refused at hand-in with 429. Rows of final jobs stay until all that ran of them is over, so that a successor's sums are whole.

Failing first: without the check of quotas the test of random orders counts 719 starts over a quota; with the rows of final jobs deleted at once the test of a cancelled job before a takeover fails. 1,000 random orders of hand-ins, late starts, crashes, resizing, takeovers, cancelling and changes of quotas: none over a quota; 300 without faults: no job stands still for 3 s beside room and quota.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -90,7 +90,8 @@
 		return &ListenError{"node.peer", err}
 	}
 	d.serving.Go(func() { d.peers.Serve() })
-	if d.front, err = d.serve("node.front", d.settings.Self.Front, platform.NewIngress(d.node)); err != nil {
+	ingress := platform.NewIngress(d.node, logs.For(d.log, logs.Entry))
+	if d.front, err = d.serve("node.front", d.settings.Self.Front, ingress); err != nil {
 		return err
 	}
 	if _, err = d.serve("node.ready", d.settings.Self.Ready, platform.ReadyHandler(d.node.Ready)); err != nil {
@@ -100,6 +101,7 @@
 		return nil
 	}
 	expvar.Publish("node", metrics.Var())
+	expvar.Publish("turned_away", ingress.Var())
 	expvar.Publish("scheduler", metrics.Scheduler.Var())
 	expvar.Publish("log_lines_left_out", missed)
 	mux := http.NewServeMux()
--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -27,7 +27,8 @@
 type Kind struct {
 	Request  workload.Request
 	Attempts int
-	Advised  bool // a ticket is needed
+	Advised  bool   // a ticket is needed
+	Account  string // whose the tasks are
 	Plan     func(task workload.TaskID, attempt int) Plan
 }
 
@@ -80,6 +81,8 @@
 	sick    map[string]Plan // how every attempt goes on a worker
 	refused map[fleet.Reason]int
 	begun   map[string]bool // jobs of which a task was started
+	quotas  map[string][]quotaInForce
+	most    map[string]resource.Amount // that each account has had running
 
 	unlisted bool // discovery names nobody
 }
@@ -89,7 +92,7 @@
 	return &Fleet{
 		workers: map[string]*worker{}, kinds: map[string]Kind{}, gangs: map[string]*gang{}, tickets: map[string]time.Time{},
 		dones: map[string]bool{}, well: map[string]bool{}, failed: map[string]int{}, begun: map[string]bool{},
-		crashes: map[string]*crashes{}, under: map[string]int{},
+		crashes: map[string]*crashes{}, under: map[string]int{}, quotas: map[string][]quotaInForce{}, most: map[string]resource.Amount{},
 		sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, news: noNews{}, grace: resizeGrace,
 	}
 }
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -138,6 +138,7 @@
 		r.need = kind.Request.Steps[task.Step].Need
 	}
 	w.runs[order.Task] = r
+	f.judgeQuota(kind.Account)
 	r.timer = time.AfterFunc(time.Hour, func() {})
 	if task.Step < len(kind.Request.Steps) && kind.Request.Steps[task.Step].Gang {
 		f.join(w, r, kind)
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -22,6 +22,7 @@
 	Route     Part = "route"
 	Peer      Part = "peer"
 	Publish   Part = "publish"
+	Entry     Part = "entry"
 	Node      Part = "node"
 	Store     Part = "store"
 )
--- a/node/beat.go
+++ b/node/beat.go
@@ -71,7 +71,7 @@
 	others := n.others()
 	slices.SortFunc(others, Member.compare)
 	period := farPeriod(len(others) - nearMost)
-	short := beat{Owner: n.owner, TableVersion: table.Version}
+	short := beat{Owner: n.owner, TableVersion: table.Version, TableAge: n.tableAge()}
 	full := short
 	full.Members = append(others, n.config.Self)
 	serial := n.memberSerial
@@ -133,6 +133,9 @@
 func (n *Node) takeBeat(_ context.Context, message beat) (beatAnswer, error) {
 	n.heard(message.Owner, message.Next)
 	n.hearOfTable(message.TableVersion, message.Owner.Address)
+	if !n.routes.Lacks(message.TableVersion) {
+		n.tables.current(message.TableAge)
+	}
 	table, _ := n.routes.Current()
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/node/messages.go
+++ b/node/messages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chutereach/peer"
+	"chutereach/routing"
 	"chutereach/scheduler"
 	"chutereach/workload"
 )
@@ -48,7 +49,9 @@
 type beat struct {
 	Owner        ownership `cbor:"1,keyasint"`
 	TableVersion uint64    `cbor:"2,keyasint"`
-	Members      []Member  `cbor:"3,keyasint,omitempty"` // empty: as last told
+	// TableAge is for how long the owner has had no word that its table is current.
+	TableAge time.Duration `cbor:"5,keyasint,omitempty"`
+	Members  []Member      `cbor:"3,keyasint,omitempty"` // empty: as last told
 	// Next is after how long the next one comes; 0: beatEvery.
 	Next time.Duration `cbor:"4,keyasint,omitempty"`
 }
@@ -77,15 +80,18 @@
 	ID     string          `cbor:"1,keyasint"`
 	Record workload.Record `cbor:"2,keyasint"`
 	Within time.Duration   `cbor:"3,keyasint"`
+	Caller routing.Caller  `cbor:"4,keyasint"`
 }
 
 type jobCall struct {
-	ID     string        `cbor:"1,keyasint"`
-	Within time.Duration `cbor:"2,keyasint"`
+	ID     string         `cbor:"1,keyasint"`
+	Within time.Duration  `cbor:"2,keyasint"`
+	Caller routing.Caller `cbor:"3,keyasint"`
 }
 
 type pendingCall struct {
-	Queue string `cbor:"1,keyasint"`
+	Queue  string         `cbor:"1,keyasint"`
+	Caller routing.Caller `cbor:"2,keyasint"`
 }
 
 type adviseCall struct {
@@ -108,6 +114,9 @@
 	codeUnknownJob  peer.Code = "no-such-job"
 	codeUnconfirmed peer.Code = "unconfirmed"
 	codeNoTable     peer.Code = "no-table"
+	codeOverQuota   peer.Code = "over-quota"
+	codeNoRoute     peer.Code = "no-route"
+	codeKey         peer.Code = "key"
 )
 
 // NotOwnerError says that the node asked does not own the shard; nothing was
@@ -144,10 +153,19 @@
 		notJob      *scheduler.NotJobError
 		unconfirmed *scheduler.UnconfirmedError
 		deposed     *scheduler.DeposedError
+		overQuota   *scheduler.QuotaError
+		noRoute     *routing.NoRouteError
+		noKey       *routing.KeyError
 	)
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &overQuota):
+		return coded{err, codeOverQuota}
+	case errors.As(err, &noRoute):
+		return coded{err, codeNoRoute}
+	case errors.As(err, &noKey):
+		return coded{err, codeKey}
 	case errors.As(err, &overloaded):
 		return coded{err, codeOverloaded}
 	case errors.As(err, &notJob):
@@ -178,6 +196,12 @@
 		return &scheduler.UnconfirmedError{Cause: failure}
 	case codeNotOwner:
 		return &NotOwnerError{}
+	case codeOverQuota:
+		return &scheduler.QuotaError{Why: failure.Message}
+	case codeNoRoute:
+		return &routing.NoRouteError{}
+	case codeKey:
+		return &routing.KeyError{Fault: routing.KeyUnknown}
 	}
 	return err
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +50,23 @@
 	lives   int
 }
 
+// anybody is a caller without an account, let in by a table that is newer than any other.
+var anybody = routing.Caller{Version: math.MaxUint64}
+
+// The member's calls are those of anybody.
+
+func (m *member) Submit(ctx context.Context, id string, record workload.Record) error {
+	return m.Node.Submit(ctx, anybody, id, record)
+}
+
+func (m *member) State(ctx context.Context, id string) (workload.State, error) {
+	return m.Node.State(ctx, anybody, id)
+}
+
+func (m *member) Pending(ctx context.Context, queue string) (int, error) {
+	return m.Node.Pending(ctx, anybody, queue)
+}
+
 func inCell(t *testing.T, count int, test func(*cell)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -129,7 +147,7 @@
 		route := routing.Route{Host: fmt.Sprintf("host%d.example", i%5), Prefix: fmt.Sprintf("/path%08d/", i), Queue: more}
 		table.Routes = append(table.Routes, route)
 	}
-	return table
+	return withAccounts(table, rows)
 }
 
 // routeBytes is what a route takes in an answer of the store, as measured: 1,081,758
--- a/node/owner.go
+++ b/node/owner.go
@@ -271,7 +271,7 @@
 		if err == nil {
 			n.loadFails.Store(false)
 			if table, ok := n.routes.Current(); ok {
-				own.SetQueues(table.Queues())
+				configure(own, table)
 			}
 			return nil
 		}
--- a/node/serve.go
+++ b/node/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chutereach/peer"
+	"chutereach/routing"
 	"chutereach/scheduler"
 	"chutereach/wait"
 	"chutereach/workload"
@@ -21,14 +22,14 @@
 	ownerWait = 25 * time.Millisecond
 )
 
-// Submit takes a job to the owner and returns once it is in the store. Besides
-// the scheduler's errors it returns none: OverloadedError says that the job was
-// not taken, UnconfirmedError that it may have been.
-func (n *Node) Submit(ctx context.Context, id string, record workload.Record) error {
+// Submit takes a job to the owner and returns once it is in the store. Besides the
+// scheduler's errors, of which OverloadedError says that the job was not taken and
+// UnconfirmedError that it may have been, it returns those of routing.Table.Recheck.
+func (n *Node) Submit(ctx context.Context, caller routing.Caller, id string, record workload.Record) error {
 	err := n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
 		return own.Submit(ctx, id, record)
 	}, func(ctx context.Context, address string, within time.Duration) error {
-		_, err := peer.Call[nothing](ctx, n.client, address, submitPath, submitCall{id, record, within})
+		_, err := peer.Call[nothing](ctx, n.client, address, submitPath, submitCall{id, record, within, caller})
 		return err
 	})
 	var overloaded *scheduler.OverloadedError
@@ -39,34 +40,34 @@
 }
 
 // Cancel cancels a job and returns once that is in the store.
-func (n *Node) Cancel(ctx context.Context, id string) error {
+func (n *Node) Cancel(ctx context.Context, caller routing.Caller, id string) error {
 	return n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
-		return own.Cancel(ctx, id)
+		return own.Cancel(ctx, caller.Account, id)
 	}, func(ctx context.Context, address string, within time.Duration) error {
-		_, err := peer.Call[nothing](ctx, n.client, address, cancelPath, jobCall{id, within})
+		_, err := peer.Call[nothing](ctx, n.client, address, cancelPath, jobCall{id, within, caller})
 		return err
 	})
 }
 
 // State returns a job's state.
-func (n *Node) State(ctx context.Context, id string) (state workload.State, err error) {
+func (n *Node) State(ctx context.Context, caller routing.Caller, id string) (state workload.State, err error) {
 	err = n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
-		state, err = own.State(ctx, id)
+		state, err = own.State(ctx, caller.Account, id)
 		return err
 	}, func(ctx context.Context, address string, within time.Duration) error {
-		state, err = peer.Call[workload.State](ctx, n.client, address, statePath, jobCall{id, within})
+		state, err = peer.Call[workload.State](ctx, n.client, address, statePath, jobCall{id, within, caller})
 		return err
 	})
 	return state, err
 }
 
 // Pending counts a queue's jobs of which no task has begun.
-func (n *Node) Pending(ctx context.Context, queue string) (count int, err error) {
+func (n *Node) Pending(ctx context.Context, caller routing.Caller, queue string) (count int, err error) {
 	err = n.serve(ctx, queue, func(_ context.Context, own *scheduler.Scheduler) error {
 		count = own.Pending(queue)
 		return nil
 	}, func(ctx context.Context, address string, _ time.Duration) error {
-		count, err = peer.Call[int](ctx, n.client, address, pendingPath, pendingCall{queue})
+		count, err = peer.Call[int](ctx, n.client, address, pendingPath, pendingCall{queue, caller})
 		return err
 	})
 	return count, err
@@ -171,14 +172,21 @@
 	return &NotOwnerError{}
 }
 
-// atOwner does another node's call, if this node owns the shard.
-func (n *Node) atOwner(ctx context.Context, within time.Duration, here func(context.Context, *scheduler.Scheduler) error) error {
+// atOwner does another node's call, if this node owns the shard and its table, where it is
+// the newer one, lets the caller in too: a node that has missed a change of the
+// configuration would serve by the old one.
+func (n *Node) atOwner(ctx context.Context, caller routing.Caller, within time.Duration, here func(context.Context, *scheduler.Scheduler) error) error {
 	n.mu.Lock()
 	own := n.own
 	n.mu.Unlock()
 	if own == nil {
 		return &NotOwnerError{}
 	}
+	if table, ok := n.routes.Current(); ok {
+		if err := table.Recheck(caller); err != nil {
+			return encodeError(err)
+		}
+	}
 	if within > 0 {
 		limited, cancel := context.WithTimeout(ctx, within)
 		defer cancel()
@@ -188,27 +196,27 @@
 }
 
 func (n *Node) answerSubmit(ctx context.Context, call submitCall) (nothing, error) {
-	return nothing{}, n.atOwner(ctx, call.Within, func(ctx context.Context, own *scheduler.Scheduler) error {
+	return nothing{}, n.atOwner(ctx, call.Caller, call.Within, func(ctx context.Context, own *scheduler.Scheduler) error {
 		return own.Submit(ctx, call.ID, call.Record)
 	})
 }
 
 func (n *Node) answerCancel(ctx context.Context, call jobCall) (nothing, error) {
-	return nothing{}, n.atOwner(ctx, call.Within, func(ctx context.Context, own *scheduler.Scheduler) error {
-		return own.Cancel(ctx, call.ID)
+	return nothing{}, n.atOwner(ctx, call.Caller, call.Within, func(ctx context.Context, own *scheduler.Scheduler) error {
+		return own.Cancel(ctx, call.Caller.Account, call.ID)
 	})
 }
 
 func (n *Node) answerState(ctx context.Context, call jobCall) (state workload.State, err error) {
-	err = n.atOwner(ctx, call.Within, func(ctx context.Context, own *scheduler.Scheduler) error {
-		state, err = own.State(ctx, call.ID)
+	err = n.atOwner(ctx, call.Caller, call.Within, func(ctx context.Context, own *scheduler.Scheduler) error {
+		state, err = own.State(ctx, call.Caller.Account, call.ID)
 		return err
 	})
 	return state, err
 }
 
 func (n *Node) answerPending(ctx context.Context, call pendingCall) (count int, err error) {
-	err = n.atOwner(ctx, 0, func(_ context.Context, own *scheduler.Scheduler) error {
+	err = n.atOwner(ctx, call.Caller, 0, func(_ context.Context, own *scheduler.Scheduler) error {
 		count = own.Pending(call.Queue)
 		return nil
 	})
--- a/node/table.go
+++ b/node/table.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"chutereach/clock"
 	"chutereach/codec"
 	"chutereach/peer"
 	"chutereach/routing"
 	"chutereach/rowstore"
+	"chutereach/scheduler"
 	"chutereach/transfer"
 )
 
@@ -32,6 +34,10 @@
 	behind   time.Time // since when a newer table has been known; zero: none is
 	arriving bool      // the store has begun an answer that is not taken in yet
 	fetching bool
+	// toldAt is when there was word that this node's table is the newest, or was at a time
+	// that was toldAge ago then.
+	toldAt  clock.Instant
+	toldAge time.Duration
 
 	encodeMu sync.Mutex // held while a table is encoded, which others wait for
 	encoded  codec.Raw  // of the version
@@ -57,7 +63,51 @@
 	own := n.own
 	n.mu.Unlock()
 	if own != nil {
-		own.SetQueues(table.Queues())
+		configure(own, table)
+	}
+}
+
+// configure tells a scheduler the configuration in force.
+func configure(own *scheduler.Scheduler, table routing.Table) {
+	own.SetAccounts(table.Directory())
+	own.SetQueues(table.Queues())
+}
+
+// tableTrusted is for how long a table counts as the newest without word of that. The store
+// says so each two seconds at the least, and the owner with its heartbeats.
+const tableTrusted = 2500 * time.Millisecond
+
+// TableIsCurrent reports whether no newer table than the one in force is likely to be. By an
+// old one no call is turned away: its key or route may be new.
+func (n *Node) TableIsCurrent() bool { return n.tableAge() < tableTrusted }
+
+// tableAge returns for how long there has been no word that this node's table is the newest;
+// a long time if it is known not to be.
+func (n *Node) tableAge() time.Duration {
+	n.tables.mu.Lock()
+	defer n.tables.mu.Unlock()
+	if !n.tables.behind.IsZero() {
+		return tableTrusted
+	}
+	return n.tables.age(clock.Now())
+}
+
+// age returns for how long there has been no word that the table is the newest. The lock is
+// held.
+func (e *tableExchange) age(now clock.Instant) time.Duration {
+	if e.toldAt.IsZero() {
+		return tableTrusted
+	}
+	return e.toldAge + now.Sub(e.toldAt)
+}
+
+// current notes that this node's table was the newest a time ago.
+func (e *tableExchange) current(ago time.Duration) {
+	now := clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.toldAt.IsZero() || ago < e.age(now) {
+		e.toldAt, e.toldAge = now, ago
 	}
 }
 
@@ -72,6 +122,7 @@
 func (n *Node) tableArrived() {
 	n.storeAnswers()
 	n.tables.setArriving(false)
+	n.tables.current(0)
 }
 
 func (e *tableExchange) setArriving(arriving bool) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -1,13 +1,10 @@
-// Package routing knows by which route a call comes in: the table of routes of
-// one configuration, and the newest table that a node has heard of.
 package routing
 
 import (
 	"sort"
 	"strings"
-	"sync"
-	"sync/atomic"
 
+	"chutereach/account"
 	"chutereach/workload"
 )
 
@@ -16,27 +13,38 @@
 	Host   string         `cbor:"1,keyasint"`
 	Prefix string         `cbor:"2,keyasint"`
 	Queue  workload.Queue `cbor:"3,keyasint"`
+	// Keyed routes take only calls with a key of a client account.
+	Keyed bool `cbor:"4,keyasint,omitempty"`
 }
 
+// Name returns the route's name, by which versions of it are told from other routes.
+func (r Route) Name() string { return r.Queue.Name }
+
 // Limits bound what a caller may send.
 type Limits struct {
 	HeaderBytes int   `cbor:"1,keyasint,omitempty"`
 	BodyBytes   int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Table is the routes of one configuration. It never changes.
+// Table is the routes and the client accounts of one configuration. It never changes.
 type Table struct {
-	Version uint64  `cbor:"1,keyasint"`
-	Routes  []Route `cbor:"2,keyasint"`
-	Limits  Limits  `cbor:"3,keyasint"`
+	Version  uint64            `cbor:"1,keyasint"`
+	Routes   []Route           `cbor:"2,keyasint"`
+	Limits   Limits            `cbor:"3,keyasint"`
+	Accounts []account.Account `cbor:"4,keyasint,omitempty"`
 
-	byHost map[string][]Route // longest prefix first
+	byHost    map[string][]Route // longest prefix first
+	byName    map[string]Route
+	directory account.Directory
 }
 
 // WithIndex returns the table ready to be asked.
 func (t Table) WithIndex() Table {
+	t.directory = account.NewDirectory(t.Accounts)
 	t.byHost = make(map[string][]Route)
+	t.byName = make(map[string]Route, len(t.Routes))
 	for _, route := range t.Routes {
+		t.byName[route.Name()] = route
 		host := strings.ToLower(route.Host)
 		t.byHost[host] = append(t.byHost[host], route)
 	}
@@ -66,54 +74,5 @@
 	return queues
 }
 
-// Newest holds the newest table that was offered. The zero Newest holds none.
-//
-// The table can be had without a lock: who is told of a change may wait for others, who
-// may ask for the table meanwhile.
-type Newest struct {
-	table atomic.Pointer[Table]
-
-	mu       sync.Mutex // held while a table is taken and told of, in order
-	onChange []func(Table)
-}
-
-// OnChange has f called with each newer table, in order.
-func (n *Newest) OnChange(f func(Table)) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.onChange = append(n.onChange, f)
-}
-
-// Offer takes a table if it is newer than the one held, and tells whether it
-// was.
-func (n *Newest) Offer(table Table) bool {
-	if !n.Lacks(table.Version) {
-		return false // the index of a large table is work
-	}
-	table = table.WithIndex()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.Lacks(table.Version) {
-		return false
-	}
-	n.table.Store(&table)
-	for _, f := range n.onChange {
-		f(table)
-	}
-	return true
-}
-
-// Lacks reports whether a table of this version would be newer than the one held.
-func (n *Newest) Lacks(version uint64) bool {
-	table, known := n.Current()
-	return !known || version > table.Version
-}
-
-// Current returns the newest table, if there is one.
-func (n *Newest) Current() (Table, bool) {
-	table := n.table.Load()
-	if table == nil {
-		return Table{}, false
-	}
-	return *table, true
-}
+// Directory returns the client accounts.
+func (t Table) Directory() account.Directory { return t.directory }
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -119,7 +119,7 @@
 	if !policy.Needed() || a.asking > 0 || p.now.Before(a.checkAt) || s.chooseLane(policy.Cost(1), p.now) == nil {
 		return
 	}
-	if c.tasks = st.waiting(); len(c.tasks) == 0 {
+	if c.tasks = c.waiting(); len(c.tasks) == 0 {
 		return
 	}
 	named := s.question(p, c)
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"chutereach/account"
 	"chutereach/fleet"
 	"chutereach/resource"
 	"chutereach/workload"
@@ -31,9 +33,9 @@
 	p.sortPools()
 	queue := workload.Queue{Name: "q", Service: "s", Attempts: 3, Advice: workload.AdvicePolicy{Decision: time.Millisecond, Valid: time.Second}}
 	steps := []workload.Step{{Count: 3, Need: resource.Amount{CPU: 2500}, Estimate: time.Second}}
-	j := newJob("00000000000000a0", workload.Record{Request: workload.Request{Steps: steps}, Queue: queue, Accepted: now.UnixMilli()}, now)
+	j := newJob("00000000000000a0", workload.Record{Request: workload.Request{Steps: steps}, Queue: queue, Accepted: now.UnixMilli()}, newAccountState(account.Terms{}), now)
 	st := j.rounds[0].steps[0]
-	return s, p, candidate{step: st, tasks: st.waiting(), urgency: inTime, deadline: j.deadline}
+	return s, p, candidate{step: st, tasks: st.waiting(), allowed: math.MaxInt, urgency: inTime, deadline: j.deadline}
 }
 
 func assertNamed(t *testing.T, named []*worker, least, most int, fits func(*worker) bool) {
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chutereach/account"
 	"chutereach/fleet"
 	"chutereach/leadership"
 	"chutereach/resource"
@@ -84,7 +85,7 @@
 	queue := workload.Queue{Name: "q", Service: "s", Attempts: 3, Advice: workload.AdvicePolicy{Decision: time.Millisecond, Valid: time.Hour}}
 	for i := range jobs {
 		steps := []workload.Step{{Count: 3, Need: resource.Amount{CPU: 2500}, Estimate: time.Second}}
-		j := newJob(fmt.Sprintf("%016x", i), workload.Record{Request: workload.Request{Steps: steps}, Queue: queue, Accepted: now.UnixMilli()}, now)
+		j := newJob(fmt.Sprintf("%016x", i), workload.Record{Request: workload.Request{Steps: steps}, Queue: queue, Accepted: now.UnixMilli()}, newAccountState(account.Terms{}), now)
 		j.rounds[0].steps[0].advice.take(named, advice, now)
 		s.jobs[j.id], s.active[j.id] = j, j
 	}
--- a/scheduler/bundle.go
+++ b/scheduler/bundle.go
@@ -82,7 +82,7 @@
 
 func (s *Scheduler) bundledOf(j *job) codec.Raw {
 	entry := bundled{Job: j.id, Progress: j.progress()}
-	if !j.state.Final() && !j.inserted {
+	if j.needsRecord() && !j.inserted {
 		entry.Record = &j.record
 	}
 	return codec.MustMarshal(entry)
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -35,7 +35,7 @@
 const refuseAfter = 1200 * time.Millisecond
 
 // Submit takes a job in, and returns once it is in the store. A job that is
-// known already is the same job.
+// known already is the same job, if it is the same account's.
 func (s *Scheduler) Submit(ctx context.Context, id string, record workload.Record) error {
 	s.mu.Lock()
 	j := s.jobs[id]
@@ -46,13 +46,19 @@
 			s.metrics.admission("refused")
 			return err
 		}
-		j = newJob(id, record, time.Now())
+		j = newJob(id, record, s.accountOf(record.Account), time.Now())
 		s.jobs[id], s.active[id] = j, j
 		s.applyQueue(j)
 		s.change(j)
-		s.log.Info().Str("job", id).Str("queue", record.Queue.Name).Int("steps", len(record.Request.Steps)).Msg("accepted")
+		s.log.Info().Str("job", id).Str("queue", record.Queue.Name).Str("account", record.Account.Name).
+			Int("steps", len(record.Request.Steps)).Msg("accepted")
 		s.metrics.admission("accepted")
 		wake(s.dispatchWake)
+	} else if !j.belongsTo(record.Account.Name) {
+		s.mu.Unlock()
+		s.log.Info().Str("job", id).Str("account", record.Account.Name).Msg("refused: another account's job has its id")
+		s.metrics.admission("refused")
+		return &OverloadedError{"the job's id is in use", time.Second}
 	} else {
 		s.metrics.admission("known")
 	}
@@ -67,7 +73,14 @@
 	if s.storeIsDown() {
 		return &OverloadedError{(&StoreDownError{}).Error(), time.Second}
 	}
-	return nil
+	return checkQuota(record.Request, s.accountOf(record.Account).terms)
+}
+
+// belongsTo reports whether callers of an account may ask for the job and cancel it. A job
+// without an account, from a public route or from before there were any, is anybody's.
+func (j *job) belongsTo(account string) bool {
+	owner := j.record.Account.Name
+	return owner == "" || owner == account
 }
 
 // confirm waits until a job as it is now is in the store. It releases the lock.
@@ -115,11 +128,11 @@
 	return !since.IsZero() && time.Since(since) > refuseAfter
 }
 
-// Cancel cancels a job and returns once that is in the store.
-func (s *Scheduler) Cancel(ctx context.Context, id string) error {
+// Cancel cancels a job of an account and returns once that is in the store.
+func (s *Scheduler) Cancel(ctx context.Context, account, id string) error {
 	s.mu.Lock()
 	j := s.jobs[id]
-	if j == nil {
+	if j == nil || !j.belongsTo(account) {
 		s.mu.Unlock()
 		return &NotJobError{id}
 	}
@@ -129,11 +142,14 @@
 	return s.confirm(ctx, j)
 }
 
-// State returns a job's state as the store has it. A job that has just become
-// final is waited for until that is in the store, for who asks seldom asks twice.
-func (s *Scheduler) State(ctx context.Context, id string) (workload.State, error) {
+// State returns the state of an account's job as the store has it. A job that has just
+// become final is waited for until that is in the store, for who asks seldom asks twice.
+func (s *Scheduler) State(ctx context.Context, account, id string) (workload.State, error) {
 	s.mu.Lock()
 	j := s.jobs[id]
+	if j != nil && !j.belongsTo(account) {
+		j = nil // to a caller of another account it is not there
+	}
 	if j != nil && j.underWay() {
 		ended := j.ended
 		s.mu.Unlock()
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -120,6 +120,15 @@
 	return c.Client.Hold(ctx, w, o)
 }
 
+// Cancel and State ask as a caller without an account, as who handed the test's jobs in.
+func (o *owner) Cancel(ctx context.Context, id string) error {
+	return o.Scheduler.Cancel(ctx, "", id)
+}
+
+func (o *owner) State(ctx context.Context, id string) (workload.State, error) {
+	return o.Scheduler.State(ctx, "", id)
+}
+
 // inCell runs a test in a bubble with its own clock.
 func inCell(t *testing.T, workers int, test func(*cell)) {
 	t.Helper()
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -168,20 +168,24 @@
 	if j.forgotten {
 		return nil, []rowstore.Key{s.key(progressTable, j.id)}
 	}
-	final := j.state.Final()
+	needed := j.needsRecord()
 	switch {
-	case final && j.inserted:
+	case !needed && j.inserted:
 		deletes = append(deletes, s.key(recordTable, j.id))
-	case !final && !j.inserted:
+	case needed && !j.inserted:
 		puts = append(puts, rowstore.Put{Key: s.key(recordTable, j.id), Value: j.record.Encode()})
 	}
-	if progress := j.progress(); final || j.inserted || len(progress.Steps) > 0 {
+	if progress := j.progress(); j.state.Final() || j.inserted || len(progress.Steps) > 0 {
 		puts = append(puts, rowstore.Put{Key: s.key(progressTable, j.id), Value: progress.Encode()})
 	}
-	j.inserted = !final
+	j.inserted = needed
 	return puts, deletes
 }
 
+// needsRecord reports whether a successor needs the job's record: while it is not final, and
+// until all that ran of it is over, which counts against its account's quota.
+func (j *job) needsRecord() bool { return !j.state.Final() || j.hosted > 0 }
+
 func (s *Scheduler) key(table, name string) rowstore.Key {
 	return rowstore.Key{Table: table, Partition: s.shard, Name: name}
 }
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -64,6 +64,7 @@
 type candidate struct {
 	step     *step
 	tasks    []*task // that wait
+	allowed  int     // how many its account may start now
 	urgency  urgency
 	deadline time.Time
 	latest   time.Time // when the rest of the chain must begin to end in time
@@ -79,8 +80,12 @@
 	trusted bool                 // workers that are not listed may live
 	gangs   int                  // that wait with workers kept free
 	held    bool                 // the candidate at hand was kept off a worker
-	granted []*task              // of the candidate at hand
-	made    int                  // steps for which room was sought by preemption
+	// kept is for which of its steps an account's quota is kept.
+	kept map[*accountState]*step
+	// quotaSought are the accounts of which some tasks were asked to give way to others.
+	quotaSought map[*accountState]bool
+	granted     []*task // of the candidate at hand
+	made        int     // steps for which room was sought by preemption
 }
 
 // add puts a worker into its pool, if it is usable.
@@ -120,7 +125,7 @@
 		return
 	}
 	s.serial++
-	p := &pass{now: now, serial: s.serial, pools: map[string][]*worker{}, grew: map[string]uint64{}, blocked: map[*worker]bool{}, trusted: s.listIncomplete(now)}
+	p := &pass{now: now, serial: s.serial, pools: map[string][]*worker{}, grew: map[string]uint64{}, blocked: map[*worker]bool{}, kept: map[*accountState]*step{}, quotaSought: map[*accountState]bool{}, trusted: s.listIncomplete(now)}
 	for _, w := range s.workers {
 		p.add(w)
 	}
@@ -129,15 +134,26 @@
 		s.keepAdvice(p, list)
 		return
 	}
-	for i, c := range list {
+	asked := 0
+	for _, c := range list {
+		if s.held(p, &c) {
+			continue
+		}
 		s.place(p, c)
 		s.logGranted(p, c)
-		if i < adviceAhead {
-			s.askAdvice(p, c, checkAfter(i))
+		if c.allowed = c.step.allowed(); c.allowed > 0 && asked < adviceAhead {
+			s.askAdvice(p, c, checkAfter(asked))
+			asked++
 		}
 	}
 }
 
+// waiting returns the tasks that could be placed and that the account may start.
+func (c candidate) waiting() []*task {
+	list := c.step.waiting()
+	return list[:min(len(list), c.allowed)]
+}
+
 // adviceAhead is for how many of the most urgent steps tickets are asked; the
 // others could not use theirs before they run out.
 const adviceAhead = 150
@@ -149,8 +165,15 @@
 
 // keepAdvice has tickets at hand for when the store is back.
 func (s *Scheduler) keepAdvice(p *pass, list []candidate) {
-	for i, c := range list[:min(len(list), adviceAhead)] {
-		s.askAdvice(p, c, checkAfter(i))
+	asked := 0
+	for _, c := range list {
+		if asked == adviceAhead {
+			return
+		}
+		if c.allowed = c.step.allowed(); c.allowed > 0 {
+			s.askAdvice(p, c, checkAfter(asked))
+			asked++
+		}
 	}
 }
 
@@ -233,7 +256,7 @@
 		return
 	}
 	p.held = false
-	tasks := st.waiting()
+	tasks := c.waiting()
 	for i, t := range tasks {
 		w := s.bestWorker(p, c, t)
 		if w == nil {
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -43,7 +43,7 @@
 		return
 	}
 	p.held = false
-	c.tasks = c.step.waiting()
+	c.tasks = c.waiting()
 	shares := s.shares(p, c)
 	if c.step.spec.SameRack {
 		shares = oneRack(shares, len(c.tasks))
@@ -143,7 +143,7 @@
 		}
 	}
 	slices.SortFunc(able, func(a, b *worker) int { return cmp.Compare(b.free().CPU, a.free().CPU) })
-	left := len(c.step.waiting())
+	left := len(c.waiting())
 	for _, w := range able {
 		if left <= 0 {
 			break
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -71,6 +71,8 @@
 	advice adviceState
 	// onWorker counts the step's tasks on each worker.
 	onWorker map[*worker]int
+	// heldAt is since when its account's quota holds the step back; zero: it does not.
+	heldAt time.Time
 	// retryAt holds the step back after a refusal.
 	retryAt time.Time
 	// tried is the serial of the last look that found no room for more tasks.
@@ -133,6 +135,8 @@
 type job struct {
 	id       string
 	record   workload.Record
+	account  *accountState
+	hosted   int // tasks that take room on workers
 	rounds   []*round
 	left     int // rounds not done
 	state    workload.State
@@ -160,8 +164,8 @@
 	do         func()
 }
 
-func newJob(id string, record workload.Record, now time.Time) *job {
-	j := &job{id: id, record: record, state: workload.Queued, savedState: workload.Queued, ended: make(chan struct{})}
+func newJob(id string, record workload.Record, owner *accountState, now time.Time) *job {
+	j := &job{id: id, record: record, account: owner, state: workload.Queued, savedState: workload.Queued, ended: make(chan struct{})}
 	age := now.Sub(time.UnixMilli(record.Accepted))
 	j.arrived = now.Add(-max(0, age))
 	j.deadline = j.arrived.Add(record.Queue.Objective(record.Request))
@@ -231,9 +235,7 @@
 
 // slim drops what nobody asks of a final job, once nothing of it is on a worker.
 func (j *job) slim() {
-	hosted := false
-	j.eachTask(func(t *task) { hosted = hosted || t.hosted() })
-	if !hosted {
+	if j.hosted == 0 {
 		j.rounds, j.record.Request = nil, workload.Request{}
 	}
 }
@@ -272,6 +274,9 @@
 func (j *job) progress() workload.Progress {
 	p := workload.Progress{State: j.state, Begun: j.begun, FinalAt: j.finalAt, Generation: j.generation}
 	if j.state.Final() {
+		p.Account = j.record.Account.Name
+	}
+	if j.state.Final() && j.hosted == 0 {
 		return p
 	}
 	for _, r := range j.rounds {
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"chutereach/account"
 	"chutereach/fleet"
 	"chutereach/rowstore"
 	"chutereach/workload"
@@ -76,7 +77,7 @@
 }
 
 func (s *Scheduler) restoreRecord(id string, record workload.Record, now time.Time) *job {
-	j := newJob(id, record, now)
+	j := newJob(id, record, s.accountOf(record.Account), now)
 	j.generation, j.saved = 1, 1
 	s.jobs[id], s.active[id] = j, j
 	return j
@@ -105,8 +106,9 @@
 	j := s.jobs[id]
 	if j == nil {
 		if p.State.Final() {
+			terms := account.Terms{Name: p.Account}
 			s.jobs[id] = &job{
-				id: id, state: p.State, savedState: p.State, begun: p.Begun, finalAt: p.FinalAt,
+				id: id, record: workload.Record{Account: terms}, account: s.accountOf(terms), state: p.State, savedState: p.State, begun: p.Begun, finalAt: p.FinalAt,
 				generation: max(1, p.Generation), saved: max(1, p.Generation),
 			}
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chutereach/account"
 	"chutereach/fleet"
 	"chutereach/leadership"
 	"chutereach/rowstore"
@@ -76,7 +77,10 @@
 	past   map[string]bool
 	dirty  []*job
 	queues map[string]workload.Queue
-	lanes  []*lane
+	// directory is of the newest configuration; accounts are those that have jobs here.
+	directory account.Directory
+	accounts  map[string]*accountState
+	lanes     []*lane
 	// formerLeasesEnd is when everything that a former owner started has ended on
 	// a worker that was not reached since.
 	formerLeasesEnd time.Time
@@ -110,7 +114,7 @@
 		store: store, client: client, term: term, log: log.With().Uint64("token", term.Token()).Logger(), metrics: metrics,
 		commitGap: commitGapFor(config.PartitionWrites),
 		jobs:      map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{}, past: map[string]bool{},
-		queues: map[string]workload.Queue{}, stopping: map[string]bool{}, fleetSpeed: 1, healthy: map[string]float64{}, bundles: map[string]*bundle{},
+		queues: map[string]workload.Queue{}, accounts: map[string]*accountState{}, stopping: map[string]bool{}, fleetSpeed: 1, healthy: map[string]float64{}, bundles: map[string]*bundle{},
 		formerLeasesEnd: leaseEnd(term.FormerSuccess().Add(confirmedFor), config.Lease), Loaded: make(chan struct{}),
 		firstCalls: make(chan struct{}, maxFirstCalls),
 		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
@@ -158,6 +162,7 @@
 	defer end(nil)
 	s.mu.Lock()
 	s.ctx, s.end = ctx, end
+	s.recallFinal()
 	for _, w := range s.workers {
 		if w.known {
 			s.setWorker(w.info)
@@ -236,9 +241,21 @@
 	j.deadline = j.arrived.Add(queue.Objective(j.record.Request))
 }
 
-// forgetOld drops final jobs whose state need not be told any more. The lock is
+// recallFinal stops what still runs of jobs that were final before this term. The lock is
 // held.
+func (s *Scheduler) recallFinal() {
+	for _, j := range s.jobs {
+		if !j.state.Final() {
+			continue
+		}
+		j.eachTask(func(t *task) { s.stop(t, "its job is "+string(j.state)) })
+	}
+}
+
+// forgetOld drops final jobs whose state need not be told any more, and accounts without
+// jobs. The lock is held.
 func (s *Scheduler) forgetOld(now time.Time) {
+	s.forgetAccounts()
 	for id, j := range s.jobs {
 		if j.forgotten && j.saved >= j.generation {
 			delete(s.jobs, id)
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -115,7 +115,7 @@
 	if !best.quiet(st.job, p.now) {
 		return
 	}
-	for _, t := range st.waiting() {
+	for _, t := range c.waiting() {
 		if p.slots(c, best) == 0 {
 			return
 		}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -75,6 +75,8 @@
 	w.used = w.used.Plus(t.step.need())
 	w.tasks[t.id().String()] = t
 	t.step.onWorker[w]++
+	t.step.job.hosted++
+	t.step.job.account.host(t)
 }
 
 // release takes the task's room back; the attempt is over or never began.
@@ -84,6 +86,8 @@
 	if t.step.onWorker[w]--; t.step.onWorker[w] == 0 {
 		delete(t.step.onWorker, w)
 	}
+	t.step.job.hosted--
+	t.step.job.account.release(t)
 	t.worker = nil
 	w.freed = true
 }
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"chutereach/account"
 	"chutereach/codec"
 )
 
@@ -48,6 +49,8 @@
 	FinalAt int64          `cbor:"4,keyasint,omitempty"` // ms since 1970, when it became final
 	// Generation counts the changes of the job; of two rows the higher is later.
 	Generation uint64 `cbor:"6,keyasint,omitempty"`
+	// Account names whose job it is, once it is final: its record goes then.
+	Account string `cbor:"7,keyasint,omitempty"`
 }
 
 // SetBit marks a task in a bit set and returns it.
@@ -69,6 +72,9 @@
 	Request  Request `cbor:"1,keyasint"`
 	Queue    Queue   `cbor:"2,keyasint"`
 	Accepted int64   `cbor:"3,keyasint"` // ms since 1970
+	// Account is whose job it is, on the terms of when it was accepted; they hold on if a
+	// later configuration has no such account. Empty on a public route.
+	Account account.Terms `cbor:"4,keyasint,omitempty"`
 }
 
 // RowError says that a row of a job cannot be read.
