explain, scheduler: from a 401 and a late job to an account at its quota, by logs and metrics

losses has a cause of its own for time in which a quota held a step back, and for jobs refused because they could never fit; why says for how long, and what was in use of what. Metrics show each account's use, waiting jobs and held steps (100 accounts at most), and calls turned away by why.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -102,6 +102,7 @@
 	}
 	expvar.Publish("node", metrics.Var())
 	expvar.Publish("turned_away", ingress.Var())
+	expvar.Publish("accounts", expvar.Func(func() any { return d.node.AccountUsage() }))
 	expvar.Publish("scheduler", metrics.Scheduler.Var())
 	expvar.Publish("log_lines_left_out", missed)
 	mux := http.NewServeMux()
--- a/explain/losses.go
+++ b/explain/losses.go
@@ -17,14 +17,16 @@
 	CauseNoOwner    Cause = "no owner"
 	CauseAttempts   Cause = "attempts failed or were lost"
 	CauseGaveWay    Cause = "gave way to urgent work"
+	CauseQuota      Cause = "its account was at its quota"
 	CauseWaited     Cause = "waited for room or advice"
 	CauseRan        Cause = "ran for long"
 )
 
 // Saveable reports whether a scheduler could have done something about a loss of this
-// cause: nothing can be accepted or completed while the store is down.
+// cause: nothing can be accepted or completed while the store is down, and an operator sets
+// quotas.
 func (c Cause) Saveable() bool {
-	return c != CauseRefused && c != CauseStore && c != CauseNotWritten
+	return c != CauseRefused && c != CauseStore && c != CauseNotWritten && c != CauseQuota
 }
 
 // Loss counts the jobs of a queue that came in one window and were late, refused or
@@ -140,6 +142,9 @@
 		if slices.ContainsFunc(own, func(l Line) bool { return l.Message == "accepted" }) {
 			return CauseNotWritten, came, true
 		}
+		if slices.ContainsFunc(own, refusedForQuota) {
+			return CauseQuota, came, true
+		}
 		return CauseRefused, came, true
 	}
 	line := own[final]
@@ -154,7 +159,8 @@
 // longest returns what took the most of a late job's life.
 func (d dayCauses) longest(own []Line, life span) Cause {
 	wait, retried, yielded := heldUp(own, life.from)
-	waited := wait.to.Sub(wait.from) - wait.overlap(d.slow) - wait.overlap(d.ownerless)
+	held := heldByQuota(own, life.to)
+	waited := wait.to.Sub(wait.from) - wait.overlap(d.slow) - wait.overlap(d.ownerless) - wait.overlap(held)
 	type share struct {
 		cause Cause
 		time  time.Duration
@@ -164,6 +170,7 @@
 		{CauseNoOwner, life.overlap(d.ownerless)},
 		{CauseAttempts, retried},
 		{CauseGaveWay, yielded},
+		{CauseQuota, life.overlap(held)},
 		{CauseWaited, waited},
 	}
 	most := slices.MaxFunc(shares, func(a, b share) int { return cmp.Compare(a.time, b.time) })
@@ -177,6 +184,41 @@
 // in every job's life.
 const leastShare = 100 * time.Millisecond
 
+// heldByQuota returns the times in which the quota of its account held a step of a job back,
+// until the job's end at the latest. Those of several steps are joined.
+func heldByQuota(own []Line, end time.Time) []span {
+	var spans []span
+	begun := time.Time{}
+	for _, line := range own {
+		switch line.Message {
+		case quotaHolds:
+			if begun.IsZero() {
+				begun = line.Time
+			}
+		case quotaLetsGo:
+			if !begun.IsZero() {
+				spans = append(spans, span{begun, line.Time})
+			}
+			begun = time.Time{}
+		}
+	}
+	if !begun.IsZero() {
+		spans = append(spans, span{begun, end})
+	}
+	return spans
+}
+
+// Messages of lines on quotas.
+const (
+	quotaHolds  = "waits for its account's quota"
+	quotaLetsGo = "its account's quota has room"
+)
+
+// refusedForQuota reports whether a line says that a job could never fit its account's quota.
+func refusedForQuota(line Line) bool {
+	return line.Message == "refused" && line.text("account") != ""
+}
+
 // heldUp returns from when to when a job waited for its first grant, and what attempts
 // that did not end well cost it.
 func heldUp(own []Line, came time.Time) (wait span, retried, yielded time.Duration) {
--- a/explain/story.go
+++ b/explain/story.go
@@ -89,6 +89,7 @@
 	} else if find(own, "attempt over") == nil {
 		summary = append(summary, "None of its tasks was placed: look for \"no advice\" and for owners without the store.")
 	}
+	summary = append(summary, quotaWaits(own)...)
 	summary = append(summary, attempts(own)...)
 	summary = append(summary, endedUnder(own)...)
 	if final != nil {
@@ -150,6 +151,20 @@
 	return sentences
 }
 
+// quotaWaits says for how long its account's quota held the job back.
+func quotaWaits(own []Line) []string {
+	held := find(own, quotaHolds)
+	if held == nil {
+		return nil
+	}
+	total := time.Duration(0)
+	for _, s := range heldByQuota(own, own[len(own)-1].Time) {
+		total += s.to.Sub(s.from)
+	}
+	return []string{fmt.Sprintf("Its account %s was at its quota (%s in use of %s): steps waited %v for that.",
+		held.text("account"), held.text("used"), held.text("quota"), total.Round(time.Millisecond))}
+}
+
 // endedUnder names the workers that have ended under each task of the job.
 func endedUnder(own []Line) []string {
 	var tasks []string
--- a/node/node.go
+++ b/node/node.go
@@ -223,6 +223,17 @@
 // pauseBeforeHandover lets starts and transactions under way end.
 const pauseBeforeHandover = 50 * time.Millisecond
 
+// AccountUsage returns what client accounts have of the shard, if this node owns it.
+func (n *Node) AccountUsage() []scheduler.AccountUsage {
+	n.mu.Lock()
+	own := n.own
+	n.mu.Unlock()
+	if own == nil {
+		return nil
+	}
+	return own.AccountUsage()
+}
+
 // Owns reports whether this node owns the shard, as far as it knows.
 func (n *Node) Owns() bool {
 	n.mu.Lock()
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
+	"slices"
 
 	"chutereach/account"
 	"chutereach/resource"
@@ -16,8 +18,9 @@
 	// used is what all its attempts take, from their grant until it is certain that they are
 	// over. A start counts against the quota from before it is sent, and a stop until its end
 	// is listed, so that no order that is carried out late can bring the account over it.
-	used   resource.Amount
-	hosted map[*task]struct{}
+	used    resource.Amount
+	hosted  map[*task]struct{}
+	refused int // jobs that could never fit its quota
 }
 
 func newAccountState(terms account.Terms) *accountState {
@@ -71,6 +74,59 @@
 	wake(s.dispatchWake)
 }
 
+// AccountUsage is what an account has of the shard at a moment.
+type AccountUsage struct {
+	Account string `json:"account"`
+	Used    string `json:"used"`
+	Quota   string `json:"quota"` // a kind of which it has 0 is not bounded
+	// Waiting are its jobs of which nothing has begun, and Held its steps that the quota
+	// holds back now.
+	Waiting int `json:"waiting"`
+	Held    int `json:"held"`
+	Refused int `json:"refused_for_quota"`
+}
+
+// mostAccounts bounds the accounts that are shown.
+const mostAccounts = 100
+
+// AccountUsage returns the accounts that have jobs here, those with the most in use of their
+// quotas first.
+func (s *Scheduler) AccountUsage() []AccountUsage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiting, held := map[*accountState]int{}, map[*accountState]int{}
+	for _, j := range s.active {
+		if !j.begun {
+			waiting[j.account]++
+		}
+		held[j.account] += j.heldSteps()
+	}
+	states := slices.Collect(maps.Values(s.accounts))
+	slices.SortFunc(states, func(a, b *accountState) int {
+		return cmp.Or(cmp.Compare(b.dominant(), a.dominant()), cmp.Compare(a.terms.Name, b.terms.Name))
+	})
+	var list []AccountUsage
+	for _, a := range states[:min(len(states), mostAccounts)] {
+		list = append(list, AccountUsage{
+			Account: a.terms.Name, Used: a.used.String(), Quota: resource.Amount(a.terms.Quota).String(),
+			Waiting: waiting[a], Held: held[a], Refused: a.refused,
+		})
+	}
+	return list
+}
+
+func (j *job) heldSteps() int {
+	count := 0
+	for _, r := range j.rounds {
+		for _, st := range r.steps {
+			if !st.heldAt.IsZero() && !st.done() {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // forgetAccounts drops the accounts of which nothing is left. The lock is held.
 func (s *Scheduler) forgetAccounts() {
 	busy := make(map[*accountState]bool, len(s.accounts))
--- a/scheduler/accounts_test.go
+++ b/scheduler/accounts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -140,6 +141,27 @@
 	}
 }
 
+// Metrics tell which account is at its quota, and what waits for that.
+func TestUsageOfAccounts(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		a := c.accounts(account.Terms{Name: "a", Weight: 1, Quota: quotaOf(8_000)}, account.Terms{Name: "b", Weight: 1})
+		a.mustSubmit("a", "wide", c.queue, jobOf(4, 4_000), 2*time.Second)
+		a.mustSubmit("a", "later", c.queue, jobOf(1, 4_000), time.Second)
+		a.mustSubmit("b", "beside", c.queue, jobOf(1, 1_000), 2*time.Second)
+		err := a.submit("a", "never", c.queue, gangOf(4, 4_000), time.Second)
+		wantError[*scheduler.QuotaError](t, "a gang that does not fit", err)
+		time.Sleep(500 * time.Millisecond)
+		got := a.owner.AccountUsage()
+		want := []scheduler.AccountUsage{
+			{Account: "a", Used: "8 cpu 2.0 GiB", Quota: "8 cpu 0 B", Waiting: 1, Held: 2, Refused: 1},
+			{Account: "b", Used: "1 cpu 1.0 GiB", Quota: "0 cpu 0 B"},
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("usage %+v, want %+v", got, want)
+		}
+	})
+}
+
 // A job whose account is gone from the configuration runs on, on the terms that it came with.
 func TestAnAccountGoesWhileItsJobsRun(t *testing.T) {
 	inCell(t, 4, func(c *cell) {
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -42,8 +43,7 @@
 	if j == nil {
 		if err := s.admit(record); err != nil {
 			s.mu.Unlock()
-			s.log.Info().Str("job", id).Err(err).Msg("refused")
-			s.metrics.admission("refused")
+			s.logRefused(id, record, err)
 			return err
 		}
 		j = newJob(id, record, s.accountOf(record.Account), time.Now())
@@ -65,6 +65,20 @@
 	return s.confirm(ctx, j)
 }
 
+// logRefused writes a line for a job that was not taken; it names the account if its quota
+// is why. The lock is not held.
+func (s *Scheduler) logRefused(id string, record workload.Record, err error) {
+	event := s.log.Info().Str("job", id).Str("queue", record.Queue.Name).Err(err)
+	var overQuota *QuotaError
+	if errors.As(err, &overQuota) {
+		event = event.Str("account", record.Account.Name)
+		s.metrics.admission("over quota")
+	} else {
+		s.metrics.admission("refused")
+	}
+	event.Msg("refused")
+}
+
 // admit decides whether a new job is taken. The lock is held.
 func (s *Scheduler) admit(record workload.Record) error {
 	if s.deposed != nil {
@@ -73,7 +87,12 @@
 	if s.storeIsDown() {
 		return &OverloadedError{(&StoreDownError{}).Error(), time.Second}
 	}
-	return checkQuota(record.Request, s.accountOf(record.Account).terms)
+	a := s.accountOf(record.Account)
+	if err := checkQuota(record.Request, a.terms); err != nil {
+		a.refused++
+		return err
+	}
+	return nil
 }
 
 // belongsTo reports whether callers of an account may ask for the job and cancel it. A job
