leadership: how long answers take is told by answers, not by what was lost

The patience before the store is asked what became of a transaction was worked out from the whole time of transactions, lost copies included, so each loss made the next one cost more, up to 1.2 s; large ones waited for 0.5 s whatever the store's answers took; after four lost copies the fifth waited for 3 s.

Ruled out: the chain of transactions itself (each needs the one before): with losses noticed in time it takes 52 ms at the mean. Several partitions are not needed for this.

Change: patience follows the answers that came; so does the time after which a large transaction counts as lost; a copy that is sent again is looked after as soon as the first; eight copies may be under way.

Test first: small transactions 385 ms at the mean and 4.0 s at the most before, 52 ms and 0.33 s after; large ones 597 ms and 4.0 s before, 52 ms and 0.33 s after.

--- a/leadership/commit.go
+++ b/leadership/commit.go
@@ -14,7 +14,8 @@
 const (
 	// leastPatience and mostPatience bound how long a transaction may go without an
 	// answer before the store is asked what became of it; in between that is
-	// patienceRatio times what transactions take of late.
+	// patienceRatio times what answers take of late. Only calls that were answered count:
+	// a transaction that was lost twice says nothing of how long an answer takes.
 	leastPatience = 60 * time.Millisecond
 	mostPatience  = 1200 * time.Millisecond
 	patienceRatio = 3
@@ -24,12 +25,15 @@
 	// slowRatio is how many times as long as a look takes a transaction may take at
 	// the same store: it waits for its turn besides.
 	slowRatio = 3
-	// maxSendings and maxLooks bound the calls for one transaction under way at once.
-	maxSendings = 4
+	// maxSendings and maxLooks bound the calls for one transaction under way at once. Where
+	// two of five are lost, one transaction in a thousand needs eight sendings, and one in
+	// thirty four.
+	maxSendings = 8
 	maxLooks    = 8
-	// largeBytes is more than a connection takes in at once, and largeQuiet for how long
-	// nothing may have been sent of a transaction of that size for it to count as lost: a
-	// crowded link holds packets up for half a second.
+	// largeBytes is more than a connection takes in at once, and largeQuiet for how long, at
+	// the most, nothing may have been sent of a transaction of that size for it to count as
+	// lost: a crowded link holds packets up for half a second. Less is enough where such
+	// transactions are answered sooner.
 	largeBytes = 64 << 10
 	largeQuiet = 500 * time.Millisecond
 	// callQuiet is for how long nothing may move of a call.
@@ -54,7 +58,7 @@
 	next := r.row
 	next.Sequence++
 	c := &commit{
-		term: r, next: next, begun: clock.Now(), quiet: quietOf(puts), results: make(chan result, maxSendings+maxLooks),
+		term: r, next: next, begun: clock.Now(), large: isLarge(puts), results: make(chan result, maxSendings+maxLooks),
 		transaction: rowstore.Transaction{
 			Conditions: []rowstore.Condition{{Key: keyOf(r.shard), Version: r.version}},
 			Puts:       append([]rowstore.Put{{Key: keyOf(r.shard), Value: codec.MustMarshal(next)}}, puts...),
@@ -76,11 +80,10 @@
 	next        Row
 	begun       clock.Instant
 	lastSent    clock.Atomic // when a part of it was last sent
-	// quiet is for how long nothing of it may have been sent for a copy to count as lost.
-	quiet    time.Duration
-	results  chan result
-	sendings int // under way
-	looks    int // under way
+	large       bool
+	results     chan result
+	sendings    int // under way
+	looks       int // under way
 }
 
 // result is what came of one call.
@@ -111,19 +114,22 @@
 			c.look(ctx)
 			again.Reset(lookAgain)
 		case got := <-c.results:
-			version, err, certain := c.take(ctx, got)
-			if certain {
+			version, err, certain := c.take(got)
+			switch {
+			case certain:
 				return version, err
-			}
-			if got.err != nil && c.sendings+c.looks == 0 {
+			case got.err != nil && c.sendings+c.looks == 0:
 				again.Reset(retryPause) // refused: no call waits for the store's return
+			case got.err == nil && c.seemsLost(got.took):
+				c.send(ctx)
+				again.Reset(c.term.patience)
 			}
 		}
 	}
 }
 
 // take takes in the result of one call, and reports whether the outcome is certain.
-func (c *commit) take(ctx context.Context, got result) (version uint64, err error, certain bool) {
+func (c *commit) take(got result) (version uint64, err error, certain bool) {
 	if got.look {
 		c.looks--
 	} else {
@@ -138,27 +144,36 @@
 		return 0, nil, false
 	}
 	c.term.answered()
-	if got.version != 0 {
-		c.term.committed(c.begun)
-		return got.version, nil, true
+	if got.version == 0 {
+		return 0, nil, false
 	}
-	if c.lastSent.Load().Since() > max(c.quiet, slowRatio*got.took) {
-		c.send(ctx)
+	if !got.look {
+		c.term.answeredIn(got.took, c.large)
 	}
-	return 0, nil, false
+	// Others count from when they first see its row: what this owner counts from must not be
+	// later, so a look that finds the row unchanged, or applied long ago, counts for nothing.
+	c.term.sent.Store(c.begun)
+	return got.version, nil, true
 }
 
-// quietOf returns for how long nothing may have been sent of a transaction that writes puts
-// for it to count as lost.
-func quietOf(puts []rowstore.Put) time.Duration {
+// seemsLost reports, after a look at the store that took so long and showed that the
+// transaction is not applied, whether the last copy has been lost.
+func (c *commit) seemsLost(look time.Duration) bool {
+	quiet := leastPatience
+	if c.large {
+		quiet = c.term.largeQuiet
+	}
+	return c.lastSent.Load().Since() > max(quiet, slowRatio*look)
+}
+
+// isLarge reports whether a transaction that writes puts is more than a connection takes in
+// at once.
+func isLarge(puts []rowstore.Put) bool {
 	size := 0
 	for _, put := range puts {
 		size += len(put.Value)
 	}
-	if size < largeBytes {
-		return leastPatience
-	}
-	return largeQuiet
+	return size >= largeBytes
 }
 
 // noteSent notes that a part of the transaction has been sent just now.
@@ -238,10 +253,10 @@
 	r.failed.Store(clock.Instant{})
 }
 
-// committed notes a transaction that was begun at a time and has been applied. Others
-// count from when they first see its row: what this owner counts from must not be later,
-// so a look at the row that finds it unchanged, or applied long ago, counts for nothing.
-func (r *Term) committed(begun clock.Instant) {
-	r.sent.Store(begun)
-	r.patience = min(mostPatience, max(leastPatience, (r.patience+patienceRatio*begun.Since())/2))
+// answeredIn notes how long the store took to answer a transaction that it has applied.
+func (r *Term) answeredIn(took time.Duration, large bool) {
+	r.patience = min(mostPatience, max(leastPatience, (r.patience+patienceRatio*took)/2))
+	if large {
+		r.largeQuiet = min(largeQuiet, max(leastPatience, patienceRatio*took))
+	}
 }
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -94,6 +94,9 @@
 	// patience is how long a transaction may go without an answer before the store is
 	// asked what became of it.
 	patience time.Duration
+	// largeQuiet is for how long nothing may have been sent of a large transaction for it to
+	// count as lost.
+	largeQuiet time.Duration
 	// sent is when the last transaction that was applied was first sent, and failed since
 	// when the store has answered no call.
 	sent   clock.Atomic
@@ -106,7 +109,7 @@
 // was seen. It returns a DeposedError if another node was faster.
 func Take(ctx context.Context, store rowstore.Store, shard, node, address string, seen Sighting) (*Term, error) {
 	term := &Term{
-		store: store, shard: shard, version: seen.Version, former: seen.Since, patience: leastPatience,
+		store: store, shard: shard, version: seen.Version, former: seen.Since, patience: leastPatience, largeQuiet: largeQuiet,
 		row: Row{Node: node, Address: address, Term: xid.New().String()},
 	}
 	if err := term.Commit(ctx, nil, nil); err != nil {
