reliability, scheduler: workers that fail in a row get nothing for a while

Change: a worker with two failures in a row of different jobs gets nothing for 1 s, twice as long each time, 4 s at the most; then one task at a time until one is done. After one failure, or with three in ten of late, it gets no member of a gang and no task that has its last attempt. A failure is not held against a worker if the task fails elsewhere too. Where over a quarter of a service's workers seem to fail, all are used. The decision is a package of its own, values without lock or clock.

--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -26,7 +26,7 @@
 		w.known, w.contact, w.used = true, now, used(i)
 		s.workers[w.info.ID] = w
 	}
-	p := &pass{now: now, serial: 1, pools: map[string][]*worker{}, grew: map[string]uint64{}, blocked: map[*worker]bool{}}
+	p := newPass(now, 1, false)
 	for _, w := range s.workers {
 		p.add(w)
 	}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chutereach/reliability"
 	"chutereach/wait"
 )
 
@@ -80,6 +81,7 @@
 	trusted bool                 // workers that are not listed may live
 	gangs   int                  // that wait with workers kept free
 	held    bool                 // the candidate at hand was kept off a worker
+	sparing map[string]sparing   // by service
 	// kept is for which of its steps an account's quota is kept.
 	kept map[*accountState]*step
 	// quotaSought are the accounts of which some tasks were asked to give way to others.
@@ -88,10 +90,20 @@
 	made        int     // steps for which room was sought by preemption
 }
 
+func newPass(now time.Time, serial uint64, trusted bool) *pass {
+	return &pass{
+		now: now, serial: serial, trusted: trusted, pools: map[string][]*worker{}, grew: map[string]uint64{},
+		blocked: map[*worker]bool{}, sparing: map[string]sparing{}, kept: map[*accountState]*step{},
+		quotaSought: map[*accountState]bool{},
+	}
+}
+
 // add puts a worker into its pool, if it is usable.
 func (p *pass) add(w *worker) {
 	usable := w.usable(p.now, p.trusted)
-	if usable && (!w.wasUsable || w.freed) {
+	former := w.standing
+	w.standing = w.health.reliability.Standing(p.now)
+	if usable && (!w.wasUsable || w.freed || w.standing < former) {
 		w.grew = p.serial
 	}
 	w.wasUsable, w.freed = usable, false
@@ -99,10 +111,21 @@
 		w.usableIn = p.serial
 		service := w.info.Service
 		p.pools[service] = append(p.pools[service], w)
+		p.spare(w)
 		p.grew[service] = max(p.grew[service], w.grew)
 	}
 }
 
+// spare counts a usable worker, by how far it can be relied on.
+func (p *pass) spare(w *worker) {
+	count := p.sparing[w.info.Service]
+	count.all++
+	if w.standing >= reliability.Probing {
+		count.spared++
+	}
+	p.sparing[w.info.Service] = count
+}
+
 // sortPools puts the workers with the most free processors first.
 func (p *pass) sortPools() {
 	for _, pool := range p.pools {
@@ -125,7 +148,7 @@
 		return
 	}
 	s.serial++
-	p := &pass{now: now, serial: s.serial, pools: map[string][]*worker{}, grew: map[string]uint64{}, blocked: map[*worker]bool{}, kept: map[*accountState]*step{}, quotaSought: map[*accountState]bool{}, trusted: s.listIncomplete(now)}
+	p := newPass(now, s.serial, s.listIncomplete(now))
 	for _, w := range s.workers {
 		p.add(w)
 	}
@@ -282,7 +305,7 @@
 	var best *worker
 	bestScore := 0.0
 	c.step.options(p, func(w *worker) {
-		if w.grew <= c.step.tried || p.slots(c, w) < 1 {
+		if w.grew <= c.step.tried || p.slots(c, w) < 1 || !p.relies(w, t.last()) {
 			return
 		}
 		score := s.scoreOf(c.step, w, p.now)
@@ -298,7 +321,7 @@
 
 // open reports whether the step may go to the worker now, room apart.
 func (p *pass) open(c candidate, w *worker) bool {
-	if !c.step.allows(w) {
+	if !c.step.allows(w) || !p.relies(w, c.step.spec.Gang) {
 		return false
 	}
 	if w.trial.against(c.step.job, p.now) {
@@ -330,7 +353,7 @@
 // Weights of what makes a worker the better one; the lowest sum wins.
 const (
 	farPenalty     = 4.0 // the data is in another rack
-	suspectPenalty = 8.0 // it has failed much of late
+	suspectPenalty = 8.0 // it has failed of late
 	failurePenalty = 6.0 // times the share of attempts that fail there
 	slowPenalty    = 6.0 // times how much slower it is than the fleet
 )
@@ -343,10 +366,10 @@
 	if st.spec.NearRack != "" && st.spec.NearRack != w.info.Rack {
 		score += farPenalty
 	}
-	if w.health.suspect(now) {
+	if w.standing != reliability.Sound {
 		score += suspectPenalty
 	}
-	score += failurePenalty * w.health.failures
+	score += failurePenalty * w.health.reliability.Share(now)
 	if slow := w.health.slowness(s.fleetSpeed, now); slow > slowFrom {
 		score += slowPenalty * slow
 	}
--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -15,13 +15,12 @@
 func (s *Scheduler) endAttempt(t *task, outcome fleet.Outcome, checkpoint, why string) {
 	w, st := t.worker, t.step
 	j := st.job
-	stopping := t.state == taskStopping
 	if checkpoint != "" && st.spec.Checkpoints {
 		t.checkpoint = checkpoint
 	}
 	s.logEnd(t, outcome, why)
 	s.metrics.end(outcome)
-	w.health.ended(t, outcome, stopping, time.Now())
+	s.noteOutcome(t, outcome, time.Now())
 	w.release(t)
 	switch {
 	case !t.told:
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -4,17 +4,12 @@
 	"time"
 
 	"chutereach/fleet"
+	"chutereach/reliability"
 )
 
 const (
-	// suspectAfter failures in a row of different jobs make a worker suspect.
-	suspectAfter = 2
-	suspectPause = time.Second
-	suspectMost  = 4 * time.Second
-	// failureWeight and speedWeight are the weights of the newest sample in the
-	// means.
-	failureWeight = 0.25
-	speedWeight   = 0.3
+	// speedWeight is the weight of the newest sample in the mean.
+	speedWeight = 0.3
 	// sampleEvery is the least time over which progress is measured, fastest the
 	// most that a sample counts for, and recoverTime how soon a worker without
 	// samples counts as sound again.
@@ -29,39 +24,60 @@
 
 // health is what an owner concludes of a worker from how attempts go there. It
 // tells workers that fail, hang or turn slow from sound ones; none is ever given
-// up, as each gets work again when the others are full.
+// up.
 type health struct {
-	failures  float64 // mean share of attempts that fail
-	failedRow int     // failures in a row of different jobs
-	lastJob   string  // of the last failure
-	until     time.Time
-	pause     time.Duration
-	speed     float64 // mean speed of tasks against their estimates; 0: not known
-	sampledAt time.Time
+	reliability reliability.Record
+	speed       float64 // mean speed of tasks against their estimates; 0: not known
+	sampledAt   time.Time
 }
 
-// ended takes in an attempt's end.
-func (h *health) ended(t *task, outcome fleet.Outcome, stopping bool, now time.Time) {
+// noteOutcome takes in how an attempt has ended on its worker. A task that has failed on
+// another worker before fails by its own doing, most likely, and did so there too.
+func (s *Scheduler) noteOutcome(t *task, outcome fleet.Outcome, now time.Time) {
+	h := &t.worker.health
 	switch {
 	case outcome == fleet.Done:
-		h.failures *= 1 - failureWeight
-		h.failedRow, h.lastJob, h.pause, h.until = 0, "", 0, time.Time{}
-	case outcome == fleet.Failed && !stopping:
-		if h.lastJob == t.step.job.id {
-			return // it may be the job's own fault
-		}
-		h.failures += (1 - h.failures) * failureWeight
-		h.lastJob = t.step.job.id
-		h.failedRow++
-		if h.failedRow >= suspectAfter {
-			h.pause = min(suspectMost, max(suspectPause, 2*h.pause))
-			h.until = now.Add(h.pause)
-		}
+		h.reliability = h.reliability.WithDone()
+	case outcome != fleet.Failed || t.state == taskStopping:
+	case t.failedOn != nil && t.failedOn != t.worker:
+		t.failedOn.health.reliability = t.failedOn.health.reliability.WithForgiven()
+	default:
+		h.reliability = h.reliability.WithFailed(t.step.job.id, now)
+		s.logStanding(t.worker, now)
 	}
 }
 
-// suspect reports whether the worker should be spared for now.
-func (h *health) suspect(now time.Time) bool { return now.Before(h.until) }
+// logStanding writes a line for a worker that is put into quarantine.
+func (s *Scheduler) logStanding(w *worker, now time.Time) {
+	if w.health.reliability.Standing(now) != reliability.Quarantined {
+		return
+	}
+	s.metrics.quarantined.Add(1)
+	s.log.Info().Str("worker", w.info.ID).Float64("share", w.health.reliability.Share(now)).Int("attempts", len(w.tasks)).
+		Msg("worker fails and gets nothing for a while")
+}
+
+// mostSpared is the share of a service's workers that may be spared. Where more seem to fail
+// it is not for them to be told from sound ones, and all are used.
+const mostSpared = 0.25
+
+// relies reports whether work may go to a worker, by how attempts have ended there of late.
+func (p *pass) relies(w *worker, precious bool) bool {
+	if p.sparing[w.info.Service].tooMany() {
+		return true
+	}
+	return w.standing.Takes(reliability.Work{Precious: precious, Beside: len(w.tasks)})
+}
+
+// sparing counts the usable workers of a service, and those of them that are spared.
+type sparing struct{ all, spared int }
+
+func (s sparing) tooMany() bool { return float64(s.spared) > mostSpared*float64(s.all) }
+
+// last reports whether the task's next failure ends its job.
+func (t *task) last() bool {
+	return !t.step.spec.Lasting && t.failures+1 >= t.step.job.record.Queue.Attempts
+}
 
 // progressed takes in how fast a task went since the last sample.
 func (h *health) progressed(speed float64, now time.Time) {
--- a/scheduler/health_test.go
+++ b/scheduler/health_test.go
@@ -103,3 +103,52 @@
 		}
 	})
 }
+
+// On a full fleet, workers that fail all they are given within moments are the ones with room.
+// They do not end jobs of many tasks of which each may fail once.
+func TestFailingWorkersOnAFullFleet(t *testing.T) {
+	inCell(t, 20, func(c *cell) {
+		c.queue.Attempts = 2
+		for _, sick := range []string{"w-04", "w-11"} {
+			c.fleet.SetSick(sick, fleettest.Plan{Work: 40 * time.Millisecond, Outcome: fleet.Failed})
+		}
+		var p placed
+		p.watch(c)
+		o := c.rule()
+		time.Sleep(time.Second)
+		var ids []string
+		for i := range 40 { // more than the workers can do
+			id := fmt.Sprintf("job-%03d", i)
+			ids = append(ids, id)
+			if err := c.submit(o, id, jobOf(24, 4000), work(800*time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		failed := 0
+		for _, id := range ids {
+			failed += c.failedOf(o, id)
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if got := p.starts["w-04"] + p.starts["w-11"]; failed > 1 || got > 40 {
+			t.Errorf("%d jobs of %d failed, and the sick workers got %d starts; want 1 and 40 at most", failed, len(ids), got)
+		}
+	})
+}
+
+// failedOf waits until a job is final, and returns 1 if it has failed.
+func (c *cell) failedOf(o *owner, id string) int {
+	for range 3000 {
+		state, err := o.State(c.ctx, id)
+		if err == nil && state.Final() {
+			if state == workload.Failed {
+				return 1
+			}
+			return 0
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Errorf("job %s is not final", id)
+	return 0
+}
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -14,7 +14,7 @@
 	admissions, outcomes, refusals, finals *expvar.Map
 	stops, grants, adviceFailed, late      *expvar.Int
 	preempted, crashed, gaveUp, suspected  *expvar.Int
-	held                                   *expvar.Int
+	held, quarantined                      *expvar.Int
 	commitTimes, startTimes, adviceTimes   *histogram.Times
 	completedTimes, lookTimes              *histogram.Times
 	commitJobs                             *expvar.Int
@@ -27,7 +27,7 @@
 		stops: new(expvar.Int), grants: new(expvar.Int), adviceFailed: new(expvar.Int), late: new(expvar.Int),
 		commitTimes: histogram.New(), startTimes: histogram.New(), adviceTimes: histogram.New(),
 		completedTimes: histogram.New(), lookTimes: histogram.New(), commitJobs: new(expvar.Int), preempted: new(expvar.Int),
-		crashed: new(expvar.Int), gaveUp: new(expvar.Int), suspected: new(expvar.Int), held: new(expvar.Int),
+		crashed: new(expvar.Int), gaveUp: new(expvar.Int), suspected: new(expvar.Int), held: new(expvar.Int), quarantined: new(expvar.Int),
 	}
 }
 
@@ -45,6 +45,7 @@
 	all.Set("steps_suspected", m.suspected)
 	all.Set("given_up_for_crashes", m.gaveUp)
 	all.Set("steps_held_by_quota", m.held)
+	all.Set("workers_quarantined", m.quarantined)
 	all.Set("grants", m.grants)
 	all.Set("advice_failed", m.adviceFailed)
 	all.Set("commit_ms", m.commitTimes)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chutereach/fleet"
+	"chutereach/reliability"
 	"chutereach/resource"
 )
 
@@ -47,6 +48,7 @@
 	yields       []*task // that may give way, as of the look yieldsIn
 	yieldsIn     uint64
 	health       health
+	standing     reliability.Standing // as of the last look
 }
 
 // pendingNote is an end that waits for the store.
