scheduler, settings: what stops, restarts and remote data take comes from the settings

stopTime, reserveFor, resumeCost and farPenalty were those of workers that stop a task in 0.4 s and take half as long again away from the data. New settings worker.stop, worker.restore, worker.remote-factor, with the old figures as defaults; the times that follow from them are worked out in one place.

A test in simulated time showed no loss with a reservation that is too short where a gang waits, for workers are kept free for it besides; it was dropped for a table of the times.

--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -74,6 +74,7 @@
 // pass is one look at all that could be placed.
 type pass struct {
 	now     time.Time
+	times   WorkerTimes
 	serial  uint64
 	grew    map[string]uint64    // the latest growth of a worker, by service
 	pools   map[string][]*worker // usable workers by service, the most free first
@@ -90,9 +91,9 @@
 	made        int     // steps for which room was sought by preemption
 }
 
-func newPass(now time.Time, serial uint64, trusted bool) *pass {
+func newPass(now time.Time, serial uint64, trusted bool, times WorkerTimes) *pass {
 	return &pass{
-		now: now, serial: serial, trusted: trusted, pools: map[string][]*worker{}, grew: map[string]uint64{},
+		now: now, serial: serial, trusted: trusted, times: times, pools: map[string][]*worker{}, grew: map[string]uint64{},
 		blocked: map[*worker]bool{}, sparing: map[string]sparing{}, kept: map[*accountState]*step{},
 		quotaSought: map[*accountState]bool{},
 	}
@@ -148,7 +149,7 @@
 		return
 	}
 	s.serial++
-	p := newPass(now, s.serial, s.listIncomplete(now))
+	p := newPass(now, s.serial, s.listIncomplete(now), s.times)
 	for _, w := range s.workers {
 		p.add(w)
 	}
@@ -352,7 +353,6 @@
 
 // Weights of what makes a worker the better one; the lowest sum wins.
 const (
-	farPenalty     = 4.0 // the data is in another rack
 	suspectPenalty = 8.0 // it has failed of late
 	failurePenalty = 6.0 // times the share of attempts that fail there
 	slowPenalty    = 6.0 // times how much slower it is than the fleet
@@ -364,7 +364,7 @@
 	left := w.free().Minus(st.need())
 	score := ratio(int64(left.CPU), int64(w.info.Capacity.CPU)) + ratio(int64(left.Memory), int64(w.info.Capacity.Memory))
 	if st.spec.NearRack != "" && st.spec.NearRack != w.info.Rack {
-		score += farPenalty
+		score += s.farPenalty
 	}
 	if w.standing != reliability.Sound {
 		score += suspectPenalty
@@ -376,6 +376,21 @@
 	return score
 }
 
+// farPenaltyOf returns by how much a worker in another rack than the data is the worse one,
+// where tasks take factor times as long there: 4 where they take half as long again.
+func farPenaltyOf(factor float64) float64 {
+	if factor <= 1 {
+		factor = defaultFactor
+	}
+	return farWeight * (factor - 1)
+}
+
+const (
+	farWeight = 8.0
+	// defaultFactor is that of most deployments at hand.
+	defaultFactor = 1.5
+)
+
 // slowFrom is the slowness below which a worker counts as sound: estimates are
 // rough.
 const slowFrom = 0.4
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -14,16 +14,30 @@
 // same or are late already, so that little is lost. Gangs never give way: to stop
 // one member is to stop all.
 
+// WorkerTimes are what workers take to stop a task and to carry one on from its checkpoint.
+type WorkerTimes struct{ Stop, Restore time.Duration }
+
+// defaultTimes are those of most deployments at hand.
+var defaultTimes = WorkerTimes{Stop: 400 * time.Millisecond, Restore: 250 * time.Millisecond}
+
+// stopped is how long a task that gives way takes to end, at most, with its report.
+func (w WorkerTimes) stopped() time.Duration { return w.Stop + reportTime }
+
+// reserved is for how long the room of tasks that gave way is kept for the step that they
+// gave way to. Kept for 0.9 s where a stop takes 0.9 s, it was given up just as it was free.
+func (w WorkerTimes) reserved() time.Duration { return w.Stop + placeTime }
+
+// resumed is what giving way costs a task, at most: its stop, the wait for another place and
+// the restart from its checkpoint.
+func (w WorkerTimes) resumed() time.Duration { return w.Stop + w.Restore + otherPlace }
+
 const (
-	// stopTime is how long a task that gives way takes to end, at most, with its
-	// report.
-	stopTime = 500 * time.Millisecond
-	// reserveFor is how long the room of tasks that gave way is kept for the step
-	// that they gave way to.
-	reserveFor = 900 * time.Millisecond
-	// resumeCost is what giving way costs a task, at most: its stop, the wait for
-	// another place and the restart from its checkpoint.
-	resumeCost = 2500 * time.Millisecond
+	// reportTime is how long the end of a stopped task takes to be heard of, and placeTime
+	// how long after its stop its room should be taken, looks at others included.
+	reportTime = 100 * time.Millisecond
+	placeTime  = 500 * time.Millisecond
+	// otherPlace is how long a task that gave way waits for another place, mostly.
+	otherPlace = 1850 * time.Millisecond
 	// leastRun is how long a task runs before it may give way, and mostPreempted
 	// how often it does.
 	leastRun      = 200 * time.Millisecond
@@ -51,7 +65,7 @@
 	}
 	w.yieldsIn, w.yields = p.serial, w.yields[:0]
 	for _, t := range w.tasks {
-		if t.mayYield(p.now) {
+		if p.mayYield(t) {
 			w.yields = append(w.yields, t)
 		}
 	}
@@ -64,9 +78,9 @@
 	return w.yields
 }
 
-// mayYield reports whether the task may be stopped for others with little loss.
-func (t *task) mayYield(now time.Time) bool {
-	spec, j := t.step.spec, t.step.job
+// mayYield reports whether a task may be stopped for others with little loss.
+func (p *pass) mayYield(t *task) bool {
+	spec, j, now := t.step.spec, t.step.job, p.now
 	if t.state != taskRunning || !spec.Checkpoints || spec.Gang || spec.Lasting || j.record.Request.Timed() {
 		return false
 	}
@@ -75,7 +89,7 @@
 	}
 	rest := j.rounds[t.step.round].chainLeft(&j.record.Request) - min(spec.Estimate, now.Sub(t.begunAt))
 	inTime := now.Add(rest).Before(j.deadline)
-	return !inTime || now.Add(rest+resumeCost).Before(j.deadline)
+	return !inTime || now.Add(rest+p.times.resumed()).Before(j.deadline)
 }
 
 // yieldsTo reports whether a task that may give way does so for a step.
@@ -115,7 +129,7 @@
 	if tasksOf(offers) < tasks {
 		return
 	}
-	st.roomUntil = p.now.Add(reserveFor)
+	st.roomUntil = p.now.Add(p.times.reserved())
 	stopped := 0
 	for _, offer := range offers {
 		if tasks <= 0 {
@@ -137,7 +151,7 @@
 	var offers []share
 	c.step.options(p, func(w *worker) {
 		permit := c.step.advice.at[w]
-		if permit != nil && !permit.goodAt(p.now.Add(stopTime)) {
+		if permit != nil && !permit.goodAt(p.now.Add(p.times.stopped())) {
 			return
 		}
 		if slots := p.slotsWithYields(c, w); slots > 0 {
--- a/scheduler/quota.go
+++ b/scheduler/quota.go
@@ -125,7 +125,7 @@
 	if giving == nil {
 		return
 	}
-	st.roomUntil = p.now.Add(reserveFor)
+	st.roomUntil = p.now.Add(p.times.reserved())
 	for _, t := range giving {
 		t.preempted++
 		s.metrics.preempted.Add(1)
@@ -144,7 +144,7 @@
 		switch {
 		case t.state == taskStopping:
 			used = used.Minus(t.step.spec.Need) // it gives way already
-		case t.yieldsTo(c.step) && t.mayYield(p.now):
+		case t.yieldsTo(c.step) && p.mayYield(t):
 			list = append(list, t)
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -40,6 +40,10 @@
 	// PartitionWrites is how many transactions a second the store takes of the
 	// shard's partition; 0: not known.
 	PartitionWrites float64
+	// Workers are what stops and restarts take; zero: what they take on most deployments.
+	Workers WorkerTimes
+	// RemoteFactor is how many times as long a task takes away from its data; 0: not known.
+	RemoteFactor float64
 	// Lateness, if given, tells by how much this process serves its timers late.
 	Lateness func() time.Duration
 }
@@ -53,6 +57,13 @@
 	return c.Lateness()
 }
 
+func (c Config) workerTimes() WorkerTimes {
+	if c.Workers == (WorkerTimes{}) {
+		return defaultTimes
+	}
+	return c.Workers
+}
+
 // Scheduler runs one shard's jobs for the time of one term.
 type Scheduler struct {
 	// Loaded is closed, by who calls Load, once the shard may be asked.
@@ -63,11 +74,14 @@
 	lease     time.Duration
 	keepFinal time.Duration
 	commitGap time.Duration // the least time between the starts of two transactions
-	store     rowstore.Store
-	client    fleet.Client
-	term      *leadership.Term
-	log       zerolog.Logger
-	metrics   *Metrics
+	times     WorkerTimes
+	// farPenalty is what a task's data in another rack takes off a worker's score.
+	farPenalty float64
+	store      rowstore.Store
+	client     fleet.Client
+	term       *leadership.Term
+	log        zerolog.Logger
+	metrics    *Metrics
 
 	mu      sync.Mutex
 	jobs    map[string]*job // all whose state can be asked for
@@ -112,8 +126,8 @@
 	return &Scheduler{
 		shard: config.Shard, lateness: config.lateness, lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, term: term, log: log.With().Uint64("token", term.Token()).Logger(), metrics: metrics,
-		commitGap: commitGapFor(config.PartitionWrites),
-		jobs:      map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{}, past: map[string]bool{},
+		commitGap: commitGapFor(config.PartitionWrites), times: config.workerTimes(), farPenalty: farPenaltyOf(config.RemoteFactor),
+		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{}, past: map[string]bool{},
 		queues: map[string]workload.Queue{}, accounts: map[string]*accountState{}, stopping: map[string]bool{}, fleetSpeed: 1, healthy: map[string]float64{}, bundles: map[string]*bundle{},
 		formerLeasesEnd: leaseEnd(term.FormerSuccess().Add(confirmedFor), config.Lease), Loaded: make(chan struct{}),
 		firstCalls: make(chan struct{}, maxFirstCalls),
--- /dev/null
+++ b/scheduler/times_test.go
@@ -0,0 +1,33 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+)
+
+// What is known of workers decides for how long room is kept for those that others gave way to.
+func TestTimesOfWorkers(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		name                       string
+		config                     Config
+		stopped, reserved, resumed time.Duration
+		farPenalty                 float64
+	}{
+		{"not told", Config{}, 500 * ms, 900 * ms, 2500 * ms, 4},
+		{"as most are", Config{Workers: WorkerTimes{400 * ms, 250 * ms}, RemoteFactor: 1.5}, 500 * ms, 900 * ms, 2500 * ms, 4},
+		{"slow stops", Config{Workers: WorkerTimes{900 * ms, 250 * ms}, RemoteFactor: 3}, 1000 * ms, 1400 * ms, 3000 * ms, 16},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			w := test.config.workerTimes()
+			if w.stopped() != test.stopped || w.reserved() != test.reserved || w.resumed() != test.resumed {
+				t.Errorf("stopped %v, reserved %v, resumed %v; want %v, %v, %v",
+					w.stopped(), w.reserved(), w.resumed(), test.stopped, test.reserved, test.resumed)
+			}
+			if got := farPenaltyOf(test.config.RemoteFactor); got != test.farPenalty {
+				t.Errorf("far penalty %v, want %v", got, test.farPenalty)
+			}
+		})
+	}
+}
--- a/settings/node.go
+++ b/settings/node.go
@@ -21,6 +21,7 @@
 	Store  NodeStore  `group:"store" namespace:"store"`
 	Advice NodeAdvice `group:"advice" namespace:"advice"`
 	Times  NodeTimes  `group:"times" namespace:"times"`
+	Worker NodeWorker `group:"worker" namespace:"worker"`
 	Log    NodeLog    `group:"log" namespace:"log"`
 
 	// Defaulted are the platform's figures that the file lacks; their defaults are
@@ -39,6 +40,9 @@
 	{Section: "times", Key: "longest-lease"},
 	{Section: "times", Key: "keep-final"},
 	{Section: "times", Key: "grace"},
+	{Section: "worker", Key: "stop"},
+	{Section: "worker", Key: "restore"},
+	{Section: "worker", Key: "remote-factor"},
 }
 
 // NodeSelf is who the node is and where it listens.
@@ -73,6 +77,13 @@
 	Grace        time.Duration `long:"grace" ini-name:"grace" default:"6s" description:"between the order to stop and the kill"`
 }
 
+// NodeWorker is what the platform tells of its workers.
+type NodeWorker struct {
+	Stop         time.Duration `long:"stop" ini-name:"stop" default:"400ms" description:"that a worker takes to stop a task, at most"`
+	Restore      time.Duration `long:"restore" ini-name:"restore" default:"250ms" description:"that a task takes to go on from its checkpoint"`
+	RemoteFactor float64       `long:"remote-factor" ini-name:"remote-factor" default:"1.5" description:"how many times as long a task takes away from its data"`
+}
+
 // NodeLog is how the node logs.
 type NodeLog struct {
 	Level string `long:"level" ini-name:"level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
@@ -172,6 +183,12 @@
 		return s.fault("times", "keep-final", "must not be negative")
 	case s.Times.Grace <= 0:
 		return s.fault("times", "grace", "must be more than 0")
+	case s.Worker.Stop < 0:
+		return s.fault("worker", "stop", "must not be negative")
+	case s.Worker.Restore < 0:
+		return s.fault("worker", "restore", "must not be negative")
+	case s.Worker.RemoteFactor < 1:
+		return s.fault("worker", "remote-factor", "must be at least 1")
 	}
 	return nil
 }
