settings: the test of complete settings has the figures of workers too

Cause: the settings gained worker.stop, worker.restore and worker.remote-factor, and the file that this test calls complete lacked them, so that four subtests rightly told of three defaults in force.

The file has the three figures now, their values are checked, and a case more says what is in force without them. No expectation of the others changed.

--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -62,6 +62,10 @@
 longest-lease = 10000ms
 keep-final = 120s
 grace = 6s
+[worker]
+stop = 900ms
+restore = 350ms
+remote-factor = 3
 `
 
 func assertDefaulted(t *testing.T, text string, keys ...string) *settings.Node {
@@ -86,6 +90,16 @@
 		if s.LeaseInForce() != 3*time.Second || s.Store.PartitionWrites != 150 {
 			t.Errorf("settings: %+v", s)
 		}
+		if want := (settings.NodeWorker{Stop: 900 * time.Millisecond, Restore: 350 * time.Millisecond, RemoteFactor: 3}); s.Worker != want {
+			t.Errorf("of workers: %+v, want %+v", s.Worker, want)
+		}
+	})
+	t.Run("those of workers", func(t *testing.T) {
+		without, _, _ := strings.Cut(allFigures, "[worker]")
+		s := assertDefaulted(t, without, "stop", "restore", "remote-factor")
+		if want := (settings.NodeWorker{Stop: 400 * time.Millisecond, Restore: 250 * time.Millisecond, RemoteFactor: 1.5}); s.Worker != want {
+			t.Errorf("of workers: %+v, want %+v", s.Worker, want)
+		}
 	})
 	t.Run("one without a value", func(t *testing.T) {
 		s := assertDefaulted(t, strings.Replace(allFigures, "= 150", "=", 1), "partition-writes")
