scheduler: a gang is recalled as soon as one member is being stopped

Change: to stop one member is to recall all of its attempt, at once. Test (silent, mute and late workers): members waited in vain in two of three cases before, in none after.

--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -73,6 +73,7 @@
 	tickets map[string]time.Time
 	broken  []string
 	starts  int
+	alone   int // members of gangs that waited for the others in vain
 	lives   int // that have ended and were started again
 	news    News
 	grace   time.Duration // see SetResizeGrace
@@ -249,6 +250,13 @@
 	return f.starts
 }
 
+// Alone counts the members of gangs that ended since the others did not come in time.
+func (f *Fleet) Alone() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.alone
+}
+
 // Refused returns how many orders were refused for a reason.
 func (f *Fleet) Refused(reason fleet.Reason) int {
 	f.mu.Lock()
--- a/fleet/fleettest/gang.go
+++ b/fleet/fleettest/gang.go
@@ -68,6 +68,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if !w.dead && w.runs[r.task.String()] == r && r.began.IsZero() {
+			f.alone++
 			f.end(w, r, fleet.Alone)
 		}
 	})
--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -48,7 +48,7 @@
 		st.retryAt = time.Now().Add(failurePause)
 	}
 	if st.spec.Gang && !st.done() && !j.state.Final() {
-		s.breakGang(st, t.attempt)
+		s.breakGang(st, t.attempt, "another member of the gang ended")
 	}
 	if !j.state.Final() {
 		s.giveUpCrashing(t)
@@ -105,11 +105,20 @@
 	}
 }
 
-// breakGang recalls the other members of a gang's attempt.
-func (s *Scheduler) breakGang(st *step, attempt int) {
+// breakGang recalls the other members of a gang's attempt at once. Without a member the gang
+// never comes together, and it can take 4.8 s until it is certain that one in doubt is over
+// (startWithin and a lease of 3 s): the others would wait, with their room taken, until their
+// workers end them.
+func (s *Scheduler) breakGang(st *step, attempt int, why string) {
 	for _, member := range st.tasks {
-		if member.hosted() && member.attempt == attempt {
-			s.stop(member, "another member of the gang ended")
+		if member.attempt != attempt {
+			continue
+		}
+		switch member.state {
+		case taskGranted:
+			s.endAttempt(member, fleet.Stopped, "", why)
+		case taskStarting, taskRunning:
+			s.recall(member, why)
 		}
 	}
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -192,7 +192,7 @@
 		Str("worker", t.worker.info.ID).Msg("started")
 }
 
-// stop ends an attempt that is unwanted or in doubt. The lock is held.
+// stop ends an attempt that is unwanted or in doubt, and with it its gang. The lock is held.
 func (s *Scheduler) stop(t *task, why string) {
 	switch t.state {
 	case taskGranted:
@@ -202,6 +202,14 @@
 	default:
 		return
 	}
+	s.recall(t, why)
+	if t.step.spec.Gang {
+		s.breakGang(t.step, t.attempt, "another member of the gang is being stopped")
+	}
+}
+
+// recall has a worker told to stop an attempt that was sent to it. The lock is held.
+func (s *Scheduler) recall(t *task, why string) {
 	t.state = taskStopping
 	t.stoppedAt = time.Time{}
 	s.metrics.stops.Add(1)
