fit, scheduler: how a worker is rated for a task is a value of its own

The rating stood among the looks at workers; it is a package without lock, clock or store now, with its load and the reasons for its weights. Nothing about it changes. The test of the far penalty now looks at the factor in force in the scheduler and at the penalty that follows in fit, as strictly as before.

--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chutereach/fit"
 	"chutereach/headroom"
 	"chutereach/reliability"
 	"chutereach/urgency"
@@ -283,10 +284,9 @@
 		if w.grew <= c.step.tried || p.slots(c, w) < 1 || !p.relies(w, t.last()) {
 			return
 		}
-		score := s.scoreOf(c.step, w, p.now)
-		if t.failedOn == w {
-			score += suspectPenalty
-		}
+		place := s.placeOf(c.step, w, p.now)
+		place.FailedHere = t.failedOn == w
+		score := fit.Score(place)
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
@@ -358,55 +358,21 @@
 		st.spec.Need.Fits(w.info.Capacity)
 }
 
-// Weights of what makes a worker the better one; the lowest sum wins.
-const (
-	suspectPenalty = 8.0 // it has failed of late
-	failurePenalty = 6.0 // times the share of attempts that fail there
-	slowPenalty    = 6.0 // times how much slower it is than the fleet
-)
-
-// scoreOf rates a worker for a task: the fullest that takes it, so that room for
-// large tasks stays whole, unless it fails or is slow.
+// scoreOf rates a worker for a task of a step; the lowest is the best.
 func (s *Scheduler) scoreOf(st *step, w *worker, now time.Time) float64 {
-	left := w.free().Minus(st.need())
-	score := ratio(int64(left.CPU), int64(w.info.Capacity.CPU)) + ratio(int64(left.Memory), int64(w.info.Capacity.Memory))
-	if st.spec.NearRack != "" && st.spec.NearRack != w.info.Rack {
-		score += s.farPenalty
-	}
-	if w.standing != reliability.Sound {
-		score += suspectPenalty
-	}
-	score += failurePenalty * w.health.reliability.Share(now)
-	if slow := w.health.slowness(s.fleetSpeed, now); slow > slowFrom {
-		score += slowPenalty * slow
-	}
-	return score
+	return fit.Score(s.placeOf(st, w, now))
 }
 
-// farPenaltyOf returns by how much a worker in another rack than the data is the worse one,
-// where tasks take factor times as long there: 4 where they take half as long again.
-func farPenaltyOf(factor float64) float64 {
-	if factor <= 1 {
-		factor = defaultFactor
+// placeOf returns a worker as its fitness for a task of a step depends on it.
+func (s *Scheduler) placeOf(st *step, w *worker, now time.Time) fit.Place {
+	place := fit.Place{
+		Capacity: w.info.Capacity, Left: w.free().Minus(st.need()), Unsound: w.standing != reliability.Sound,
+		Failures: w.health.reliability.Share(now), Slowness: w.health.slowness(s.fleetSpeed, now),
 	}
-	return farWeight * (factor - 1)
-}
-
-const (
-	farWeight = 8.0
-	// defaultFactor is that of most deployments at hand.
-	defaultFactor = 1.5
-)
-
-// slowFrom is the slowness below which a worker counts as sound: estimates are
-// rough.
-const slowFrom = 0.4
-
-func ratio(part, whole int64) float64 {
-	if whole == 0 {
-		return 0
+	if st.spec.NearRack != "" && st.spec.NearRack != w.info.Rack {
+		place.Remote = s.remoteFactor - 1
 	}
-	return float64(part) / float64(whole)
+	return place
 }
 
 // grant gives a task room on a worker; once that is in the store, the worker is
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -65,6 +65,16 @@
 	return c.Workers
 }
 
+// defaultFactor is the remote factor of most deployments at hand.
+const defaultFactor = 1.5
+
+func (c Config) remoteFactor() float64 {
+	if c.RemoteFactor <= 1 {
+		return defaultFactor
+	}
+	return c.RemoteFactor
+}
+
 // Scheduler runs one shard's jobs for the time of one term.
 type Scheduler struct {
 	// Loaded is closed, by who calls Load, once the shard may be asked.
@@ -76,13 +86,13 @@
 	keepFinal time.Duration
 	commitGap time.Duration // the least time between the starts of two transactions
 	times     WorkerTimes
-	// farPenalty is what a task's data in another rack takes off a worker's score.
-	farPenalty float64
-	store      rowstore.Store
-	client     fleet.Client
-	term       *leadership.Term
-	log        zerolog.Logger
-	metrics    *Metrics
+	// remoteFactor is how many times as long a task takes away from its data.
+	remoteFactor float64
+	store        rowstore.Store
+	client       fleet.Client
+	term         *leadership.Term
+	log          zerolog.Logger
+	metrics      *Metrics
 
 	mu      sync.Mutex
 	jobs    map[string]*job // all whose state can be asked for
@@ -129,7 +139,7 @@
 	return &Scheduler{
 		shard: config.Shard, lateness: config.lateness, lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, term: term, log: log.With().Uint64("token", term.Token()).Logger(), metrics: metrics,
-		commitGap: commitGapFor(config.PartitionWrites), times: config.workerTimes(), farPenalty: farPenaltyOf(config.RemoteFactor),
+		commitGap: commitGapFor(config.PartitionWrites), times: config.workerTimes(), remoteFactor: config.remoteFactor(),
 		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{}, past: map[string]bool{},
 		queues: map[string]workload.Queue{}, accounts: map[string]*accountState{}, demands: map[string]headroom.Demand{}, stopping: map[string]bool{}, fleetSpeed: 1, healthy: map[string]float64{}, bundles: map[string]*bundle{},
 		formerLeasesEnd: leaseEnd(term.FormerSuccess().Add(confirmedFor), config.Lease), Loaded: make(chan struct{}),
--- a/scheduler/times_test.go
+++ b/scheduler/times_test.go
@@ -12,11 +12,11 @@
 		name                       string
 		config                     Config
 		stopped, reserved, resumed time.Duration
-		farPenalty                 float64
+		remoteFactor               float64
 	}{
-		{"not told", Config{}, 500 * ms, 900 * ms, 2500 * ms, 4},
-		{"as most are", Config{Workers: WorkerTimes{400 * ms, 250 * ms}, RemoteFactor: 1.5}, 500 * ms, 900 * ms, 2500 * ms, 4},
-		{"slow stops", Config{Workers: WorkerTimes{900 * ms, 250 * ms}, RemoteFactor: 3}, 1000 * ms, 1400 * ms, 3000 * ms, 16},
+		{"not told", Config{}, 500 * ms, 900 * ms, 2500 * ms, 1.5},
+		{"as most are", Config{Workers: WorkerTimes{400 * ms, 250 * ms}, RemoteFactor: 1.5}, 500 * ms, 900 * ms, 2500 * ms, 1.5},
+		{"slow stops", Config{Workers: WorkerTimes{900 * ms, 250 * ms}, RemoteFactor: 3}, 1000 * ms, 1400 * ms, 3000 * ms, 3},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -25,8 +25,8 @@
 				t.Errorf("stopped %v, reserved %v, resumed %v; want %v, %v, %v",
 					w.stopped(), w.reserved(), w.resumed(), test.stopped, test.reserved, test.resumed)
 			}
-			if got := farPenaltyOf(test.config.RemoteFactor); got != test.farPenalty {
-				t.Errorf("far penalty %v, want %v", got, test.farPenalty)
+			if got := test.config.remoteFactor(); got != test.remoteFactor {
+				t.Errorf("remote factor %v, want %v", got, test.remoteFactor)
 			}
 		})
 	}
