fairness, scheduler, urgency: what an account sends beyond its weight goes after what is owed and as urgent

Load: one account sends twelve times its usual, most of it lookups. All work was ordered by when it must begin, whoever sent it, so that lookups of accounts that sent no more than ever were late with it; the weight of an account was read and nothing went by it.

The line 'accepted' and the metric of accounts tell what came beyond the weight.

--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"chutereach/account"
+	"chutereach/fairness"
 	"chutereach/resource"
 	"chutereach/workload"
 )
@@ -21,6 +22,9 @@
 	used    resource.Amount
 	hosted  map[*task]struct{}
 	refused int // jobs that could never fit its quota
+	// meter tells which of its jobs come on top of what it is owed; beyond counts these.
+	meter  fairness.Meter
+	beyond int
 }
 
 func newAccountState(terms account.Terms) *accountState {
@@ -84,6 +88,8 @@
 	Waiting int `json:"waiting"`
 	Held    int `json:"held"`
 	Refused int `json:"refused_for_quota"`
+	// Beyond are jobs that came on top of what its weight comes to.
+	Beyond int `json:"beyond_weight"`
 }
 
 // mostAccounts bounds the accounts that are shown.
@@ -109,7 +115,7 @@
 	for _, a := range states[:min(len(states), mostAccounts)] {
 		list = append(list, AccountUsage{
 			Account: a.terms.Name, Used: a.used.String(), Quota: resource.Amount(a.terms.Quota).String(),
-			Waiting: waiting[a], Held: held[a], Refused: a.refused,
+			Waiting: waiting[a], Held: held[a], Refused: a.refused, Beyond: a.beyond,
 		})
 	}
 	return list
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -47,12 +47,13 @@
 			return err
 		}
 		j = newJob(id, record, s.accountOf(record.Account), time.Now())
+		j.noteArrival()
 		s.jobs[id], s.active[id] = j, j
 		s.applyQueue(j)
 		s.noteDemand(j, j.arrived)
 		s.change(j)
 		s.log.Info().Str("job", id).Str("queue", record.Queue.Name).Str("account", record.Account.Name).
-			Int("steps", len(record.Request.Steps)).Msg("accepted")
+			Int("steps", len(record.Request.Steps)).Bool("beyond", j.beyond).Msg("accepted")
 		s.metrics.admission("accepted")
 		wake(s.dispatchWake)
 	} else if !j.belongsTo(record.Account.Name) {
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -164,5 +164,6 @@
 		Chain:   j.rounds[st.round].chainLeft(&j.record.Request),
 		Untimed: st.spec.Lasting || j.record.Request.Timed(),
 		Idle:    j.idle(now),
+		Beyond:  j.beyond,
 	}
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -146,7 +146,8 @@
 	id      string
 	record  workload.Record
 	account *accountState
-	hosted  int // tasks that take room on workers
+	beyond  bool // it came on top of what its account is owed
+	hosted  int  // tasks that take room on workers
 	// idleSince is since when nothing of it has been on a worker.
 	idleSince time.Time
 	rounds    []*round
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -71,6 +71,7 @@
 		s.restoreProgress(id, entry.Progress)
 	}
 	s.adoptBundles(latest, bundles)
+	s.noteArrivals()
 	s.log.Info().Int("jobs", len(s.jobs)).Int("active", len(s.active)).Int("workers", len(s.workers)).
 		Int("bundles", len(bundles)).Msg("loaded")
 	return nil
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -43,6 +43,8 @@
 	Untimed bool
 	// Idle is for how long nothing of its job has run; 0 if something does.
 	Idle time.Duration
+	// Beyond is whether its job came on top of what its account is owed.
+	Beyond bool
 }
 
 // Verdict is how urgent a step is at a moment.
@@ -57,6 +59,8 @@
 	MayWait bool
 	// Patient steps leave room to wide steps of queues that go first.
 	Patient bool
+	// Beyond steps go after those of their rank that are owed to their accounts.
+	Beyond bool
 }
 
 // InTime reports whether the work can be completed in time.
@@ -64,7 +68,7 @@
 
 // Judge returns how urgent a step is.
 func Judge(w Work, now time.Time) Verdict {
-	v := Verdict{Rank: rankOf(w, now), Latest: w.Deadline.Add(-w.Chain), MayWait: w.Idle < mostIdle}
+	v := Verdict{Rank: rankOf(w, now), Latest: w.Deadline.Add(-w.Chain), MayWait: w.Idle < mostIdle, Beyond: w.Beyond}
 	if w.Untimed {
 		return v
 	}
@@ -94,5 +98,15 @@
 
 // Compare orders verdicts, the most urgent first.
 func Compare(a, b Verdict) int {
-	return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Latest.Compare(b.Latest))
+	return cmp.Or(cmp.Compare(a.Rank, b.Rank), trueLast(a.Beyond, b.Beyond), a.Latest.Compare(b.Latest))
+}
+
+func trueLast(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
 }
