--- a/scheduler/burst_test.go
+++ b/scheduler/burst_test.go
@@ -22,11 +22,30 @@
 	jobs    int
 	waiting sync.WaitGroup
 
+	tally
+	stops int // under the tally's lock
+}
+
+// tally counts what came of jobs, by kind.
+type tally struct {
 	mu      sync.Mutex
-	stops   int
 	results map[string]result
 }
 
+func (t *tally) note(kind string, inTime bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.results == nil {
+		t.results = map[string]result{}
+	}
+	r := t.results[kind]
+	r.jobs++
+	if inTime {
+		r.inTime++
+	}
+	t.results[kind] = r
+}
+
 // result is what came of the jobs of a kind.
 type result struct{ jobs, inTime int }
 
@@ -43,14 +62,9 @@
 func playMonth(t *testing.T, seed uint64, span time.Duration) (m *month) {
 	t.Helper()
 	inCell(t, 0, func(c *cell) {
-		for i := range 40 {
-			c.fleet.Add(fleet.Worker{
-				ID: fmt.Sprintf("w-%02d", i), Service: testService, Rack: fmt.Sprintf("r-%d", i/12),
-				Capacity: resource.Amount{CPU: 32_000, Memory: 128 * gigabyte},
-			})
-		}
+		c.addLarge(40)
 		c.lease = shortLease
-		m = &month{cell: c, random: rand.New(rand.NewPCG(seed, 4)), owner: c.rule(), results: map[string]result{}}
+		m = &month{cell: c, random: rand.New(rand.NewPCG(seed, 4)), owner: c.rule()}
 		c.fleet.SetFault(func(call fleettest.Call, _ string) fleettest.Fault {
 			m.mu.Lock()
 			defer m.mu.Unlock()
@@ -68,6 +82,16 @@
 	return m
 }
 
+// addLarge adds workers of 32 processors and 128 GiB, twelve a rack.
+func (c *cell) addLarge(count int) {
+	for i := range count {
+		c.fleet.Add(fleet.Worker{
+			ID: fmt.Sprintf("w-%02d", i), Service: testService, Rack: fmt.Sprintf("r-%d", i/12),
+			Capacity: resource.Amount{CPU: 32_000, Memory: 128 * gigabyte},
+		})
+	}
+}
+
 // arrive hands in what comes in 20 ms: some 1,180 processors of 1,280 are asked for at the mean.
 func (m *month) arrive() {
 	if m.random.Float64() < 0.02*12 {
@@ -96,17 +120,6 @@
 	})
 }
 
-func (m *month) note(kind string, inTime bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	r := m.results[kind]
-	r.jobs++
-	if inTime {
-		r.inTime++
-	}
-	m.results[kind] = r
-}
-
 // Gangs first wait for room that becomes free, and statements with time leave it to them: few
 // tasks are stopped moments after they have begun, and gangs begin in time all the same.
 func TestGangsBesideStatements(t *testing.T) {
--- a/scheduler/fairness_test.go
+++ b/scheduler/fairness_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"chutereach/account"
-	"chutereach/fleet"
 	"chutereach/resource"
 	"chutereach/workload"
 )
@@ -21,14 +20,13 @@
 	jobs    int
 	waiting sync.WaitGroup
 
-	mu      sync.Mutex
-	results map[string]result // of the busy account and of the others
+	tally // of the busy account and of the others
 }
 
 const (
 	marketAccounts = 6
 	// marketWeight is what each account is owed, in jobs a second; it sends half of it, and
-	// the busy one eight times its usual.
+	// the busy one twelve times its usual.
 	marketWeight  = 8.0
 	usualPerS     = marketWeight / 2
 	busyTimes     = 12
@@ -40,18 +38,13 @@
 func playMarket(t *testing.T, seed uint64, span time.Duration, takeover bool) (m *market) {
 	t.Helper()
 	inCell(t, 0, func(c *cell) {
-		for i := range marketWorkers {
-			c.fleet.Add(fleet.Worker{
-				ID: fmt.Sprintf("w-%02d", i), Service: testService, Rack: fmt.Sprintf("r-%d", i/12),
-				Capacity: resource.Amount{CPU: 32_000, Memory: 128 * gigabyte},
-			})
-		}
+		c.addLarge(marketWorkers)
 		c.lease = shortLease
 		var terms []account.Terms
 		for i := range marketAccounts {
 			terms = append(terms, account.Terms{Name: fmt.Sprintf("account-%d", i), Weight: marketWeight})
 		}
-		m = &market{accounts: c.accounts(terms...), random: rand.New(rand.NewPCG(seed, 5)), results: map[string]result{}}
+		m = &market{accounts: c.accounts(terms...), random: rand.New(rand.NewPCG(seed, 5))}
 		time.Sleep(time.Second)
 		for begun := time.Now(); time.Since(begun) < span; time.Sleep(20 * time.Millisecond) {
 			if takeover && time.Since(begun) > span/2 {
@@ -92,37 +85,20 @@
 	came, objective := time.Now(), time.Duration(queue.Stretch*float64(work))+queue.Target
 	m.waiting.Go(func() {
 		if err := m.submit(name, id, queue, request, work); err != nil {
-			m.note(name, false)
+			m.note(groupOf(name), false)
 			return
 		}
-		m.awaitEnd(name, id)
-		m.note(name, time.Since(came) <= objective)
+		m.awaitFinal(name, id, time.Minute)
+		m.note(groupOf(name), time.Since(came) <= objective)
 	})
 }
 
-// awaitEnd waits until a job is final.
-func (m *market) awaitEnd(name, id string) {
-	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if state, _ := m.owner.Scheduler.State(m.ctx, name, id); state.Final() {
-			return
-		}
-	}
-	m.t.Errorf("job %s of %s did not end", id, name)
-}
-
-func (m *market) note(name string, inTime bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	of := "others"
+// groupOf returns as whose an account's jobs are counted.
+func groupOf(name string) string {
 	if name == busyAccount {
-		of = "busy"
-	}
-	r := m.results[of]
-	r.jobs++
-	if inTime {
-		r.inTime++
+		return "busy"
 	}
-	m.results[of] = r
+	return "others"
 }
 
 // One account sends twelve times its usual: the others are served in time, and the busy one as
