--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -204,7 +204,7 @@
 	}
 	s.recall(t, why)
 	if t.step.spec.Gang {
-		s.breakGang(t.step, t.attempt, "another member of the gang is being stopped")
+		s.breakGang(t.step, t.attempt, "with its gang: "+why)
 	}
 }
 
