--- a/scheduler/gaps.go
+++ b/scheduler/gaps.go
@@ -35,14 +35,14 @@
 // keepsGap reports whether the room that a task of the step would take on the worker is kept
 // for gangs that may come. Gangs take it.
 func (p *pass) keepsGap(st *step, w *worker) bool {
-	gaps, any := p.gaps[w.info.Service]
+	gaps, counted := p.gaps[w.info.Service]
 	free := w.free()
-	return any && !st.spec.Gang && gaps.Keeps(st.job.record.Queue.Priority, free, free.Minus(st.need()))
+	return counted && !st.spec.Gang && gaps.Keeps(st.job.record.Queue.Priority, free, free.Minus(st.need()))
 }
 
 // takeGap notes that a worker has been given a task.
 func (p *pass) takeGap(w *worker, before resource.Amount) {
-	if gaps, any := p.gaps[w.info.Service]; any {
+	if gaps, counted := p.gaps[w.info.Service]; counted {
 		p.gaps[w.info.Service] = gaps.WithTaken(before, w.free())
 	}
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -305,7 +305,7 @@
 	}
 	for _, r := range j.rounds {
 		for _, st := range r.steps {
-			if sp, any := st.progress(); any {
+			if sp, begun := st.progress(); begun {
 				p.Steps = append(p.Steps, sp)
 			}
 		}
