scheduler: an account's own long work goes by its urgency, whatever came on top

Cause: with a weight of 1 and five small jobs a second the gang came on top of what its account is owed, and those of its account's small jobs that came in their time went before it and took the quota.

Change: of an account's waiting jobs that may be long, what is owed goes to the most urgent ones.

--- a/scheduler/accounts_test.go
+++ b/scheduler/accounts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,10 +19,18 @@
 // accounts are client accounts of a test, and the owner that goes by them.
 type accounts struct {
 	*cell
+	mu    sync.Mutex // guards owner, which succeed replaces while jobs are handed in
 	owner *owner
 	terms map[string]account.Terms
 }
 
+// current returns the owner of the moment.
+func (a *accounts) current() *owner {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.owner
+}
+
 func (c *cell) accounts(terms ...account.Terms) *accounts {
 	a := &accounts{cell: c, owner: c.rule(), terms: map[string]account.Terms{}}
 	for _, t := range terms {
@@ -49,7 +58,10 @@
 // succeed ends the owner's term, as a kill does, and makes a new owner.
 func (a *accounts) succeed() {
 	a.owner.kill()
-	a.owner = a.rule()
+	next := a.rule()
+	a.mu.Lock()
+	a.owner = next
+	a.mu.Unlock()
 	a.tell()
 }
 
@@ -60,7 +72,7 @@
 		Plan: func(workload.TaskID, int) fleettest.Plan { return fleettest.Plan{Work: work} },
 	})
 	record := workload.Record{Request: request, Queue: queue, Accepted: time.Now().UnixMilli(), Account: a.terms[name]}
-	return a.owner.Submit(a.ctx, id, record)
+	return a.current().Submit(a.ctx, id, record)
 }
 
 func (a *accounts) mustSubmit(name, id string, queue workload.Queue, request workload.Request, work time.Duration) {
@@ -75,7 +87,7 @@
 	a.t.Helper()
 	state, err := workload.State(""), error(nil)
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if state, err = a.owner.Scheduler.State(a.ctx, name, id); state == want {
+		if state, err = a.current().Scheduler.State(a.ctx, name, id); state == want {
 			return
 		}
 	}
@@ -87,7 +99,7 @@
 	a.t.Helper()
 	state := workload.State("")
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if state, _ = a.owner.Scheduler.State(a.ctx, name, id); state.Final() {
+		if state, _ = a.current().Scheduler.State(a.ctx, name, id); state.Final() {
 			return
 		}
 	}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"chutereach/urgency"
@@ -133,7 +132,7 @@
 			list = s.roundCandidates(list, r, now)
 		}
 	}
-	slices.SortFunc(list, byUrgency)
+	sortByUrgency(list)
 	return list
 }
 
