--- a/scheduler/withdraw.go
+++ b/scheduler/withdraw.go
@@ -8,8 +8,8 @@
 )
 
 // withdrawAfter is how long the store may fail before jobs that it has never been sent are
-// given back. Until then a node that the store does answer takes the shard over, which takes
-// 0.65 s at the most in plays of the loss of an owner.
+// given back. Until then a node that the store does answer takes the shard over, which took
+// 0.65 s after the loss of an owner in a play.
 const withdrawAfter = 700 * time.Millisecond
 
 // withdrawHopeless gives a job back that no transaction has ever held, if the store does not
