fleet, platform, scheduler: which life of a worker answers, in logs

The logs could not tell whether the worker that forgets ends is the one that the owner's mark is of. A worker's life (id and moment of start) is a type of its own, read from entries and reports; 'worker answers' says the life, its clock and the mark that it is sent, and a warning is written when another life than the entry's answers. No decision hangs on it yet.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,9 +13,24 @@
 	"chutereach/resource"
 )
 
+// Life names one life of a worker: from a start of its process to the end of that process.
+// A worker that starts again may keep its id. It knows nothing of before then, and its clock
+// and the numbers of its ends begin anew.
+type Life struct {
+	ID string
+	// Born is when the life began, in Unix milliseconds of the worker's machine. It only tells
+	// lives apart: the time of day can step back. 0: not known.
+	Born int64
+}
+
+// Known reports whether it is known when the life began.
+func (l Life) Known() bool { return l.Born != 0 }
+
+func (l Life) String() string { return fmt.Sprintf("%s since %d", l.ID, l.Born) }
+
 // Worker is one life of a machine that runs tasks.
 type Worker struct {
-	ID       string // a new one after each restart
+	Life
 	Service  string // the pool it belongs to
 	Address  string
 	Zone     string
@@ -29,7 +44,7 @@
 
 // Equal reports whether both say the same of the same life.
 func (w Worker) Equal(other Worker) bool {
-	return w.ID == other.ID && w.Service == other.Service && w.Address == other.Address && w.Zone == other.Zone &&
+	return w.Life == other.Life && w.Service == other.Service && w.Address == other.Address && w.Zone == other.Zone &&
 		w.Rack == other.Rack && slices.Equal(w.Labels, other.Labels) && w.Capacity == other.Capacity &&
 		w.Draining == other.Draining && w.Remaining == other.Remaining
 }
@@ -72,7 +87,7 @@
 	Percent    int
 }
 
-// End is an attempt that has ended. Sequence rises within a worker's life.
+// End is an attempt that has ended. Sequence begins at 1 in each life and rises.
 type End struct {
 	Sequence   uint64
 	Task       string
@@ -83,6 +98,7 @@
 
 // Report is what a worker says of itself.
 type Report struct {
+	Born    int64 // when the life that answers began; 0: it does not say
 	Clock   Clock
 	Running []Attempt
 	Ended   []End
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -74,7 +74,7 @@
 		c := &cell{t: t, ctx: ctx, network: peertest.New(), store: memory.New(), fleet: fleettest.New()}
 		for i := range 4 {
 			c.fleet.Add(fleet.Worker{
-				ID: fmt.Sprintf("w-%d", i), Service: service, Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30},
+				Life: fleet.Life{ID: fmt.Sprintf("w-%d", i)}, Service: service, Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30},
 			})
 		}
 		for i := range count {
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -74,7 +74,7 @@
 	advice := fleet.Advice{Tickets: map[string]string{}, Valid: time.Hour}
 	var named []*worker
 	for i := range 350 {
-		w := newWorker(fleet.Worker{ID: fmt.Sprintf("w-%03d", i), Service: "s", Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30}})
+		w := newWorker(fleet.Worker{Life: fleet.Life{ID: fmt.Sprintf("w-%03d", i)}, Service: "s", Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30}})
 		w.known, w.contact, w.used = true, now.Add(time.Hour), resource.Amount{CPU: 15_500}
 		s.workers[w.info.ID] = w
 		named = append(named, w)
--- a/scheduler/burst_test.go
+++ b/scheduler/burst_test.go
@@ -86,7 +86,7 @@
 func (c *cell) addLarge(count int) {
 	for i := range count {
 		c.fleet.Add(fleet.Worker{
-			ID: fmt.Sprintf("w-%02d", i), Service: testService, Rack: fmt.Sprintf("r-%d", i/12),
+			Life: fleet.Life{ID: fmt.Sprintf("w-%02d", i)}, Service: testService, Rack: fmt.Sprintf("r-%d", i/12),
 			Capacity: resource.Amount{CPU: 32_000, Memory: 128 * gigabyte},
 		})
 	}
--- a/scheduler/fault_test.go
+++ b/scheduler/fault_test.go
@@ -113,7 +113,7 @@
 		id := fmt.Sprintf("w-2%d", r.fresh)
 		return func() {
 			r.fleet.Add(fleet.Worker{
-				ID: id, Service: testService, Rack: "r1-1", Labels: []string{"a"},
+				Life: fleet.Life{ID: id}, Service: testService, Rack: "r1-1", Labels: []string{"a"},
 				Capacity: resource.Amount{CPU: 16_000, Memory: 64 * gigabyte},
 			})
 		}
--- a/scheduler/lives_test.go
+++ b/scheduler/lives_test.go
@@ -31,7 +31,7 @@
 					return fleettest.Fault{}
 				})
 				c.fleet.Replace("w-01", fleet.Worker{
-					ID: "w-91", Service: service, Rack: "r1-0", Labels: []string{"a"},
+					Life: fleet.Life{ID: "w-91"}, Service: service, Rack: "r1-0", Labels: []string{"a"},
 					Capacity: resource.Amount{CPU: 16_000, Memory: 64 * gigabyte},
 				})
 				c.await(o, "job", workload.Completed, 6*time.Second)
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -126,7 +126,7 @@
 func (s *Scheduler) hostOf(id string) *worker {
 	w := s.workers[id]
 	if w == nil {
-		w = newWorker(fleet.Worker{ID: id})
+		w = newWorker(fleet.Worker{Life: fleet.Life{ID: id}})
 		w.leaseEnds = s.formerLeasesEnd
 		s.workers[id] = w
 	}
--- a/scheduler/loss_test.go
+++ b/scheduler/loss_test.go
@@ -106,7 +106,7 @@
 	inCell(t, 0, func(c *cell) {
 		for i := range 100 {
 			c.fleet.Add(fleet.Worker{
-				ID: fmt.Sprintf("w-%03d", i), Service: testService, Rack: "r1-0", Labels: []string{"a"},
+				Life: fleet.Life{ID: fmt.Sprintf("w-%03d", i)}, Service: testService, Rack: "r1-0", Labels: []string{"a"},
 				Capacity: resource.Amount{CPU: 16_000, Memory: 64 * gigabyte},
 			})
 		}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -19,7 +19,12 @@
 		w.shorten(now, s.lease) // from now on it refuses the former owner
 	}
 	if w.failing || w.contact.IsZero() {
-		s.log.Info().Str("worker", w.info.ID).Int("running", len(report.Running)).Msg("worker answers")
+		s.log.Info().Str("worker", w.info.ID).Int64("born", report.Born).Int64("clock", int64(report.Clock)).Int64("clock_before", int64(w.clock)).
+			Uint64("noted", w.noted).Int("running", len(report.Running)).Msg("worker answers")
+	}
+	if report.Born != w.info.Born {
+		s.log.Warn().Str("worker", w.info.ID).Int64("born", report.Born).Int64("born_before", w.info.Born).Uint64("noted", w.noted).
+			Int("attempts", len(w.tasks)).Int("running", len(report.Running)).Int("ended", len(report.Ended)).Msg("another life answers under the worker's id")
 	}
 	if !w.failing {
 		s.noteAnswer(true)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -173,7 +173,7 @@
 		for _, w := range c.fleet.List() {
 			c.fleet.Crash(w.ID) // the one that runs it, and the other
 		}
-		c.fleet.Add(fleet.Worker{ID: "w-9", Service: testService, Capacity: o.capacity()})
+		c.fleet.Add(fleet.Worker{Life: fleet.Life{ID: "w-9"}, Service: testService, Capacity: o.capacity()})
 		// The lease of the dead worker must run out first; then some three seconds
 		// of work are left.
 		c.await(o, "job", workload.Completed, 13*time.Second)
