--- a/fleet/fleettest/crash.go
+++ b/fleet/fleettest/crash.go
@@ -60,6 +60,7 @@
 	w.closed = true
 	f.die(w)
 	f.lives++
+	f.news.Ended(w.info.ID)
 	next := w.info
 	next.ID = fmt.Sprintf("%s-life-%d", baseOf(w), f.lives)
 	news := f.news
@@ -76,9 +77,58 @@
 	})
 }
 
+// StartAgain ends the process of a worker, as a crash does, and starts it again under its id
+// after a pause. Discovery names the former life until the next one begins.
+func (f *Fleet) StartAgain(id string, pause time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	if w.dead {
+		return
+	}
+	w.closed = true
+	f.die(w)
+	f.lives++
+	f.news.Ended(id)
+	news := f.news
+	time.AfterFunc(pause, func() {
+		f.mu.Lock()
+		next := w.info // it may have been resized meanwhile
+		next.Born = f.bornNow(w)
+		next.Draining = false
+		f.addLife(next)
+		f.workers[id].base = w.base
+		f.mu.Unlock()
+		news.Born(id, next)
+	})
+}
+
+// bornNow returns when a life that begins now says it was born: not when the former one was.
+// A worker that never told does not tell now.
+func (f *Fleet) bornNow(former *worker) int64 {
+	born := former.info.Born
+	if born == 0 {
+		return 0
+	}
+	now := time.Now().Add(f.timeOfDay).UnixMilli()
+	if now == born {
+		now++
+	}
+	return now
+}
+
+// StepTimeOfDay moves the time of day of all workers, by which they tell when they were born.
+func (f *Fleet) StepTimeOfDay(by time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.timeOfDay += by
+}
+
 // News is told of lives that end and begin, by a stand-in of discovery beside the fleet's
 // own List.
 type News interface {
+	// Ended is called when a worker's process has ended and its connections with it.
+	Ended(id string)
 	// Gone is called when the entry of a life that has ended lapses.
 	Gone(id string)
 	// Born is called when another life has taken the address of a former one.
@@ -87,6 +137,7 @@
 
 type noNews struct{}
 
+func (noNews) Ended(string)              {}
 func (noNews) Gone(string)               {}
 func (noNews) Born(string, fleet.Worker) {}
 
--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -70,7 +70,7 @@
 	crashes map[string]*crashes
 	under   map[string]int // workers that ended while a task ran there
 	gangs   map[string]*gang
-	tickets map[string]time.Time
+	tickets map[string]ticket
 	broken  []string
 	starts  int
 	alone   int // members of gangs that waited for the others in vain
@@ -85,13 +85,14 @@
 	quotas  map[string][]quotaInForce
 	most    map[string]resource.Amount // that each account has had running
 
-	unlisted bool // discovery names nobody
+	unlisted  bool          // discovery names nobody
+	timeOfDay time.Duration // by which the workers' time of day has stepped
 }
 
 // New returns a fleet without workers.
 func New() *Fleet {
 	return &Fleet{
-		workers: map[string]*worker{}, kinds: map[string]Kind{}, gangs: map[string]*gang{}, tickets: map[string]time.Time{},
+		workers: map[string]*worker{}, kinds: map[string]Kind{}, gangs: map[string]*gang{}, tickets: map[string]ticket{},
 		dones: map[string]bool{}, well: map[string]bool{}, failed: map[string]int{}, begun: map[string]bool{},
 		crashes: map[string]*crashes{}, under: map[string]int{}, quotas: map[string][]quotaInForce{}, most: map[string]resource.Amount{},
 		sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, news: noNews{}, grace: resizeGrace,
@@ -129,7 +130,6 @@
 	highest map[string]int // the highest attempt that was stopped or has ended here
 	ended   []fleet.End
 	next    uint64
-	noted   uint64
 	dead    bool
 	// replaced is whether another life answers at the address of a dead one.
 	replaced bool
@@ -144,6 +144,11 @@
 func (f *Fleet) Add(info fleet.Worker) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.addLife(info)
+}
+
+// addLife adds a life of a worker, which begins now. A worker that is given a Born tells it.
+func (f *Fleet) addLife(info fleet.Worker) {
 	f.workers[info.ID] = &worker{
 		info: info, booted: time.Now(), runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}),
 	}
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -45,7 +45,8 @@
 			time.Sleep(fault.Late)
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if !w.dead {
+			// The life that has the id then takes it: a call names no other life.
+			if w := f.workers[info.ID]; w != nil && !w.dead {
 				do(w)
 			}
 		}()
@@ -121,7 +122,7 @@
 		return 0, f.refuse(w, fleet.Invalid)
 	}
 	kind := f.kinds[task.Job]
-	if kind.Advised && !f.honours(order.Ticket, task.StepName(), w.info.ID) {
+	if kind.Advised && !f.honours(order.Ticket, task.StepName(), w) {
 		return 0, f.refuse(w, fleet.NoTicket)
 	}
 	f.begin(w, task, order, kind)
@@ -208,10 +209,13 @@
 // Hold implements fleet.Client.
 func (f *Fleet) Hold(ctx context.Context, info fleet.Worker, order fleet.HoldOrder) (fleet.Report, error) {
 	deadline := time.Now().Add(order.Wait)
-	var changed chan struct{} // as of the report, so that no end is missed
-	report, err := call(ctx, f, CallHold, info, func(w *worker) (fleet.Report, error) {
-		changed = w.changed
-		return f.hold(w, order)
+	var (
+		w       *worker       // the life that took the call
+		changed chan struct{} // as of the report, so that no end is missed
+	)
+	report, err := call(ctx, f, CallHold, info, func(reached *worker) (fleet.Report, error) {
+		w, changed = reached, reached.changed
+		return f.hold(reached, order)
 	})
 	for err == nil && len(report.Ended) == 0 && time.Now().Before(deadline) {
 		timer := time.NewTimer(time.Until(deadline))
@@ -225,7 +229,6 @@
 		timer.Stop()
 		order.Deadline = 0
 		f.mu.Lock()
-		w := f.workers[info.ID]
 		if w.dead {
 			closed := w.closed
 			f.mu.Unlock()
@@ -251,7 +254,7 @@
 		f.extend(w, order.Deadline)
 	}
 	f.note(w, order.Noted)
-	report := fleet.Report{Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	report := fleet.Report{Born: w.info.Born, Clock: w.clock(), Ended: slices.Clone(w.ended)}
 	for name, r := range w.runs {
 		report.Running = append(report.Running, fleet.Attempt{Task: name, Number: r.number, Checkpoint: r.checkpoint(), Percent: r.percent()})
 	}
@@ -260,10 +263,6 @@
 
 // note forgets ends that an owner has taken note of.
 func (f *Fleet) note(w *worker, upTo uint64) {
-	if upTo <= w.noted {
-		return
-	}
-	w.noted = upTo
 	var rest []fleet.End
 	for _, end := range w.ended {
 		switch {
@@ -283,10 +282,16 @@
 	w.ended = rest
 }
 
+// ticket is good for one life of a worker.
+type ticket struct {
+	expires time.Time
+	life    *worker
+}
+
 // honours reports whether a ticket is good for a step on a worker now.
-func (f *Fleet) honours(text, step, worker string) bool {
-	expires, ok := f.tickets[text]
-	return ok && strings.HasPrefix(text, step+"/"+worker+"/") && !time.Now().After(expires)
+func (f *Fleet) honours(text, step string, w *worker) bool {
+	t, ok := f.tickets[text]
+	return ok && strings.HasPrefix(text, step+"/"+w.info.ID+"/") && t.life == w && !time.Now().After(t.expires)
 }
 
 // ticketValid is for how long a ticket is good.
@@ -309,7 +314,7 @@
 		}
 		text := fmt.Sprintf("%s/%s/%d", step, id, f.advice)
 		advice.Tickets[id] = text
-		f.tickets[text] = time.Now().Add(ticketValid)
+		f.tickets[text] = ticket{time.Now().Add(ticketValid), f.workers[id]}
 	}
 	return advice, nil
 }
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -141,7 +141,7 @@
 		}
 		for i := range workers {
 			c.fleet.Add(fleet.Worker{
-				Life: fleet.Life{ID: fmt.Sprintf("w-%02d", i)}, Service: testService, Rack: fmt.Sprintf("r1-%d", i/2), Labels: []string{"a"},
+				Life: fleet.Life{ID: fmt.Sprintf("w-%02d", i), Born: int64(1 + i)}, Service: testService, Rack: fmt.Sprintf("r1-%d", i/2), Labels: []string{"a"},
 				Capacity: resource.Amount{CPU: 16_000, Memory: 64 * gigabyte},
 			})
 		}
