scheduler, platform: what is known of a worker is known of one life

Cause: the owner kept the mark of ends by a worker's id, and the next life under that id, whose ends are numbered anew, was sent it. Ruled out: answers that overtake (the ends never came), cut lists (no worker had 500 ends); all 181 attempts lost so were on workers that had started again.

Change: workers are kept by life (id and moment of start). A call acknowledges ends only over a connection on which that life has answered before. An answer of another life ends the former one: what the answer shows moves to the new life, what may still begin there late is stopped there, the rest is placed anew at once and blamed as after any crash. Calls after a start bear a higher fencing token, so that late ones of before do nothing. Rows and losses name the life.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -123,7 +123,8 @@
 }
 
 // HoldOrder extends the lease of everything on a worker to Deadline and asks
-// for a report, at the next end or after Wait. Ends up to Noted are forgotten.
+// for a report, at the next end or after Wait. Ends up to Noted are forgotten; Noted is
+// for the life that is meant.
 type HoldOrder struct {
 	Token    uint64
 	Noted    uint64
@@ -132,7 +133,8 @@
 }
 
 // Client calls workers. Errors are RefusedError, ReplacedError, BusyError and
-// UnansweredError.
+// UnansweredError. A worker's id is all that a call can name, and a later life under it takes the
+// call; only Noted, which would have that life forget its ends unread, is kept from it.
 type Client interface {
 	Start(ctx context.Context, worker Worker, order StartOrder) (Clock, error)
 	Stop(ctx context.Context, worker Worker, order StopOrder) (Clock, error)
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -209,6 +209,9 @@
 // Hold implements fleet.Client.
 func (f *Fleet) Hold(ctx context.Context, info fleet.Worker, order fleet.HoldOrder) (fleet.Report, error) {
 	deadline := time.Now().Add(order.Wait)
+	if !f.has(info.Life) {
+		order.Noted = 0 // the connection is not one to the life that is meant
+	}
 	var (
 		w       *worker       // the life that took the call
 		changed chan struct{} // as of the report, so that no end is missed
@@ -245,6 +248,14 @@
 	return report, err
 }
 
+// has reports whether a life has its id now.
+func (f *Fleet) has(life fleet.Life) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[life.ID]
+	return w != nil && w.info.Life == life
+}
+
 func (f *Fleet) hold(w *worker, order fleet.HoldOrder) (fleet.Report, error) {
 	if order.Token < w.token {
 		return fleet.Report{}, f.refuse(w, fleet.Fenced)
--- a/leadership/commit.go
+++ b/leadership/commit.go
@@ -70,6 +70,7 @@
 		return err
 	}
 	r.version, r.row = version, next
+	r.confirmed.Store(version)
 	return nil
 }
 
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/xid"
@@ -90,7 +91,9 @@
 	token   uint64
 	row     Row
 	version uint64
-	former  time.Time // when the former owner had sent its last transaction, at the latest
+	// confirmed is version, for any goroutine.
+	confirmed atomic.Uint64
+	former    time.Time // when the former owner had sent its last transaction, at the latest
 	// patience is how long a transaction may go without an answer before the store is
 	// asked what became of it.
 	patience time.Duration
@@ -125,6 +128,10 @@
 // Token returns the fencing token of the term.
 func (r *Term) Token() uint64 { return r.token }
 
+// Confirmed returns the version of the owner's row as of the last transaction that is known to
+// have been applied. It is at least the token, and below that of any successor.
+func (r *Term) Confirmed() uint64 { return r.confirmed.Load() }
+
 // FormerSuccess returns a time before which the former owner had sent the last
 // transaction that succeeded.
 func (r *Term) FormerSuccess() time.Time { return r.former }
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -25,7 +25,7 @@
 	for i := range 1100 {
 		w := newWorker(fleet.Worker{Life: fleet.Life{ID: fmt.Sprintf("w-%04d", i)}, Service: "s", Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30}})
 		w.known, w.contact, w.used = true, now, used(i)
-		s.workers[w.info.ID] = w
+		s.workers[w.info.Life] = w
 	}
 	p := newPass(now, 1, false, defaultTimes)
 	for _, w := range s.workers {
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -76,7 +76,7 @@
 	for i := range 350 {
 		w := newWorker(fleet.Worker{Life: fleet.Life{ID: fmt.Sprintf("w-%03d", i)}, Service: "s", Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30}})
 		w.known, w.contact, w.used = true, now.Add(time.Hour), resource.Amount{CPU: 15_500}
-		s.workers[w.info.ID] = w
+		s.workers[w.info.Life] = w
 		named = append(named, w)
 		if i%3 != 0 {
 			advice.Tickets[w.info.ID] = "ticket"
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -85,7 +85,7 @@
 		return
 	}
 	evidence := s.evidence(t)
-	t.crashes = t.crashes.WithLost(w.info.ID, evidence)
+	t.crashes = t.crashes.WithLost(w.info.Life, evidence)
 	if evidence != workload.RanOn {
 		s.suspect(t.step)
 	}
@@ -137,7 +137,7 @@
 func (s *Scheduler) settleFound(w *worker) {
 	for _, lost := range w.lost {
 		if j := lost.task.step.job; !j.state.Final() {
-			lost.task.crashes = lost.task.crashes.WithFound(w.info.ID)
+			lost.task.crashes = lost.task.crashes.WithFound(w.info.Life)
 			s.change(j)
 		}
 	}
@@ -153,7 +153,7 @@
 		if j.state.Final() || t.state == taskDone {
 			continue
 		}
-		t.crashes = t.crashes.WithEnded(w.info.ID, t.attempt)
+		t.crashes = t.crashes.WithEnded(w.info.Life, t.attempt)
 		s.metrics.crashed.Add(1)
 		s.log.Warn().Str("job", j.id).Str("task", t.id().String()).Int("attempt", lost.number).Str("worker", w.info.ID).
 			Int("workers", t.crashes.Workers).Int("soon", t.crashes.Soon).Int("last_attempt", t.crashes.LastAttempt).
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -38,12 +38,12 @@
 // follow holds a worker until its life is over or ctx ends.
 func (s *Scheduler) follow(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
-		report, sent, err := s.hold(ctx, w)
+		report, order, sent, err := s.hold(ctx, w)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			if s.holdFailed(w, err) {
+			if s.holdFailed(w, order, err) {
 				return
 			}
 			wait.For(ctx, s.pauseAfterFailure(w))
@@ -57,20 +57,20 @@
 
 // hold makes one call to a worker. First calls go some at a time: at a takeover they
 // all come at once, each with a new connection.
-func (s *Scheduler) hold(ctx context.Context, w *worker) (report fleet.Report, sent time.Time, err error) {
+func (s *Scheduler) hold(ctx context.Context, w *worker) (report fleet.Report, order fleet.HoldOrder, sent time.Time, err error) {
 	if s.isFirst(w) {
 		select {
 		case s.firstCalls <- struct{}{}:
 			defer func() { <-s.firstCalls }()
 		case <-ctx.Done():
-			return fleet.Report{}, time.Time{}, ctx.Err()
+			return fleet.Report{}, order, time.Time{}, ctx.Err()
 		}
 	}
-	order, sent := s.holdOrder(w)
+	order, sent = s.holdOrder(w)
 	callCtx, cancel := context.WithTimeout(ctx, s.holdLimit(w, order))
 	defer cancel()
 	report, err = s.client.Hold(callCtx, s.infoOf(w), order)
-	return report, sent, err
+	return report, order, sent, err
 }
 
 // maxFirstCalls bounds the first calls to workers under way.
@@ -113,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	order := fleet.HoldOrder{Token: s.term.Token(), Noted: w.noted, Wait: holdWait}
+	order := fleet.HoldOrder{Token: s.tokenOf(w.info.ID), Noted: w.noted, Wait: holdWait}
 	if s.answers.lossy {
 		order.Wait = lossyWait
 	}
@@ -155,14 +155,13 @@
 }
 
 // holdFailed notes a failed call and reports whether the life is over.
-func (s *Scheduler) holdFailed(w *worker, err error) bool {
+func (s *Scheduler) holdFailed(w *worker, order fleet.HoldOrder, err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var refused *fleet.RefusedError
 	if errors.As(err, &refused) && refused.Reason == fleet.Fenced {
-		s.depose("a worker has seen a higher token")
-		return true
+		return s.fenced(w, order.Token)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var replaced *fleet.ReplacedError
 	if errors.As(err, &replaced) {
 		s.endLife(w, "another life answers at its address")
@@ -210,8 +209,10 @@
 	if w.cancel != nil {
 		w.cancel()
 	}
-	delete(s.workers, w.info.ID)
-	s.past[w.info.ID] = w.known
+	s.leave(w)
+	if w.known && !s.namedLater(w) {
+		s.past[w.listed] = true
+	}
 	wake(s.dispatchWake)
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"chutereach/fleet"
 	"chutereach/workload"
 )
 
@@ -326,7 +327,7 @@
 		case t.attempt > 0 || t.checkpoint != "":
 			tp := workload.TaskProgress{Index: t.index, Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes}
 			if t.worker != nil {
-				tp.Worker = t.worker.info.ID
+				tp.Worker, tp.Born = t.worker.info.ID, t.worker.info.Born
 			}
 			sp.Tasks = append(sp.Tasks, tp)
 		}
@@ -334,8 +335,8 @@
 	return sp, sp.Done != nil || sp.Tasks != nil
 }
 
-// restore applies what lasted of the job. hosts returns the worker of an id.
-func (j *job) restore(p workload.Progress, hosts func(id string) *worker) {
+// restore applies what lasted of the job. hosts returns a life of a worker.
+func (j *job) restore(p workload.Progress, hosts func(fleet.Life) *worker) {
 	j.state, j.savedState, j.begun, j.finalAt = p.State, p.State, p.Begun, p.FinalAt
 	j.generation, j.saved = max(1, p.Generation), max(1, p.Generation)
 	for _, sp := range p.Steps {
@@ -346,7 +347,7 @@
 	}
 }
 
-func (st *step) restore(sp workload.StepProgress, hosts func(id string) *worker) {
+func (st *step) restore(sp workload.StepProgress, hosts func(fleet.Life) *worker) {
 	for _, t := range st.tasks {
 		if sp.All || workload.HasBit(sp.Done, t.index) {
 			t.markDone()
@@ -360,11 +361,11 @@
 		t.attempt, t.failures, t.checkpoint, t.crashes = tp.Attempt, tp.Failures, tp.Checkpoint, tp.Crashes
 		st.suspected = st.suspected || t.crashes.Suspect
 		if tp.Worker != "" {
-			hosts(tp.Worker).host(t, taskStarting)
+			hosts(fleet.Life{ID: tp.Worker, Born: tp.Born}).host(t, taskStarting)
 			t.recovered, t.told = true, true
 		}
 		for _, lost := range t.crashes.Open {
-			w := hosts(lost.ID)
+			w := hosts(lost.Life())
 			w.lost = append(w.lost, lostAttempt{t, t.attempt})
 		}
 	}
--- /dev/null
+++ b/scheduler/lives.go
@@ -0,0 +1,258 @@
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"chutereach/fleet"
+)
+
+// Lives of workers that share an id: a worker may start again under the id that it had. What is
+// known of a worker is known of one life, and ends with it: marks of ends, its clock and lease,
+// what runs there, tickets, health and blame. Only the answer of a worker tells which life it is;
+// the entry that discovery has may be of an earlier life or of a later one.
+
+// identity is what is known of the lives under one id.
+type identity struct {
+	lives []*worker // that are not known to be over, in the order in which they were heard of
+	// token, if not 0, is the fencing token of calls to lives that came after the first. It is
+	// above that of all calls meant for former lives, so that one that is carried out late
+	// does nothing once the life at hand has been called.
+	token   uint64
+	endedAt time.Time // of the last life that is over
+}
+
+// newest returns the life that was heard of last, or nil.
+func (id *identity) newest() *worker {
+	if len(id.lives) == 0 {
+		return nil
+	}
+	return id.lives[len(id.lives)-1]
+}
+
+// keepIdentity is for how long it is remembered that an id was in use: calls without answer are
+// carried out within seconds, or never.
+const keepIdentity = time.Minute
+
+// forgetIdentities drops what is known of ids that are long out of use. The lock is held.
+func (s *Scheduler) forgetIdentities(now time.Time) {
+	for name, id := range s.identities {
+		if len(id.lives) == 0 && now.Sub(id.endedAt) > keepIdentity {
+			delete(s.identities, name)
+		}
+	}
+}
+
+// tokenOf returns the fencing token for calls to whichever life has an id. The lock is held.
+func (s *Scheduler) tokenOf(name string) uint64 {
+	if id := s.identities[name]; id != nil && id.token != 0 {
+		return id.token
+	}
+	return s.term.Token()
+}
+
+// enter takes a life in that was not known. The lock is held.
+func (s *Scheduler) enter(info fleet.Worker) *worker {
+	w := newWorker(info)
+	w.leaseEnds = s.formerLeasesEnd
+	id := s.identities[info.ID]
+	if id == nil {
+		id = &identity{}
+		s.identities[info.ID] = id
+	} else {
+		w.again = true
+		id.token = max(s.tokenOf(info.ID), s.term.Confirmed())
+	}
+	w.token = s.tokenOf(info.ID)
+	for _, former := range id.lives {
+		former.superseded = true
+	}
+	id.lives = append(id.lives, w)
+	s.workers[info.Life] = w
+	return w
+}
+
+// leave drops a life that is over. The lock is held.
+func (s *Scheduler) leave(w *worker) {
+	if s.workers[w.info.Life] == w {
+		delete(s.workers, w.info.Life)
+	}
+	id := s.identities[w.info.ID]
+	id.lives = slices.DeleteFunc(id.lives, func(other *worker) bool { return other == w })
+	id.endedAt = time.Now()
+	if newest := id.newest(); newest != nil {
+		newest.superseded = false
+	}
+}
+
+// resolve returns the life that an entry or a row speaks of. One that does not say when the life
+// began speaks of the newest that is known, and one that does may tell what a worker's answers
+// do not. The lock is held.
+func (s *Scheduler) resolve(life fleet.Life) fleet.Life {
+	id := s.identities[life.ID]
+	if id == nil || id.newest() == nil || s.workers[life] != nil {
+		return life
+	}
+	newest := id.newest()
+	switch {
+	case !life.Known():
+		return newest.info.Life
+	case !newest.info.Known():
+		s.rename(newest, life)
+	}
+	return life
+}
+
+// rename notes when a life began of which that was not known. The lock is held.
+func (s *Scheduler) rename(w *worker, life fleet.Life) {
+	delete(s.workers, w.info.Life)
+	w.info.Life = life
+	s.workers[life] = w
+}
+
+// watch has a worker called until its life is over. The lock is held.
+func (s *Scheduler) watch(w *worker) {
+	if w.cancel != nil || s.ctx == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	w.cancel = cancel
+	s.running.Go(func() { s.follow(ctx, w) })
+}
+
+// another reports whether a report is of another life than the worker's. Where one of them does
+// not say when it began, only a clock that has gone back tells.
+func (w *worker) another(report fleet.Report) bool {
+	if report.Born != 0 && w.info.Known() {
+		return report.Born != w.info.Born
+	}
+	return report.Clock > 0 && report.Clock+clockBack < w.clock
+}
+
+// clockBack is by how much a worker's clock, in milliseconds, must have gone back for another
+// life to be answering: reports that overtake one another are apart by less than a call takes.
+const clockBack = fleet.Clock((holdWait + holdSlack) / time.Millisecond)
+
+// settleLives takes in which life a report is of, and returns that. The others under the id are
+// over. The lock is held.
+func (s *Scheduler) settleLives(w *worker, report fleet.Report, sent time.Time) *worker {
+	life := fleet.Life{ID: w.info.ID, Born: report.Born}
+	answering := w
+	switch {
+	case w.another(report):
+		answering = s.successor(w, life)
+	case report.Born != 0 && !w.info.Known():
+		if known := s.workers[life]; known != nil {
+			answering = known
+		} else {
+			s.rename(w, life)
+		}
+	}
+	lives := s.identities[life.ID].lives
+	if len(lives) == 1 {
+		return answering
+	}
+	for _, former := range slices.Clone(lives) {
+		if former != answering {
+			s.handOver(former, answering, report, sent)
+		}
+	}
+	answering.token = s.tokenOf(life.ID)
+	return answering
+}
+
+// successor returns the life that has answered in place of a former one.
+func (s *Scheduler) successor(former *worker, life fleet.Life) *worker {
+	if known := s.workers[life]; known != nil && known != former {
+		return known
+	}
+	info := former.info
+	info.Life, info.Draining = life, false
+	next := s.enter(info)
+	if !former.listed.Known() { // its entry is that of whichever life there is
+		next.listed, next.known, next.entered = former.listed, former.known, former.entered
+	}
+	return next
+}
+
+// handOver ends a life in favour of the one that has answered. What the report shows moves there,
+// for a start meant for the former life was carried out by this one; so does what may still be
+// begun late, to be stopped there. All else has ended with the life, and is placed anew at once.
+// The lock is held.
+func (s *Scheduler) handOver(former, next *worker, report fleet.Report, sent time.Time) {
+	s.metrics.startedAgain.Add(1)
+	s.log.Warn().Str("worker", former.info.ID).Int64("born", next.info.Born).Int64("born_before", former.info.Born).
+		Uint64("seen", former.seen).Uint64("noted", former.noted).Int("attempts", len(former.tasks)).
+		Int("running", len(report.Running)).Int("ended", len(report.Ended)).Msg("worker has started again")
+	shown := attemptsIn(report)
+	for _, t := range former.list() {
+		switch {
+		case t.worker != former: // it went with its gang
+		case shown[shownAttempt{t.id().String(), t.attempt}]:
+			former.moveTo(next, t)
+			if t.unwanted() {
+				s.sendStops(t)
+			}
+		case t.mayBegin(sent):
+			s.noteLost(t)
+			former.moveTo(next, t)
+			s.keepFromBeginning(t)
+		}
+	}
+	s.endLife(former, "it has started again")
+}
+
+// namedLater reports whether discovery's entry for a life that is over speaks of a later one too,
+// since it does not say when that began. The lock is held.
+func (s *Scheduler) namedLater(w *worker) bool {
+	newest := s.identities[w.info.ID].newest()
+	return newest != nil && newest.listed == w.listed
+}
+
+// keepFromBeginning has a worker told to stop an attempt that may begin late.
+func (s *Scheduler) keepFromBeginning(t *task) {
+	if t.state == taskDone {
+		s.sendStops(t)
+		return
+	}
+	s.recall(t, "its worker has started again, and its start may be late")
+}
+
+// shownAttempt names an attempt in a report.
+type shownAttempt struct {
+	task   string
+	number int
+}
+
+// attemptsIn returns the attempts that a report shows, as running or as ended.
+func attemptsIn(report fleet.Report) map[shownAttempt]bool {
+	shown := make(map[shownAttempt]bool, len(report.Running)+len(report.Ended))
+	for _, run := range report.Running {
+		shown[shownAttempt{run.Task, run.Number}] = true
+	}
+	for _, end := range report.Ended {
+		shown[shownAttempt{end.Task, end.Number}] = true
+	}
+	return shown
+}
+
+// mayBegin reports whether a start that was sent to a life which is over may still be carried
+// out by the next one, as of a call to that.
+func (t *task) mayBegin(sent time.Time) bool {
+	if !t.told || t.recovered {
+		return false // it was never sent, or by an owner whose token is too low by now
+	}
+	return t.begunAt.IsZero() || !t.begunAt.Before(sent)
+}
+
+// moveTo moves a task's attempt to another life of its worker.
+func (w *worker) moveTo(next *worker, t *task) {
+	state := t.state
+	if state == taskRunning {
+		state = taskStarting // until a report of the life at hand shows it
+	}
+	w.release(t)
+	next.host(t, state)
+	t.told = true
+}
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -121,16 +121,14 @@
 	}
 }
 
-// hostOf returns the worker of an id, and makes one that was never seen if
-// discovery does not name it any more.
-func (s *Scheduler) hostOf(id string) *worker {
-	w := s.workers[id]
-	if w == nil {
-		w = newWorker(fleet.Worker{Life: fleet.Life{ID: id}})
-		w.leaseEnds = s.formerLeasesEnd
-		s.workers[id] = w
+// hostOf returns a life of a worker, and makes one that was never seen if discovery does not
+// name it any more.
+func (s *Scheduler) hostOf(life fleet.Life) *worker {
+	life = s.resolve(life)
+	if w := s.workers[life]; w != nil {
+		return w
 	}
-	return w
+	return s.enter(fleet.Worker{Life: life})
 }
 
 // expireUnseen ends what ran on workers that discovery no longer names and that
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -14,7 +14,7 @@
 	admissions, outcomes, refusals, finals *expvar.Map
 	stops, grants, adviceFailed, late      *expvar.Int
 	preempted, crashed, gaveUp, suspected  *expvar.Int
-	held, quarantined                      *expvar.Int
+	held, quarantined, startedAgain        *expvar.Int
 	commitTimes, startTimes, adviceTimes   *histogram.Times
 	completedTimes, lookTimes              *histogram.Times
 	commitJobs                             *expvar.Int
@@ -27,7 +27,7 @@
 		stops: new(expvar.Int), grants: new(expvar.Int), adviceFailed: new(expvar.Int), late: new(expvar.Int),
 		commitTimes: histogram.New(), startTimes: histogram.New(), adviceTimes: histogram.New(),
 		completedTimes: histogram.New(), lookTimes: histogram.New(), commitJobs: new(expvar.Int), preempted: new(expvar.Int),
-		crashed: new(expvar.Int), gaveUp: new(expvar.Int), suspected: new(expvar.Int), held: new(expvar.Int), quarantined: new(expvar.Int),
+		crashed: new(expvar.Int), gaveUp: new(expvar.Int), suspected: new(expvar.Int), held: new(expvar.Int), quarantined: new(expvar.Int), startedAgain: new(expvar.Int),
 	}
 }
 
@@ -46,6 +46,7 @@
 	all.Set("given_up_for_crashes", m.gaveUp)
 	all.Set("steps_held_by_quota", m.held)
 	all.Set("workers_quarantined", m.quarantined)
+	all.Set("workers_started_again", m.startedAgain)
 	all.Set("grants", m.grants)
 	all.Set("advice_failed", m.adviceFailed)
 	all.Set("commit_ms", m.commitTimes)
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -59,7 +59,7 @@
 		clock, err := s.client.Start(callCtx, info, order)
 		cancel()
 		s.metrics.start(time.Since(begun), err)
-		if s.startAnswered(t, number, startResult{clock, err, time.Since(begun), void, doubtful}) {
+		if s.startAnswered(t, number, startResult{info.Life, clock, err, time.Since(begun), void, doubtful}) {
 			return
 		}
 		doubtful = doubtful || !fleet.IsUnsent(err)
@@ -84,7 +84,7 @@
 	t.told = true
 	return w.info, fleet.StartOrder{
 		Task: t.id().String(), Number: number, Spec: t.step.job.record.Request.Spec,
-		Checkpoint: t.checkpoint, Ticket: t.ticket, Token: s.term.Token(), Deadline: w.clockNow(void),
+		Checkpoint: t.checkpoint, Ticket: t.ticket, Token: w.token, Deadline: w.clockNow(void),
 	}, true
 }
 
@@ -98,6 +98,7 @@
 
 // startResult is what came of one call with a start.
 type startResult struct {
+	life     fleet.Life // that was meant
 	clock    fleet.Clock
 	err      error
 	took     time.Duration
@@ -118,7 +119,7 @@
 	}
 	w := t.worker
 	if err == nil {
-		w.sawClock(result.clock, now)
+		w.sawClockOf(result.life, result.clock, now)
 		if t.state == taskStarting {
 			s.began(t, now)
 		}
@@ -131,7 +132,7 @@
 	)
 	switch {
 	case errors.As(err, &refused):
-		w.sawClock(refused.Clock, now)
+		w.sawClockOf(result.life, refused.Clock, now)
 		s.startRefused(t, refused.Reason, result.doubtful)
 	case errors.As(err, &replaced):
 		s.endLife(w, "another life answers at its address")
@@ -159,7 +160,7 @@
 	w := t.worker
 	switch reason {
 	case fleet.Fenced:
-		s.deposeLocked("worker " + w.info.ID + " has seen a higher token")
+		s.fenced(w, w.token)
 	case fleet.NoRoom:
 		w.blockedUntil = time.Now().Add(busyPause)
 	case fleet.NoTicket:
@@ -211,10 +212,16 @@
 // recall has a worker told to stop an attempt that was sent to it. The lock is held.
 func (s *Scheduler) recall(t *task, why string) {
 	t.state = taskStopping
-	t.stoppedAt = time.Time{}
 	s.metrics.stops.Add(1)
 	s.log.Info().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).
 		Str("worker", t.worker.info.ID).Str("why", why).Msg("stopping")
+	s.sendStops(t)
+}
+
+// sendStops has a worker called until it has taken the order to stop an unwanted attempt. The
+// lock is held.
+func (s *Scheduler) sendStops(t *task) {
+	t.stoppedAt = time.Time{}
 	if s.ctx == nil {
 		return
 	}
@@ -224,11 +231,12 @@
 
 // sendStop calls the worker until it confirms the stop or the attempt is over.
 func (s *Scheduler) sendStop(ctx context.Context, w *worker, t *task, number int) {
-	order := fleet.StopOrder{Task: t.id().String(), Number: number, Token: s.term.Token()}
+	order := fleet.StopOrder{Task: t.id().String(), Number: number}
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		wanted := t.worker == w && t.attempt == number && t.unwanted()
 		info := w.info
+		order.Token = s.tokenOf(info.ID)
 		s.mu.Unlock()
 		if !wanted {
 			return
@@ -236,7 +244,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		_, err := s.client.Stop(callCtx, info, order)
 		cancel()
-		if s.stopAnswered(w, t, number, err) {
+		if s.stopAnswered(w, t, order, err) {
 			if err == nil {
 				s.look(ctx, w, t, number)
 			}
@@ -252,7 +260,7 @@
 func (s *Scheduler) look(ctx context.Context, w *worker, t *task, number int) {
 	s.mu.Lock()
 	wanted := t.worker == w && t.attempt == number && t.unwanted() && t.begunAt.IsZero()
-	order := fleet.HoldOrder{Token: s.term.Token(), Noted: w.noted}
+	order := fleet.HoldOrder{Token: s.tokenOf(w.info.ID), Noted: w.noted}
 	info, sent := w.info, time.Now()
 	s.mu.Unlock()
 	if !wanted {
@@ -265,7 +273,7 @@
 	}
 }
 
-func (s *Scheduler) stopAnswered(w *worker, t *task, number int, err error) bool {
+func (s *Scheduler) stopAnswered(w *worker, t *task, order fleet.StopOrder, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var (
@@ -274,13 +282,12 @@
 	)
 	switch {
 	case err == nil:
-		if t.worker == w && t.attempt == number {
+		if t.worker == w && t.attempt == order.Number {
 			t.stoppedAt = time.Now()
 		}
 		return true
 	case errors.As(err, &refused) && refused.Reason == fleet.Fenced:
-		s.deposeLocked("worker " + w.info.ID + " has seen a higher token")
-		return true
+		return s.fenced(w, order.Token)
 	case errors.As(err, &replaced):
 		s.endLife(w, "another life answers at its address")
 		return true
@@ -288,6 +295,17 @@
 	return false
 }
 
+// fenced takes in that a worker has seen a higher token than that of a call, and reports whether
+// the term is over for it: not if a later life under the worker's id was called by this owner
+// meanwhile. The lock is held.
+func (s *Scheduler) fenced(w *worker, token uint64) bool {
+	if w.over || token < s.tokenOf(w.info.ID) {
+		return false
+	}
+	s.deposeLocked("worker " + w.info.ID + " has seen a higher token")
+	return true
+}
+
 // stopForeign stops an attempt that the worker should not run.
 func (s *Scheduler) stopForeign(w *worker, run fleet.Attempt) {
 	key := run.Task + "#" + w.info.ID
@@ -297,7 +315,7 @@
 	s.stopping[key] = true
 	s.log.Warn().Str("task", run.Task).Int("attempt", run.Number).Str("worker", w.info.ID).Msg("stopping a stray attempt")
 	info := w.info
-	order := fleet.StopOrder{Task: run.Task, Number: run.Number, Token: s.term.Token()}
+	order := fleet.StopOrder{Task: run.Task, Number: run.Number, Token: s.tokenOf(info.ID)}
 	s.running.Go(func() {
 		callCtx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 		defer cancel()
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -13,19 +13,19 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if w.over {
+		s.takeLastEnds(w, report)
 		return false
 	}
+	if answering := s.settleLives(w, report, sent); answering != w {
+		w = answering
+	}
 	if w.contact.IsZero() {
-		w.shorten(now, s.lease) // from now on it refuses the former owner
+		s.firstContact(w, now)
 	}
 	if w.failing || w.contact.IsZero() {
 		s.log.Info().Str("worker", w.info.ID).Int64("born", report.Born).Int64("clock", int64(report.Clock)).Int64("clock_before", int64(w.clock)).
 			Uint64("noted", w.noted).Int("running", len(report.Running)).Msg("worker answers")
 	}
-	if report.Born != w.info.Born {
-		s.log.Warn().Str("worker", w.info.ID).Int64("born", report.Born).Int64("born_before", w.info.Born).Uint64("noted", w.noted).
-			Int("attempts", len(w.tasks)).Int("running", len(report.Running)).Int("ended", len(report.Ended)).Msg("another life answers under the worker's id")
-	}
 	if !w.failing {
 		s.noteAnswer(true)
 	}
@@ -53,6 +53,35 @@
 	return len(w.pending) > 0
 }
 
+// firstContact bounds until when anything can run on a worker without this owner's word. The lock
+// is held.
+func (s *Scheduler) firstContact(w *worker, now time.Time) {
+	if w.again {
+		// A call meant for the former life, carried out late by this one, may have given a
+		// lease by the former clock, which the worker cuts to its longest.
+		w.leaseEnds = leaseEnd(now, s.longest)
+		return
+	}
+	w.shorten(now, s.lease) // from now on it refuses the former owner
+}
+
+// takeLastEnds takes in the ends that a life which is over has told of, in an answer that was
+// overtaken by one of the next life. The lock is held.
+func (s *Scheduler) takeLastEnds(w *worker, report fleet.Report) {
+	if w.another(report) {
+		return
+	}
+	for _, end := range report.Ended {
+		if end.Sequence <= w.seen {
+			continue
+		}
+		w.seen = end.Sequence
+		if id, err := workload.ParseTaskID(end.Task); err == nil {
+			s.takeLateEnd(id, end)
+		}
+	}
+}
+
 // takeRunning takes in that a worker runs an attempt, and tells whether it is
 // one that the worker should run.
 func (s *Scheduler) takeRunning(w *worker, run fleet.Attempt, now time.Time) bool {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -34,8 +34,9 @@
 // Config is what a Scheduler goes by.
 type Config struct {
 	Shard string
-	// Lease is for how long a worker runs on without word from the owner.
-	Lease time.Duration
+	// Lease is for how long a worker runs on without word from the owner, and LongestLease the
+	// longest lease that a worker takes; 0: no longer than Lease.
+	Lease, LongestLease time.Duration
 	// KeepFinal is how long the state of a final job can be asked for.
 	KeepFinal time.Duration
 	// PartitionWrites is how many transactions a second the store takes of the
@@ -83,6 +84,7 @@
 	shard     string
 	lateness  func() time.Duration
 	lease     time.Duration
+	longest   time.Duration // the longest lease that a worker takes
 	keepFinal time.Duration
 	commitGap time.Duration // the least time between the starts of two transactions
 	times     WorkerTimes
@@ -97,9 +99,11 @@
 	mu      sync.Mutex
 	jobs    map[string]*job // all whose state can be asked for
 	active  map[string]*job // those that are not final
-	workers map[string]*worker
+	workers map[fleet.Life]*worker
+	// identities are what is known of the lives under each id.
+	identities map[string]*identity
 	// past are ended lives that discovery still names.
-	past   map[string]bool
+	past   map[fleet.Life]bool
 	dirty  []*job
 	queues map[string]workload.Queue
 	// directory is of the newest configuration; accounts are those that have jobs here.
@@ -140,7 +144,8 @@
 		shard: config.Shard, lateness: config.lateness, lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, term: term, log: log.With().Uint64("token", term.Token()).Logger(), metrics: metrics,
 		commitGap: commitGapFor(config.PartitionWrites), times: config.workerTimes(), remoteFactor: config.remoteFactor(),
-		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[string]*worker{}, past: map[string]bool{},
+		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[fleet.Life]*worker{},
+		identities: map[string]*identity{}, past: map[fleet.Life]bool{}, longest: max(config.Lease, config.LongestLease),
 		queues: map[string]workload.Queue{}, accounts: map[string]*accountState{}, demands: map[string]headroom.Demand{},
 		stopping: map[string]bool{}, bundles: map[string]*bundle{}, healthy: map[string]float64{}, fleetSpeed: 1,
 		formerLeasesEnd: leaseEnd(term.FormerSuccess().Add(confirmedFor), config.Lease), Loaded: make(chan struct{}),
@@ -168,12 +173,6 @@
 
 func (e *DeposedError) Error() string { return "the term is over: " + e.Why }
 
-func (s *Scheduler) depose(why string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.deposeLocked(why)
-}
-
 func (s *Scheduler) deposeLocked(why string) {
 	if s.deposed != nil {
 		return
@@ -193,7 +192,7 @@
 	s.recallFinal()
 	for _, w := range s.workers {
 		if w.known {
-			s.setWorker(w.info)
+			s.watch(w)
 		}
 	}
 	deposed := s.deposed
@@ -284,6 +283,7 @@
 // jobs. The lock is held.
 func (s *Scheduler) forgetOld(now time.Time) {
 	s.forgetAccounts()
+	s.forgetIdentities(now)
 	for id, j := range s.jobs {
 		if j.forgotten && j.saved >= j.generation {
 			delete(s.jobs, id)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -13,12 +13,19 @@
 // worker is one life of a worker, as the owner knows it.
 type worker struct {
 	info fleet.Worker
-	// known is whether discovery names the worker now.
-	known  bool
-	over   bool // this life has ended
-	used   resource.Amount
-	tasks  map[string]*task // by the name of the attempt's task
-	cancel context.CancelFunc
+	// known is whether discovery names this life now, listed how it does, and entered whether it
+	// ever did: what a life has and offers is known from its own entry alone.
+	known   bool
+	listed  fleet.Life
+	entered bool
+	// superseded is whether a later life under the id has been heard of.
+	superseded bool
+	again      bool   // another life has had the id before
+	token      uint64 // fencing token of its starts
+	over       bool   // this life has ended
+	used       resource.Amount
+	tasks      map[string]*task // by the name of the attempt's task
+	cancel     context.CancelFunc
 
 	contact   time.Time // when the last report came
 	clock     fleet.Clock
@@ -111,6 +118,14 @@
 	return w.clock + fleet.Clock(now.Sub(w.clockAt).Milliseconds())
 }
 
+// sawClockOf is sawClock for a call that was meant for a life. An attempt may be on a later one
+// by the time of the answer, and that has a clock of its own.
+func (w *worker) sawClockOf(life fleet.Life, clock fleet.Clock, now time.Time) {
+	if w.info.Life == life {
+		w.sawClock(clock, now)
+	}
+}
+
 func (w *worker) sawClock(clock fleet.Clock, now time.Time) {
 	if clock > 0 {
 		w.clock, w.clockAt = clock, now
@@ -139,7 +154,7 @@
 // usable reports whether the worker may get new tasks. One that is not listed may if
 // trusted says that the list is not complete.
 func (w *worker) usable(now time.Time, trusted bool) bool {
-	return !w.over && (w.known || trusted) && !w.info.Draining && !w.failing && w.foreign == 0 &&
+	return !w.over && !w.superseded && (w.known || trusted && w.entered) && !w.info.Draining && !w.failing && w.foreign == 0 &&
 		now.Sub(w.contact) < freshFor && now.After(w.blockedUntil)
 }
 
@@ -181,30 +196,30 @@
 func (s *Scheduler) SetWorkers(list []fleet.Worker) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	named := make(map[string]bool, len(list))
+	named := make(map[fleet.Life]bool, len(list))
 	for _, info := range list {
-		named[info.ID] = true
-		if !s.past[info.ID] {
+		named[info.Life] = true
+		if !s.past[info.Life] {
 			s.setWorker(info)
 		}
 	}
-	maps.DeleteFunc(s.past, func(id string, _ bool) bool { return !named[id] })
-	for id, w := range s.workers {
-		if !named[id] && w.known {
+	maps.DeleteFunc(s.past, func(life fleet.Life, _ bool) bool { return !named[life] })
+	for _, w := range s.workers {
+		if w.known && !named[w.listed] {
 			w.known = false
-			w.leaving = w.leaving || !w.failing
-			s.log.Info().Str("worker", id).Int("attempts", len(w.tasks)).Msg("worker is no longer listed")
+			w.leaving = w.leaving || !w.failing && !w.superseded
+			s.log.Info().Str("worker", w.info.ID).Int64("born", w.info.Born).Int("attempts", len(w.tasks)).Msg("worker is no longer listed")
 		}
 	}
 	wake(s.dispatchWake)
 }
 
 func (s *Scheduler) setWorker(info fleet.Worker) {
-	w := s.workers[info.ID]
+	listed := info.Life
+	info.Life = s.resolve(info.Life)
+	w := s.workers[info.Life]
 	if w == nil {
-		w = newWorker(info)
-		w.leaseEnds = s.formerLeasesEnd
-		s.workers[info.ID] = w
+		w = s.enter(info)
 	}
 	if info.Capacity != w.info.Capacity && w.known {
 		s.log.Info().Str("worker", info.ID).Stringer("was", w.info.Capacity).Stringer("is", info.Capacity).
@@ -214,10 +229,6 @@
 	if info.Draining && !w.info.Draining {
 		s.log.Info().Str("worker", info.ID).Dur("remaining", info.Remaining).Msg("worker drains")
 	}
-	w.info, w.known, w.leaving = info, true, info.Draining
-	if w.cancel == nil && s.ctx != nil {
-		ctx, cancel := context.WithCancel(s.ctx)
-		w.cancel = cancel
-		s.running.Go(func() { s.follow(ctx, w) })
-	}
+	w.info, w.known, w.listed, w.entered, w.leaving = info, true, listed, true, info.Draining
+	s.watch(w)
 }
--- a/workload/crashes.go
+++ b/workload/crashes.go
@@ -1,6 +1,10 @@
 package workload
 
-import "slices"
+import (
+	"slices"
+
+	"chutereach/fleet"
+)
 
 const (
 	// mostSoon is at how many workers that ended as soon as a task had begun there the task
@@ -43,16 +47,20 @@
 	AtOnce
 )
 
-// LostWorker is a worker that did not answer until its lease had run out.
+// LostWorker is a life of a worker that did not answer until its lease had run out.
 type LostWorker struct {
-	ID string `cbor:"1,keyasint"`
+	ID   string `cbor:"1,keyasint"`
+	Born int64  `cbor:"3,keyasint,omitempty"`
 	// Soon is whether it would count as one that ended as soon as the attempt had begun.
 	Soon bool `cbor:"2,keyasint,omitempty"`
 }
 
+// Life returns which life was lost.
+func (l LostWorker) Life() fleet.Life { return fleet.Life{ID: l.ID, Born: l.Born} }
+
 // WithLost returns c after an attempt was lost with a worker whose fate is not known.
-func (c Crashes) WithLost(worker string, evidence Evidence) Crashes {
-	c.Open = append(c.without(worker), LostWorker{worker, evidence == AtOnce})
+func (c Crashes) WithLost(worker fleet.Life, evidence Evidence) Crashes {
+	c.Open = append(c.without(worker), LostWorker{worker.ID, worker.Born, evidence == AtOnce})
 	c.Suspect = c.Suspect || evidence != RanOn
 	return c
 }
@@ -64,15 +72,15 @@
 }
 
 // WithFound returns c after a worker has answered again: it had not ended.
-func (c Crashes) WithFound(worker string) Crashes {
+func (c Crashes) WithFound(worker fleet.Life) Crashes {
 	c.Open = c.without(worker)
 	return c
 }
 
 // WithEnded returns c after an open worker has turned out to have ended. attempt is the
 // task's last attempt so far. A worker that is not open changes nothing.
-func (c Crashes) WithEnded(worker string, attempt int) Crashes {
-	i := slices.IndexFunc(c.Open, func(lost LostWorker) bool { return lost.ID == worker })
+func (c Crashes) WithEnded(worker fleet.Life, attempt int) Crashes {
+	i := slices.IndexFunc(c.Open, func(lost LostWorker) bool { return lost.Life() == worker })
 	if i < 0 {
 		return c
 	}
@@ -96,10 +104,10 @@
 }
 
 // without returns the open workers but one.
-func (c Crashes) without(worker string) []LostWorker {
+func (c Crashes) without(worker fleet.Life) []LostWorker {
 	var rest []LostWorker
 	for _, lost := range c.Open {
-		if lost.ID != worker {
+		if lost.Life() != worker {
 			rest = append(rest, lost)
 		}
 	}
--- a/workload/crashes_test.go
+++ b/workload/crashes_test.go
@@ -7,15 +7,19 @@
 
 	"pgregory.net/rapid"
 
+	"chutereach/fleet"
 	"chutereach/workload"
 )
 
+// life returns the only life of a worker.
+func life(worker string) fleet.Life { return fleet.Life{ID: worker, Born: 1} }
+
 // lost returns the record of a task after workers have ended under it, one after the other.
 func lost(evidence ...workload.Evidence) workload.Crashes {
 	var c workload.Crashes
 	for i, e := range evidence {
 		worker := fmt.Sprintf("w-%d", i)
-		c = c.WithLost(worker, e).WithEnded(worker, i+1)
+		c = c.WithLost(life(worker), e).WithEnded(life(worker), i+1)
 	}
 	return c
 }
@@ -32,14 +36,14 @@
 		{"one ended at once", lost(workload.AtOnce), 1, false, false},
 		{"two ended at once", lost(workload.AtOnce, workload.AtOnce), 2, false, true},
 		{"one ended at once, and one later", lost(workload.AtOnce, workload.RanOn), 2, false, false},
-		{"one ended at once, and it is not known of another", lost(workload.AtOnce).WithLost("w-9", workload.AtOnce), 2, true, false},
-		{"the other has answered again", lost(workload.AtOnce).WithLost("w-9", workload.AtOnce).WithFound("w-9"), 2, false, false},
+		{"one ended at once, and it is not known of another", lost(workload.AtOnce).WithLost(life("w-9"), workload.AtOnce), 2, true, false},
+		{"the other has answered again", lost(workload.AtOnce).WithLost(life("w-9"), workload.AtOnce).WithFound(life("w-9")), 2, false, false},
 		{"three ended later", lost(workload.RanOn, workload.RanOn, workload.RanOn), 3, false, false},
 		{"three ended later, and one more attempt", lost(workload.RanOn, workload.RanOn, workload.RanOn), 4, false, false},
 		{"three ended later, and two more attempts", lost(workload.RanOn, workload.RanOn, workload.RanOn), 5, false, true},
 		{"three ended later, and one of two more attempts never began", lost(workload.RanOn, workload.RanOn, workload.RanOn).WithSpareAttempt(), 5, false, false},
-		{"two ended later, and it is not known of a third", lost(workload.RanOn, workload.RanOn).WithLost("w-9", workload.Unclear), 3, true, false},
-		{"the end of a worker is told twice", lost(workload.AtOnce).WithEnded("w-0", 1), 1, false, false},
+		{"two ended later, and it is not known of a third", lost(workload.RanOn, workload.RanOn).WithLost(life("w-9"), workload.Unclear), 3, true, false},
+		{"the end of a worker is told twice", lost(workload.AtOnce).WithEnded(life("w-0"), 1), 1, false, false},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -76,7 +80,7 @@
 				}
 				worker := fmt.Sprintf("w-%d", attempt)
 				open = append(open, loss{worker, crashes})
-				c = c.WithLost(worker, workload.Evidence(rapid.IntRange(0, 2).Draw(t, "evidence")))
+				c = c.WithLost(life(worker), workload.Evidence(rapid.IntRange(0, 2).Draw(t, "evidence")))
 				continue
 			}
 			if len(open) == 0 {
@@ -84,9 +88,9 @@
 			}
 			i := rapid.IntRange(0, len(open)-1).Draw(t, "known")
 			if open[i].ended {
-				c = c.WithEnded(open[i].worker, attempt)
+				c = c.WithEnded(life(open[i].worker), attempt)
 			} else {
-				c = c.WithFound(open[i].worker)
+				c = c.WithFound(life(open[i].worker))
 			}
 			open = slices.Delete(open, i, i+1)
 		}
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -29,6 +29,8 @@
 	Failures   int    `cbor:"3,keyasint,omitempty"`
 	Worker     string `cbor:"4,keyasint,omitempty"` // where the attempt may be; empty: nowhere
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
+	// Born tells the worker's life from others under its id; 0: not known.
+	Born int64 `cbor:"11,keyasint,omitempty"`
 	Crashes
 }
 
