scheduler: starts that a later life may carry out, tokens above those of calls that failed

A call without answer can be carried out late by the next life under the id. Found by random orders of lives on the stand-in, which now does so: an end of the new life was acknowledged by a call of before (a task 'was started after 3 failures'), an attempt without an answer was blamed for two lives, and one whose start never reached its worker counted as a crash at once. Calls after a failed one bear a higher token, so that a life that they reach refuses those of before; what may still begin is stopped where it may; an attempt counts once, and a start that was never sent counts not. Orders go only over connections on which the meant life has answered.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -75,7 +75,7 @@
 	d.node = node.New(ctx, node.Config{
 		Self: node.Member{Node: set.Self.Name, Address: set.Self.Peer, Hall: set.Self.Hall, Power: set.Self.Power},
 		Scheduler: scheduler.Config{
-			Shard: shard, Lease: set.LeaseInForce(), KeepFinal: set.Times.KeepFinal, PartitionWrites: set.Store.PartitionWrites,
+			Shard: shard, Lease: set.LeaseInForce(), LongestLease: set.Times.LongestLease, KeepFinal: set.Times.KeepFinal, PartitionWrites: set.Store.PartitionWrites,
 			Workers: scheduler.WorkerTimes{Stop: set.Worker.Stop, Restore: set.Worker.Restore}, RemoteFactor: set.Worker.RemoteFactor,
 		},
 		Owns: collectFor,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -133,8 +133,9 @@
 }
 
 // Client calls workers. Errors are RefusedError, ReplacedError, BusyError and
-// UnansweredError. A worker's id is all that a call can name, and a later life under it takes the
-// call; only Noted, which would have that life forget its ends unread, is kept from it.
+// UnansweredError. A worker's id is all that a call can name on its way. So a client makes an order
+// only where the life that is meant has answered before, and lets Noted, which has a life forget
+// ends, reach no other. A call without answer may be carried out late, by a later life too.
 type Client interface {
 	Start(ctx context.Context, worker Worker, order StartOrder) (Clock, error)
 	Stop(ctx context.Context, worker Worker, order StopOrder) (Clock, error)
--- a/fleet/fleettest/crash.go
+++ b/fleet/fleettest/crash.go
@@ -34,9 +34,20 @@
 		f.crashes[name] = new(crashes)
 	}
 	f.crashes[name].workers++
+	if f.crashAway > 0 {
+		f.startAgain(w, f.crashAway)
+		return
+	}
 	f.restart(w)
 }
 
+// SetStartAgain has workers that tasks crash start again under their ids after a pause.
+func (f *Fleet) SetStartAgain(pause time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashAway = pause
+}
+
 // judgeCrashes looks at a start of a task that may have crashed workers.
 func (f *Fleet) judgeCrashes(task workload.TaskID) {
 	c := f.crashes[task.String()]
@@ -82,12 +93,18 @@
 func (f *Fleet) StartAgain(id string, pause time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := f.workers[id]
-	if w.dead {
-		return
+	if w := f.workers[id]; !w.dead {
+		f.startAgain(w, pause)
 	}
+}
+
+func (f *Fleet) startAgain(w *worker, pause time.Duration) {
+	id := w.info.ID
 	w.closed = true
 	f.die(w)
+	for _, end := range w.ended { // they are listed no more, and have been all the same
+		f.well[end.Task] = f.well[end.Task] || end.Outcome == fleet.Done
+	}
 	f.lives++
 	f.news.Ended(id)
 	news := f.news
--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -85,8 +85,11 @@
 	quotas  map[string][]quotaInForce
 	most    map[string]resource.Amount // that each account has had running
 
-	unlisted  bool          // discovery names nobody
+	unlisted  bool // discovery names nobody
+	entries   map[string]func(fleet.Worker) fleet.Worker
+	crashAway time.Duration // see SetStartAgain
 	timeOfDay time.Duration // by which the workers' time of day has stepped
+	stray     bool          // the order at hand is carried out by a later life than was meant
 }
 
 // New returns a fleet without workers.
@@ -95,7 +98,8 @@
 		workers: map[string]*worker{}, kinds: map[string]Kind{}, gangs: map[string]*gang{}, tickets: map[string]ticket{},
 		dones: map[string]bool{}, well: map[string]bool{}, failed: map[string]int{}, begun: map[string]bool{},
 		crashes: map[string]*crashes{}, under: map[string]int{}, quotas: map[string][]quotaInForce{}, most: map[string]resource.Amount{},
-		sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, news: noNews{}, grace: resizeGrace,
+		entries: map[string]func(fleet.Worker) fleet.Worker{},
+		sick:    map[string]Plan{}, refused: map[fleet.Reason]int{}, news: noNews{}, grace: resizeGrace,
 	}
 }
 
@@ -107,6 +111,7 @@
 	saved   string
 	timer   *time.Timer
 	stopped bool
+	stray   bool          // a late order of a former life's began it
 	work    time.Duration // that its plan takes; 0: none
 }
 
@@ -135,7 +140,9 @@
 	replaced bool
 	// closed is whether the machine of a dead one refuses its connections; it is silent if not.
 	closed  bool
-	dropped bool // discovery names it no more
+	dropped bool            // discovery names it no more
+	told    bool            // a report of this life has been given
+	strays  map[uint64]bool // ends of stray attempts
 	former  []formerCapacity
 	changed chan struct{}
 }
@@ -151,6 +158,7 @@
 func (f *Fleet) addLife(info fleet.Worker) {
 	f.workers[info.ID] = &worker{
 		info: info, booted: time.Now(), runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}),
+		strays: map[uint64]bool{},
 	}
 }
 
@@ -178,13 +186,28 @@
 	var list []fleet.Worker
 	for _, w := range f.workers {
 		if !w.dropped && (!w.dead || w.replaced || w.closed) {
-			list = append(list, w.info)
+			list = append(list, f.entryOf(w))
 		}
 	}
 	slices.SortFunc(list, func(a, b fleet.Worker) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
+// entryOf returns what discovery says of a worker.
+func (f *Fleet) entryOf(w *worker) fleet.Worker {
+	if change := f.entries[w.info.ID]; change != nil {
+		return change(w.info)
+	}
+	return w.info
+}
+
+// SetEntry has discovery say something else of a worker than that it says of itself; nil: no more.
+func (f *Fleet) SetEntry(id string, change func(fleet.Worker) fleet.Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries[id] = change
+}
+
 // Crash ends a worker's life and all it runs.
 func (f *Fleet) Crash(id string) {
 	f.mu.Lock()
@@ -312,6 +335,7 @@
 	delete(w.runs, name)
 	w.highest[name] = max(w.highest[name], r.number)
 	w.next++
+	w.strays[w.next] = r.stray
 	w.ended = append(w.ended, fleet.End{Sequence: w.next, Task: name, Number: r.number, Outcome: outcome, Checkpoint: r.checkpoint()})
 	w.wake()
 	if outcome == fleet.Done {
@@ -341,3 +365,13 @@
 	}
 	return done
 }
+
+// RunningOn returns how many attempts run on a worker.
+func (f *Fleet) RunningOn(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[id]; w != nil {
+		return len(w.runs)
+	}
+	return 0
+}
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -15,7 +15,10 @@
 	"chutereach/workload"
 )
 
-var errNoAnswer = errors.New("no answer")
+var (
+	errNoAnswer    = errors.New("no answer")
+	errAnotherLife = errors.New("another life than was meant")
+)
 
 // call carries one call out, with its fault.
 func call[A any](ctx context.Context, f *Fleet, kind Call, info fleet.Worker, do func(*worker) (A, error)) (A, error) {
@@ -31,6 +34,8 @@
 	}
 	silent := w == nil || w.dead || fault.Lost
 	replaced := w != nil && w.replaced && !fault.Lost
+	// Orders go over connections of which it is known which life they lead to.
+	another := w != nil && kind != CallHold && info.Known() && w.info.Life != info.Life
 	closed := w != nil && w.dead && w.closed && !fault.Lost
 	f.mu.Unlock()
 	switch {
@@ -38,6 +43,8 @@
 		return none, &fleet.UnansweredError{Cause: syscall.ECONNREFUSED, Unsent: true, Closed: true}
 	case replaced:
 		return none, &fleet.ReplacedError{ID: info.ID}
+	case another:
+		return none, &fleet.UnansweredError{Cause: errAnotherLife, Unsent: true}
 	case fault.Busy:
 		return none, &fleet.BusyError{ID: info.ID}
 	case fault.Late > 0:
@@ -45,9 +52,12 @@
 			time.Sleep(fault.Late)
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			// The life that has the id then takes it: a call names no other life.
-			if w := f.workers[info.ID]; w != nil && !w.dead {
-				do(w)
+			// The life that has the id then takes it: a call names no other life. What it begins
+			// so before it has been called is nobody's promise to keep: no caller can prevent it.
+			if taker := f.workers[info.ID]; taker != nil && !taker.dead {
+				f.stray = taker != w && taker.token == 0
+				do(taker)
+				f.stray = false
 			}
 		}()
 		silent = true
@@ -132,9 +142,11 @@
 // begin runs an attempt, and judges whether it may.
 func (f *Fleet) begin(w *worker, task workload.TaskID, order fleet.StartOrder, kind Kind) {
 	f.starts++
-	f.judge(w, task, order, kind)
-	f.judgeCrashes(task)
-	r := &run{task: task, number: order.Number, saved: order.Checkpoint}
+	if !f.stray {
+		f.judge(w, task, order, kind)
+		f.judgeCrashes(task)
+	}
+	r := &run{task: task, number: order.Number, saved: order.Checkpoint, stray: f.stray}
 	if task.Step < len(kind.Request.Steps) {
 		r.need = kind.Request.Steps[task.Step].Need
 	}
@@ -209,8 +221,8 @@
 // Hold implements fleet.Client.
 func (f *Fleet) Hold(ctx context.Context, info fleet.Worker, order fleet.HoldOrder) (fleet.Report, error) {
 	deadline := time.Now().Add(order.Wait)
-	if !f.has(info.Life) {
-		order.Noted = 0 // the connection is not one to the life that is meant
+	if !f.connected(info.Life) {
+		order.Noted = 0 // the life that is meant has not answered over the connection
 	}
 	var (
 		w       *worker       // the life that took the call
@@ -248,12 +260,13 @@
 	return report, err
 }
 
-// has reports whether a life has its id now.
-func (f *Fleet) has(life fleet.Life) bool {
+// connected reports whether a life has its id now and has told of itself before: then a
+// connection to it is open.
+func (f *Fleet) connected(life fleet.Life) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[life.ID]
-	return w != nil && w.info.Life == life
+	return w != nil && w.info.Life == life && w.told
 }
 
 func (f *Fleet) hold(w *worker, order fleet.HoldOrder) (fleet.Report, error) {
@@ -265,6 +278,7 @@
 		f.extend(w, order.Deadline)
 	}
 	f.note(w, order.Noted)
+	w.told = true
 	report := fleet.Report{Born: w.info.Born, Clock: w.clock(), Ended: slices.Clone(w.ended)}
 	for name, r := range w.runs {
 		report.Running = append(report.Running, fleet.Attempt{Task: name, Number: r.number, Checkpoint: r.checkpoint(), Percent: r.percent()})
@@ -283,6 +297,7 @@
 			// Its owner had to give it up when the lease ran out, and may have started
 			// the task elsewhere. Well done it is all the same.
 			f.well[end.Task] = f.well[end.Task] || end.Outcome == fleet.Done
+		case w.strays[end.Sequence]:
 		case end.Outcome == fleet.Done:
 			f.dones[end.Task], f.well[end.Task] = true, true
 			f.judgeDone(end)
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -77,8 +77,8 @@
 // attempt ends. The lock is held.
 func (s *Scheduler) noteLost(t *task) {
 	w := t.worker
-	if !t.told || w.leaving {
-		return
+	if !t.told || t.inherited || w.leaving {
+		return // it did not begin there, as far as is known, or nothing is to blame
 	}
 	if t.ran() >= clearedAfter {
 		t.crashes = workload.Crashes{}
@@ -110,6 +110,8 @@
 	switch {
 	case t.recovered: // when the worker ended is not known to an owner that never reached it
 		return workload.Unclear
+	case t.begunAt.IsZero() && !t.cutShort: // it may never have reached the worker
+		return workload.Unclear
 	case t.settledBy(alive):
 		return workload.RanOn
 	case w.closed && s.brokeAlone(w, t.step.job):
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -167,6 +167,7 @@
 		s.endLife(w, "another life answers at its address")
 		return true
 	}
+	s.outdate(w.info.ID)
 	if !w.failing {
 		s.noteAnswer(false)
 		w.failing, w.failedAt, w.closed = true, time.Now(), fleet.IsClosed(err)
@@ -176,7 +177,7 @@
 		s.log.Warn().Str("worker", w.info.ID).Err(err).Msg("worker does not answer")
 	}
 	if time.Now().After(w.leaseEnds) {
-		s.lapse(w)
+		s.lapse(w, "lease ran out")
 		if !w.known {
 			s.endLife(w, "gone and its lease has run out")
 			return true
@@ -185,13 +186,13 @@
 	return false
 }
 
-// lapse ends every attempt on a worker whose lease has run out. The end of one member
+// lapse ends every attempt on a worker whose lease has run out or whose life is over. The end of one member
 // of a gang takes back the others that were only granted, so each is looked at anew.
-func (s *Scheduler) lapse(w *worker) {
+func (s *Scheduler) lapse(w *worker, why string) {
 	for _, t := range w.list() {
 		if t.worker == w {
 			s.noteLost(t)
-			s.endAttempt(t, fleet.Lapsed, "", "lease ran out")
+			s.endAttempt(t, fleet.Lapsed, "", why)
 		}
 	}
 }
@@ -202,7 +203,7 @@
 		return
 	}
 	w.over = true
-	s.lapse(w)
+	s.lapse(w, why)
 	s.log.Info().Str("worker", w.info.ID).Str("why", why).Strs("lost", names(w.lost)).Bool("leaving", w.leaving).
 		Dur("silent", time.Since(w.contact)).Msg("worker is over")
 	s.settleEnded(w)
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -16,11 +16,12 @@
 // identity is what is known of the lives under one id.
 type identity struct {
 	lives []*worker // that are not known to be over, in the order in which they were heard of
-	// token, if not 0, is the fencing token of calls to lives that came after the first. It is
-	// above that of all calls meant for former lives, so that one that is carried out late
-	// does nothing once the life at hand has been called.
-	token   uint64
-	endedAt time.Time // of the last life that is over
+	// token is the fencing token of calls. It is raised above outdated, the highest of calls that
+	// a former life may not have answered: once a life has been called with a higher one, those
+	// do nothing there when they are carried out late. They would forget its ends unread, begin
+	// tasks again or give it leases by another clock.
+	token, outdated uint64
+	endedAt       time.Time // of the last life that is over
 }
 
 // newest returns the life that was heard of last, or nil.
@@ -44,12 +45,18 @@
 	}
 }
 
-// tokenOf returns the fencing token for calls to whichever life has an id. The lock is held.
+// tokenOf returns the fencing token for calls to whichever life has an id. It is the version of
+// the owner's row at some transaction: any that came after the calls to former lives is above
+// theirs, and below those of a successor. The lock is held.
 func (s *Scheduler) tokenOf(name string) uint64 {
-	if id := s.identities[name]; id != nil && id.token != 0 {
-		return id.token
+	id := s.identities[name]
+	if id == nil {
+		return s.term.Token()
+	}
+	if id.token <= id.outdated {
+		id.token = max(id.token, s.term.Confirmed())
 	}
-	return s.term.Token()
+	return id.token
 }
 
 // enter takes a life in that was not known. The lock is held.
@@ -58,13 +65,12 @@
 	w.leaseEnds = s.formerLeasesEnd
 	id := s.identities[info.ID]
 	if id == nil {
-		id = &identity{}
+		id = &identity{token: s.term.Token()}
 		s.identities[info.ID] = id
 	} else {
 		w.again = true
-		id.token = max(s.tokenOf(info.ID), s.term.Confirmed())
+		id.outdated = id.token
 	}
-	w.token = s.tokenOf(info.ID)
 	for _, former := range id.lives {
 		former.superseded = true
 	}
@@ -86,6 +92,14 @@
 	}
 }
 
+// outdate has later calls to whichever life has an id bear a higher token than those until now:
+// a call has failed, and the next one may reach another life. The lock is held.
+func (s *Scheduler) outdate(name string) {
+	if id := s.identities[name]; id != nil {
+		id.outdated = id.token
+	}
+}
+
 // resolve returns the life that an entry or a row speaks of. One that does not say when the life
 // began speaks of the newest that is known, and one that does may tell what a worker's answers
 // do not. The lock is held.
@@ -121,26 +135,23 @@
 	s.running.Go(func() { s.follow(ctx, w) })
 }
 
-// another reports whether a report is of another life than the worker's. Where one of them does
-// not say when it began, only a clock that has gone back tells.
-func (w *worker) another(report fleet.Report) bool {
+// another reports whether the report that answers a call is of another life than the worker's.
+// Where one of them does not say when it began, only a clock that has gone back tells: one that
+// was asked for after the reading at hand came and that is lower.
+func (w *worker) another(report fleet.Report, sent time.Time) bool {
 	if report.Born != 0 && w.info.Known() {
 		return report.Born != w.info.Born
 	}
-	return report.Clock > 0 && report.Clock+clockBack < w.clock
+	return report.Clock > 0 && report.Clock < w.clock && sent.After(w.clockAt)
 }
 
-// clockBack is by how much a worker's clock, in milliseconds, must have gone back for another
-// life to be answering: reports that overtake one another are apart by less than a call takes.
-const clockBack = fleet.Clock((holdWait + holdSlack) / time.Millisecond)
-
 // settleLives takes in which life a report is of, and returns that. The others under the id are
 // over. The lock is held.
 func (s *Scheduler) settleLives(w *worker, report fleet.Report, sent time.Time) *worker {
 	life := fleet.Life{ID: w.info.ID, Born: report.Born}
 	answering := w
 	switch {
-	case w.another(report):
+	case w.another(report, sent):
 		answering = s.successor(w, life)
 	case report.Born != 0 && !w.info.Known():
 		if known := s.workers[life]; known != nil {
@@ -158,7 +169,6 @@
 			s.handOver(former, answering, report, sent)
 		}
 	}
-	answering.token = s.tokenOf(life.ID)
 	return answering
 }
 
@@ -243,7 +253,7 @@
 	if !t.told || t.recovered {
 		return false // it was never sent, or by an owner whose token is too low by now
 	}
-	return t.begunAt.IsZero() || !t.begunAt.Before(sent)
+	return t.unanswered || t.begunAt.IsZero() || !t.begunAt.Before(sent)
 }
 
 // moveTo moves a task's attempt to another life of its worker.
@@ -254,5 +264,5 @@
 	}
 	w.release(t)
 	next.host(t, state)
-	t.told = true
+	t.told, t.inherited = true, true
 }
--- /dev/null
+++ b/scheduler/lives_more_test.go
@@ -0,0 +1,304 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"chutereach/fleet"
+	"chutereach/fleet/fleettest"
+	"chutereach/workload"
+)
+
+// oneWorker returns a job whose task fills a worker and lasts for a while.
+func oneWorker() workload.Request { return jobOf(1, 16_000) }
+
+// A start without answer that the next life of its worker carries out, after it is known that
+// the former one is over: the attempt is stopped there, and what it takes there is not given to
+// another until then.
+func TestAStartThatALaterLifeCarriesOut(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		c.lease = shortLease
+		o := c.rule()
+		time.Sleep(500 * time.Millisecond)
+		c.everyCall(fleettest.CallStart, fleettest.Fault{Late: 700 * time.Millisecond})
+		if err := c.submit(o, "job", oneWorker(), work(4*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+		c.fleet.SetFault(nil)
+		c.fleet.StartAgain("w-00", 100*time.Millisecond)
+		time.Sleep(1500 * time.Millisecond)
+		if err := c.submit(o, "next", oneWorker(), work(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		c.await(o, "job", workload.Completed, 10*time.Second)
+		c.await(o, "next", workload.Completed, 10*time.Second)
+	})
+}
+
+// everyCall has a fault strike each call of a kind.
+func (c *cell) everyCall(kind fleettest.Call, fault fleettest.Fault) {
+	c.fleet.SetFault(func(call fleettest.Call, _ string) fleettest.Fault {
+		if call == kind {
+			return fault
+		}
+		return fleettest.Fault{}
+	})
+}
+
+// An acknowledgement meant for a former life that the next one carries out, while that lists ends
+// which nobody has read, makes it forget none of them.
+func TestAnAcknowledgementThatALaterLifeCarriesOut(t *testing.T) {
+	inCell(t, 1, func(c *cell) {
+		c.lease = shortLease
+		o := c.rule()
+		time.Sleep(500 * time.Millisecond)
+		c.runShort(o, "before", 10)
+		c.everyCall(fleettest.CallHold, fleettest.Fault{Late: 1200 * time.Millisecond})
+		time.Sleep(1100 * time.Millisecond) // the next report is asked for, with the mark
+		c.fleet.SetFault(nil)
+		c.fleet.StartAgain("w-00", 50*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		for i := range 8 {
+			if err := c.submit(o, fmt.Sprintf("after-%d", i), jobOf(1, 1000), work(time.Duration(100+100*i)*time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i := range 8 {
+			c.await(o, fmt.Sprintf("after-%d", i), workload.Completed, 5*time.Second)
+		}
+		if got := c.fleet.Starts(); got != 18 {
+			t.Errorf("%d starts, want 18", got)
+		}
+	})
+}
+
+// A lease meant for a former life that the next one takes: it is by the former clock, so that the
+// worker keeps what it runs for its longest lease. Nothing of that is started elsewhere before.
+func TestALeaseThatALaterLifeTakes(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.lease = shortLease
+		o := c.rule()
+		time.Sleep(3 * time.Second) // so that the former clock is ahead
+		struck := map[string]bool{}
+		c.fleet.SetFault(func(call fleettest.Call, worker string) fleettest.Fault {
+			if call != fleettest.CallHold || struck[worker] {
+				return fleettest.Fault{}
+			}
+			struck[worker] = true
+			time.AfterFunc(100*time.Millisecond, func() { c.fleet.StartAgain(worker, 50*time.Millisecond) })
+			return fleettest.Fault{Late: time.Second}
+		})
+		time.Sleep(3 * time.Second)
+		if err := c.submit(o, "job", oneWorker(), work(8*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		c.awaitStarts(1, 2*time.Second)
+		host := c.fleet.HostOf("job.0.0.0")
+		c.fleet.SetFault(func(_ fleettest.Call, worker string) fleettest.Fault { return fleettest.Fault{Lost: worker == host} })
+		c.await(o, "job", workload.Completed, 30*time.Second)
+	})
+}
+
+// Workers that do not say when they were born take starts meant for a former life. What such a
+// life is seen to run is not started elsewhere.
+func TestAStartThatReachesALaterLife(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.lease = shortLease
+		c.keepBirthsSecret()
+		o := c.rule()
+		time.Sleep(1500 * time.Millisecond)
+		c.startAllAgain(60 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
+		if err := c.submit(o, "job", jobOf(4, 8_000), work(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		c.await(o, "job", workload.Completed, 5*time.Second)
+		if got := c.fleet.Starts(); got != 4 {
+			t.Errorf("%d starts, want 4", got)
+		}
+	})
+}
+
+// A report that a former life gave before its end, and that is read after the next one has
+// answered, still counts: what was done is not started again.
+func TestTheLastEndsOfAFormerLife(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.lease = shortLease
+		o := c.rule()
+		time.Sleep(500 * time.Millisecond)
+		if err := c.submit(o, "job", oneWorker(), work(400*time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		c.awaitStarts(1, time.Second)
+		host := c.fleet.HostOf("job.0.0.0")
+		time.Sleep(430 * time.Millisecond) // the end has been listed, and is being written
+		c.fleet.StartAgain(host, 50*time.Millisecond)
+		c.await(o, "job", workload.Completed, 5*time.Second)
+		if got := c.fleet.Starts(); got != 1 {
+			t.Errorf("%d starts, want 1", got)
+		}
+	})
+}
+
+// Workers that have started again are given work soon after their first word, as often as they
+// start, and what ran in the former life is placed again without waiting for its lease.
+func TestHowSoonAWorkerThatStartedAgainIsUsed(t *testing.T) {
+	inCell(t, 4, func(c *cell) {
+		c.lease = shortLease
+		o := c.rule()
+		c.fleet.Tell(&entries{c, o})
+		time.Sleep(500 * time.Millisecond)
+		if err := c.submit(o, "work", jobOf(40, 8_000), work(time.Hour)); err != nil {
+			t.Fatal(err)
+		}
+		c.awaitStarts(8, time.Second)
+		const pause = 400 * time.Millisecond
+		var times []time.Duration
+		for round := range 12 {
+			worker := fmt.Sprintf("w-%02d", round%4)
+			c.fleet.StartAgain(worker, pause)
+			back, before := time.Now().Add(pause), c.fleet.Starts()
+			c.awaitStarts(before+1, 4*time.Second)
+			times = append(times, time.Since(back))
+			time.Sleep(600 * time.Millisecond)
+		}
+		slices.Sort(times)
+		if half := times[len(times)/2]; half > 500*time.Millisecond {
+			t.Errorf("half of the workers were used within %v, want 500ms", half)
+		}
+		t.Logf("from a worker's first word to its first start: half within %v, the last %v", times[len(times)/2], times[len(times)-1])
+	})
+}
+
+// entries has an owner hear at once of lives that begin, as it does of the platform's entries.
+type entries struct {
+	cell  *cell
+	owner *owner
+}
+
+func (e *entries) Ended(string)              {}
+func (e *entries) Gone(string)               {}
+func (e *entries) Born(string, fleet.Worker) { e.owner.SetWorkers(e.cell.fleet.List()) }
+
+// A task that crashes its workers is given up also if these start again under their ids at once.
+func TestATaskThatCrashesWorkersThatStartAgain(t *testing.T) {
+	for _, pause := range []time.Duration{50 * time.Millisecond, 400 * time.Millisecond, 3200 * time.Millisecond} {
+		for _, during := range []struct {
+			name string
+			do   func(*cell, *owner) *owner
+			most int
+		}{{"undisturbed", undisturbed, 3}, {"with owners killed", killedAfterCrashes, 5}} {
+			t.Run(fmt.Sprintf("after %v, %s", pause, during.name), func(t *testing.T) {
+				inCell(t, 12, func(c *cell) {
+					c.lease = shortLease
+					c.fleet.SetStartAgain(pause)
+					o := c.rule()
+					time.Sleep(500 * time.Millisecond)
+					if err := c.submit(o, "culprit", jobOf(6, 1000), crashing(0)); err != nil {
+						t.Fatal(err)
+					}
+					o = during.do(c, o)
+					c.await(o, "culprit", workload.Failed, 30*time.Second)
+					time.Sleep(10 * time.Second)
+					c.assertCrashes("culprit.0.0.0", during.most)
+				})
+			})
+		}
+	}
+}
+
+// The same waves as of workers that come back under new ids give no job up either.
+func TestWavesOfStartsUnderTheSameIDs(t *testing.T) {
+	inCell(t, 24, func(c *cell) {
+		c.lease = shortLease
+		o := c.rule()
+		time.Sleep(500 * time.Millisecond)
+		random := rand.New(rand.NewPCG(1, 3))
+		jobs := 0
+		for tick := range 120 { // twelve seconds
+			if tick%33 == 20 {
+				for _, w := range c.alive() {
+					if random.IntN(3) == 0 {
+						c.fleet.StartAgain(w.ID, time.Duration(50+random.IntN(3000))*time.Millisecond)
+					}
+				}
+			}
+			if err := c.submit(o, fmt.Sprintf("job-%d", jobs), jobOf(2, 2000), work(700*time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			jobs++
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i := range jobs {
+			c.await(o, fmt.Sprintf("job-%d", i), workload.Completed, 30*time.Second)
+		}
+	})
+}
+
+// Discovery's entry speaks of a life that is not, as when another writer has overwritten it: the
+// worker gets nothing new, what runs there goes on and counts, and it is used again soon after
+// its own entry is back.
+func TestAnEntryOfALifeThatIsNot(t *testing.T) {
+	inCell(t, 2, func(c *cell) {
+		c.lease = shortLease
+		o := c.rule()
+		time.Sleep(500 * time.Millisecond)
+		if err := c.submit(o, "job", jobOf(4, 8_000), work(3*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		c.awaitStarts(4, time.Second)
+		c.fleet.SetEntry("w-00", func(w fleet.Worker) fleet.Worker {
+			w.Born += 77
+			return w
+		})
+		time.Sleep(time.Second)
+		if err := c.submit(o, "next", jobOf(8, 8_000), work(1500*time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		c.await(o, "job", workload.Completed, 4*time.Second)
+		if got := c.fleet.Starts(); got > 8 {
+			t.Errorf("%d starts while one worker of two has no sound entry, want 8 at most", got)
+		}
+		time.Sleep(1100 * time.Millisecond)
+		if host := c.fleet.RunningOn("w-00"); host != 0 {
+			t.Errorf("%d attempts on the worker without a sound entry", host)
+		}
+		c.fleet.SetEntry("w-00", nil)
+		time.Sleep(time.Second) // a look at discovery each half second
+		if host := c.fleet.RunningOn("w-00"); host == 0 {
+			t.Error("the worker is not used, and its entry is sound again")
+		}
+		c.await(o, "next", workload.Completed, 8*time.Second)
+		if got := c.fleet.Starts(); got != 12 {
+			t.Errorf("%d starts, want 12", got)
+		}
+	})
+}
+
+// An owner that takes over between two lives comes to what one that saw both knows: what ran in
+// the former is over, and is placed again without waiting for a lease.
+func TestATakeoverBetweenTwoLives(t *testing.T) {
+	inCell(t, 3, func(c *cell) {
+		o := c.rule()
+		time.Sleep(500 * time.Millisecond)
+		c.runShort(o, "before", 30)
+		if err := c.submit(o, "job", jobOf(6, 8_000), work(2*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		c.awaitStarts(36, time.Second)
+		time.Sleep(300 * time.Millisecond)
+		o.kill()
+		c.startAllAgain(200 * time.Millisecond)
+		time.Sleep(400 * time.Millisecond)
+		o = c.rule()
+		c.awaitStarts(42, 2*time.Second) // on one worker first: none is known not to be their doing
+		c.await(o, "job", workload.Completed, 4*time.Second)
+		if got := c.fleet.Starts(); got != 42 {
+			t.Errorf("%d starts, want 42", got)
+		}
+	})
+}
--- /dev/null
+++ b/scheduler/lives_order_test.go
@@ -0,0 +1,175 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chutereach/fleet"
+	"chutereach/fleet/fleettest"
+	"chutereach/proptest"
+	"chutereach/resource"
+	"chutereach/rowstore/memory"
+	"chutereach/workload"
+)
+
+// event is one thing that happens, after a job has been handed in.
+type event struct {
+	Kind  eventKind
+	Which int // of the workers, or of the shapes of jobs
+	Pause int // in milliseconds: how long something is away, and what passes before the next event
+}
+
+type eventKind int
+
+const (
+	startAgain eventKind = iota
+	startRackAgain
+	startHalfAgain
+	startTwice
+	killOwner
+	freezeOwner
+	lateOrders
+	lostAnswers
+	cutWorker
+	healCalls
+	silentStore
+	stepTimeBack
+	calm
+	eventKinds
+)
+
+// Workers that start again under their ids, one, a rack or half of them, also twice in a row, in
+// any order with owners that are killed or stand still, orders that are carried out late, answers
+// that are lost, cuts, a silent store and a time of day that steps back: the judge of the fleet
+// sees no task started again after an end done that was noted, none after the failures that it
+// may have, and none in two places; and every job ends as its tasks do.
+func TestLivesInAnyOrder(t *testing.T) {
+	events := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+		return event{
+			Kind:  eventKind(rapid.IntRange(0, int(eventKinds)-1).Draw(t, "kind")),
+			Which: rapid.IntRange(0, 11).Draw(t, "which"),
+			Pause: rapid.IntRange(50, 3000).Draw(t, "pause"),
+		}
+	}), 5, 25)
+	proptest.Check(t, func(rt *rapid.T) {
+		list := events.Draw(rt, "events")
+		inCell(t, 12, func(c *cell) {
+			c.t.Cleanup(func() {
+				if c.t.Failed() {
+					c.t.Logf("the events: %#v", list)
+				}
+			})
+			c.play(list)
+		})
+	})
+}
+
+// play hands in a job before each event, and awaits all of them after the last.
+func (c *cell) play(events []event) {
+	c.lease = shortLease
+	o := c.rule()
+	time.Sleep(500 * time.Millisecond)
+	wants := map[string]workload.State{}
+	for i, e := range events {
+		name := fmt.Sprintf("job-%d", i)
+		request, plan, want := jobFor(e.Which + i)
+		wants[name] = want
+		c.know(name, request, plan)
+		o = c.submitSomehow(o, name, request)
+		o = c.happen(o, e)
+		time.Sleep(time.Duration(e.Pause/4) * time.Millisecond)
+	}
+	c.fleet.SetFault(nil)
+	o.caller.SetFault(nil)
+	for name, want := range wants {
+		c.awaitUnlessEnded(o, name, want)
+	}
+}
+
+// jobFor returns one of a few shapes of jobs, how its tasks go, and how it ends.
+func jobFor(number int) (workload.Request, func(workload.TaskID, int) fleettest.Plan, workload.State) {
+	request := jobOf(1+number%4, resource.MilliCPU(1000+500*(number%7)))
+	request.Steps[0].Gang = number%5 == 0
+	request.Steps[0].Checkpoints = number%3 == 0
+	duration := time.Duration(100+150*(number%9)) * time.Millisecond
+	if number%4 == 1 {
+		failing := fleettest.Plan{Work: duration, Outcome: fleet.Failed}
+		return request, func(workload.TaskID, int) fleettest.Plan { return failing }, workload.Failed
+	}
+	return request, work(duration), workload.Completed
+}
+
+// awaitUnlessEnded is await for a job that may be given up if two workers have ended under one of
+// its tasks.
+func (c *cell) awaitUnlessEnded(o *owner, name string, want workload.State) {
+	c.t.Helper()
+	state := workload.State("")
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		state, _ = o.State(c.ctx, name)
+		if state == want || state == workload.Failed && c.fleet.EndedUnder(name) >= 2 {
+			return
+		}
+	}
+	c.t.Errorf("job %s is %q, want %q; %d workers have ended under its tasks", name, state, want, c.fleet.EndedUnder(name))
+}
+
+// happen brings an event about, and returns who owns the shard after it.
+func (c *cell) happen(o *owner, e event) *owner {
+	pause := time.Duration(e.Pause) * time.Millisecond
+	worker := func(number int) string { return fmt.Sprintf("w-%02d", number%12) }
+	switch e.Kind {
+	case startAgain:
+		c.fleet.StartAgain(worker(e.Which), pause)
+	case startRackAgain: // two workers have a rack
+		c.fleet.StartAgain(worker(e.Which&^1), pause)
+		c.fleet.StartAgain(worker(e.Which|1), pause/2)
+	case startHalfAgain:
+		for i := range 6 {
+			c.fleet.StartAgain(worker(e.Which+i), pause/time.Duration(i+1))
+		}
+	case startTwice:
+		c.fleet.StartAgain(worker(e.Which), 50*time.Millisecond)
+		time.Sleep(pause / 4)
+		c.fleet.StartAgain(worker(e.Which), pause/4)
+	case killOwner:
+		o.kill()
+		time.Sleep(pause)
+		return c.rule()
+	case freezeOwner:
+		o.client.pause()
+		time.Sleep(pause / 2)
+		o.client.resume()
+	case lateOrders:
+		c.everyThird(fleettest.Fault{Late: pause})
+	case lostAnswers:
+		c.everyThird(fleettest.Fault{Mute: true})
+	case cutWorker:
+		c.fleet.SetFault(func(_ fleettest.Call, to string) fleettest.Fault {
+			return fleettest.Fault{Lost: to == worker(e.Which)}
+		})
+	case healCalls:
+		c.fleet.SetFault(nil)
+	case silentStore:
+		o.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
+		time.Sleep(pause / 4)
+		o.caller.SetFault(nil)
+	case stepTimeBack:
+		c.fleet.StepTimeOfDay(-time.Hour)
+	}
+	return o
+}
+
+// everyThird has a fault strike each third call to a worker.
+func (c *cell) everyThird(fault fleettest.Fault) {
+	calls := map[string]int{} // the fleet decides on one call at a time
+	c.fleet.SetFault(func(_ fleettest.Call, worker string) fleettest.Fault {
+		calls[worker]++
+		if calls[worker]%3 == 0 {
+			return fault
+		}
+		return fleettest.Fault{}
+	})
+}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -59,7 +59,7 @@
 		clock, err := s.client.Start(callCtx, info, order)
 		cancel()
 		s.metrics.start(time.Since(begun), err)
-		if s.startAnswered(t, number, startResult{info.Life, clock, err, time.Since(begun), void, doubtful}) {
+		if s.startAnswered(t, number, startResult{info.Life, order.Token, clock, err, time.Since(begun), void, doubtful}) {
 			return
 		}
 		doubtful = doubtful || !fleet.IsUnsent(err)
@@ -84,7 +84,7 @@
 	t.told = true
 	return w.info, fleet.StartOrder{
 		Task: t.id().String(), Number: number, Spec: t.step.job.record.Request.Spec,
-		Checkpoint: t.checkpoint, Ticket: t.ticket, Token: w.token, Deadline: w.clockNow(void),
+		Checkpoint: t.checkpoint, Ticket: t.ticket, Token: s.tokenOf(w.info.ID), Deadline: w.clockNow(void),
 	}, true
 }
 
@@ -99,6 +99,7 @@
 // startResult is what came of one call with a start.
 type startResult struct {
 	life     fleet.Life // that was meant
+	token    uint64
 	clock    fleet.Clock
 	err      error
 	took     time.Duration
@@ -118,6 +119,14 @@
 		return true
 	}
 	w := t.worker
+	var unanswered *fleet.UnansweredError
+	if errors.As(err, &unanswered) && !unanswered.Unsent {
+		t.unanswered = true
+		t.cutShort = t.cutShort || unanswered.Closed
+	}
+	if fleet.IsUnsent(err) && !result.doubtful && t.state == taskStarting {
+		t.told = false // until the call is tried again
+	}
 	if err == nil {
 		w.sawClockOf(result.life, result.clock, now)
 		if t.state == taskStarting {
@@ -133,7 +142,7 @@
 	switch {
 	case errors.As(err, &refused):
 		w.sawClockOf(result.life, refused.Clock, now)
-		s.startRefused(t, refused.Reason, result.doubtful)
+		s.startRefused(t, refused.Reason, result)
 	case errors.As(err, &replaced):
 		s.endLife(w, "another life answers at its address")
 	case errors.As(err, &busy):
@@ -153,20 +162,20 @@
 	return true
 }
 
-func (s *Scheduler) startRefused(t *task, reason fleet.Reason, doubtful bool) {
+func (s *Scheduler) startRefused(t *task, reason fleet.Reason, result startResult) {
 	if t.state != taskStarting {
 		return // a report has shown it since, or it is being stopped
 	}
 	w := t.worker
 	switch reason {
 	case fleet.Fenced:
-		s.fenced(w, w.token)
+		s.fenced(w, result.token)
 	case fleet.NoRoom:
 		w.blockedUntil = time.Now().Add(busyPause)
 	case fleet.NoTicket:
 		t.step.advice.drop(w)
 	}
-	s.notStarted(t, string(reason), doubtful || reason == fleet.Outdated)
+	s.notStarted(t, string(reason), result.doubtful || reason == fleet.Outdated)
 }
 
 // notStarted takes back a grant whose start the worker has refused. If an earlier
@@ -187,7 +196,7 @@
 // began takes in that an attempt runs. The lock is held.
 func (s *Scheduler) began(t *task, now time.Time) {
 	t.state, t.begunAt, t.movedAt, t.percent = taskRunning, now, now, 0
-	t.recovered = false
+	t.recovered, t.inherited = false, false
 	t.step.job.begun = true
 	s.log.Debug().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).
 		Str("worker", t.worker.info.ID).Msg("started")
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -13,7 +13,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if w.over {
-		s.takeLastEnds(w, report)
+		s.takeLastEnds(w, report, sent)
 		return false
 	}
 	if answering := s.settleLives(w, report, sent); answering != w {
@@ -67,8 +67,8 @@
 
 // takeLastEnds takes in the ends that a life which is over has told of, in an answer that was
 // overtaken by one of the next life. The lock is held.
-func (s *Scheduler) takeLastEnds(w *worker, report fleet.Report) {
-	if w.another(report) {
+func (s *Scheduler) takeLastEnds(w *worker, report fleet.Report, sent time.Time) {
+	if w.another(report, sent) {
 		return
 	}
 	for _, end := range report.Ended {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -20,9 +20,8 @@
 	entered bool
 	// superseded is whether a later life under the id has been heard of.
 	superseded bool
-	again      bool   // another life has had the id before
-	token      uint64 // fencing token of its starts
-	over       bool   // this life has ended
+	again      bool // another life has had the id before
+	over       bool // this life has ended
 	used       resource.Amount
 	tasks      map[string]*task // by the name of the attempt's task
 	cancel     context.CancelFunc
@@ -79,7 +78,8 @@
 // host gives a task room on the worker.
 func (w *worker) host(t *task, state taskState) {
 	t.worker, t.state = w, state
-	t.begunAt, t.stoppedAt, t.movedAt, t.percent, t.told = time.Time{}, time.Time{}, time.Time{}, 0, false
+	t.begunAt, t.stoppedAt, t.movedAt, t.percent = time.Time{}, time.Time{}, time.Time{}, 0
+	t.told, t.unanswered, t.cutShort, t.inherited = false, false, false, false
 	t.sampledAt, t.sampled = time.Time{}, 0
 	w.used = w.used.Plus(t.step.need())
 	w.tasks[t.id().String()] = t
