--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -77,8 +77,8 @@
 // attempt ends. The lock is held.
 func (s *Scheduler) noteLost(t *task) {
 	w := t.worker
-	if !t.told || t.inherited || w.leaving {
-		return // it did not begin there, as far as is known, or nothing is to blame
+	if !t.told || w.leaving {
+		return
 	}
 	if t.ran() >= clearedAfter {
 		t.crashes = workload.Crashes{}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -42,9 +42,7 @@
 	movedOnce  bool      // off a worker that had turned slow
 	preempted  int       // how often it gave way
 	told       bool      // the worker may have begun the attempt
-	unanswered bool      // some call with its start had no answer, and may be carried out late
-	cutShort   bool      // such a call ended with its connection, as when its worker's process ends
-	inherited  bool      // the start was meant for a former life of the worker
+	cutShort   bool      // a call with its start ended with its connection, as when the worker's process ends
 	crashes    workload.Crashes
 }
 
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -21,7 +21,7 @@
 	// do nothing there when they are carried out late. They would forget its ends unread, begin
 	// tasks again or give it leases by another clock.
 	token, outdated uint64
-	endedAt       time.Time // of the last life that is over
+	endedAt         time.Time // of the last life that is over
 }
 
 // newest returns the life that was heard of last, or nil.
@@ -166,7 +166,7 @@
 	}
 	for _, former := range slices.Clone(lives) {
 		if former != answering {
-			s.handOver(former, answering, report, sent)
+			s.handOver(former, answering, report)
 		}
 	}
 	return answering
@@ -187,27 +187,18 @@
 }
 
 // handOver ends a life in favour of the one that has answered. What the report shows moves there,
-// for a start meant for the former life was carried out by this one; so does what may still be
-// begun late, to be stopped there. All else has ended with the life, and is placed anew at once.
+// for a start meant for the former life was carried out by this one. All else has ended with the
+// life, and is placed anew at once: starts that had no answer bear a token that is too low by now.
 // The lock is held.
-func (s *Scheduler) handOver(former, next *worker, report fleet.Report, sent time.Time) {
+func (s *Scheduler) handOver(former, next *worker, report fleet.Report) {
 	s.metrics.startedAgain.Add(1)
 	s.log.Warn().Str("worker", former.info.ID).Int64("born", next.info.Born).Int64("born_before", former.info.Born).
 		Uint64("seen", former.seen).Uint64("noted", former.noted).Int("attempts", len(former.tasks)).
 		Int("running", len(report.Running)).Int("ended", len(report.Ended)).Msg("worker has started again")
 	shown := attemptsIn(report)
 	for _, t := range former.list() {
-		switch {
-		case t.worker != former: // it went with its gang
-		case shown[shownAttempt{t.id().String(), t.attempt}]:
-			former.moveTo(next, t)
-			if t.unwanted() {
-				s.sendStops(t)
-			}
-		case t.mayBegin(sent):
-			s.noteLost(t)
-			former.moveTo(next, t)
-			s.keepFromBeginning(t)
+		if t.worker == former && shown[shownAttempt{t.id().String(), t.attempt}] {
+			s.moveTo(next, t)
 		}
 	}
 	s.endLife(former, "it has started again")
@@ -247,22 +238,16 @@
 	return shown
 }
 
-// mayBegin reports whether a start that was sent to a life which is over may still be carried
-// out by the next one, as of a call to that.
-func (t *task) mayBegin(sent time.Time) bool {
-	if !t.told || t.recovered {
-		return false // it was never sent, or by an owner whose token is too low by now
-	}
-	return t.unanswered || t.begunAt.IsZero() || !t.begunAt.Before(sent)
-}
-
-// moveTo moves a task's attempt to another life of its worker.
-func (w *worker) moveTo(next *worker, t *task) {
+// moveTo moves a task's attempt to another life of its worker. The lock is held.
+func (s *Scheduler) moveTo(next *worker, t *task) {
 	state := t.state
 	if state == taskRunning {
-		state = taskStarting // until a report of the life at hand shows it
+		state = taskStarting // until the report at hand has it begin
 	}
-	w.release(t)
+	t.worker.release(t)
 	next.host(t, state)
-	t.told, t.inherited = true, true
+	t.told = true
+	if t.unwanted() {
+		s.sendStops(t)
+	}
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -119,10 +119,8 @@
 		return true
 	}
 	w := t.worker
-	var unanswered *fleet.UnansweredError
-	if errors.As(err, &unanswered) && !unanswered.Unsent {
-		t.unanswered = true
-		t.cutShort = t.cutShort || unanswered.Closed
+	if fleet.IsClosed(err) && !fleet.IsUnsent(err) {
+		t.cutShort = true
 	}
 	if fleet.IsUnsent(err) && !result.doubtful && t.state == taskStarting {
 		t.told = false // until the call is tried again
@@ -196,7 +194,7 @@
 // began takes in that an attempt runs. The lock is held.
 func (s *Scheduler) began(t *task, now time.Time) {
 	t.state, t.begunAt, t.movedAt, t.percent = taskRunning, now, now, 0
-	t.recovered, t.inherited = false, false
+	t.recovered = false
 	t.step.job.begun = true
 	s.log.Debug().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).
 		Str("worker", t.worker.info.ID).Msg("started")
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -79,7 +79,7 @@
 func (w *worker) host(t *task, state taskState) {
 	t.worker, t.state = w, state
 	t.begunAt, t.stoppedAt, t.movedAt, t.percent = time.Time{}, time.Time{}, time.Time{}, 0
-	t.told, t.unanswered, t.cutShort, t.inherited = false, false, false, false
+	t.told, t.cutShort = false, false
 	t.sampledAt, t.sampled = time.Time{}, 0
 	w.used = w.used.Plus(t.step.need())
 	w.tasks[t.id().String()] = t
