platform, scheduler: entries and rows that no worker wrote

A row of a report that cannot be read cost the whole report, so that all that ran there was taken for out of reach; it costs that row now, its attempt is not lost at once, and its end is not acknowledged. A worker whose entry is gone is not used after an outage either.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -75,18 +75,19 @@
 	d.node = node.New(ctx, node.Config{
 		Self: node.Member{Node: set.Self.Name, Address: set.Self.Peer, Hall: set.Self.Hall, Power: set.Self.Power},
 		Scheduler: scheduler.Config{
-			Shard: shard, Lease: set.LeaseInForce(), LongestLease: set.Times.LongestLease, KeepFinal: set.Times.KeepFinal, PartitionWrites: set.Store.PartitionWrites,
-			Workers: scheduler.WorkerTimes{Stop: set.Worker.Stop, Restore: set.Worker.Restore}, RemoteFactor: set.Worker.RemoteFactor,
+			Shard: shard, Lease: set.LeaseInForce(), LongestLease: set.Times.LongestLease, KeepFinal: set.Times.KeepFinal,
+			PartitionWrites: set.Store.PartitionWrites,
+			Workers:         scheduler.WorkerTimes{Stop: set.Worker.Stop, Restore: set.Worker.Restore}, RemoteFactor: set.Worker.RemoteFactor,
 		},
 		Owns: collectFor,
 	}, node.Platform{
 		Store: d.store, Workers: platform.NewWorkers(), Advisor: d.advisor,
 		FollowWorkers: directory.FollowWorkers, FollowTable: directory.FollowTable,
 	}, peer.NewPlainClient(), metrics, logs.For(log, logs.Node))
-	return d, d.listen(metrics, missed)
+	return d, d.listen(metrics, directory.Var(), missed)
 }
 
-func (d *Daemon) listen(metrics *node.Metrics, missed expvar.Var) (err error) {
+func (d *Daemon) listen(metrics *node.Metrics, entries, missed expvar.Var) (err error) {
 	if d.peers, err = peer.ListenPlain(d.settings.Self.Peer, d.node.Mux()); err != nil {
 		return &ListenError{"node.peer", err}
 	}
@@ -105,6 +106,7 @@
 	expvar.Publish("turned_away", ingress.Var())
 	expvar.Publish("accounts", expvar.Func(func() any { return d.node.AccountUsage() }))
 	expvar.Publish("scheduler", metrics.Scheduler.Var())
+	expvar.Publish("worker_entries_unusable", entries)
 	expvar.Publish("log_lines_left_out", missed)
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, expvar.Handler())
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -102,6 +102,10 @@
 	Clock   Clock
 	Running []Attempt
 	Ended   []End
+	// Unread counts the rows that could not be read. Ends from UnreadFrom on, if it is not 0, are
+	// not to be acknowledged, for one of them is not known.
+	Unread     int
+	UnreadFrom uint64
 }
 
 // StartOrder asks for an attempt. It is void after Deadline.
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -113,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	order := fleet.HoldOrder{Token: s.tokenOf(w.info.ID), Noted: w.noted, Wait: holdWait}
+	order := fleet.HoldOrder{Token: s.tokenOf(w.info.ID), Noted: w.acknowledged(), Wait: holdWait}
 	if s.answers.lossy {
 		order.Wait = lossyWait
 	}
--- a/scheduler/lives_more_test.go
+++ b/scheduler/lives_more_test.go
@@ -83,7 +83,7 @@
 	inCell(t, 2, func(c *cell) {
 		c.lease = shortLease
 		o := c.rule()
-		time.Sleep(5 * time.Second) // so that the former clock is ahead
+		time.Sleep(5 * time.Second)                   // so that the former clock is ahead
 		for i, id := range []string{"w-00", "w-01"} { // discovery goes on naming the former lives
 			c.fleet.SetEntry(id, func(w fleet.Worker) fleet.Worker {
 				w.Born = int64(1 + i)
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -267,7 +267,7 @@
 func (s *Scheduler) look(ctx context.Context, w *worker, t *task, number int) {
 	s.mu.Lock()
 	wanted := t.worker == w && t.attempt == number && t.unwanted() && t.begunAt.IsZero()
-	order := fleet.HoldOrder{Token: s.tokenOf(w.info.ID), Noted: w.noted}
+	order := fleet.HoldOrder{Token: s.tokenOf(w.info.ID), Noted: w.acknowledged()}
 	info, sent := w.info, time.Now()
 	s.mu.Unlock()
 	if !wanted {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"chutereach/fleet"
@@ -32,6 +33,7 @@
 	w.contact, w.failing, w.failures = now, false, 0
 	s.settleFound(w)
 	w.sawClock(report.Clock, now)
+	s.noteUnread(w, report, now)
 	for _, end := range report.Ended {
 		s.takeEnd(w, end)
 	}
@@ -43,7 +45,7 @@
 		}
 	}
 	for name, t := range w.tasks {
-		if !listed[name] {
+		if !listed[name] && !w.mayBeUnread(now) {
 			s.missing(t, sent)
 		}
 	}
@@ -53,6 +55,48 @@
 	return len(w.pending) > 0
 }
 
+// unreadPatience is for how long an attempt that a report does not show may be in a row that could
+// not be read. After it the attempt counts as lost, like one whose worker does not answer; its end,
+// if there was one, is not acknowledged.
+const unreadPatience = 3 * time.Second
+
+// noteUnread takes in how much of a report could not be read. The lock is held.
+func (s *Scheduler) noteUnread(w *worker, report fleet.Report, now time.Time) {
+	w.unreadFrom = report.UnreadFrom
+	if report.Unread == 0 {
+		w.unreadAt = time.Time{}
+		return
+	}
+	s.metrics.rowsUnread.Add(int64(report.Unread))
+	if w.unreadAt.IsZero() {
+		w.unreadAt = now
+		s.log.Warn().Str("worker", w.info.ID).Int("rows", report.Unread).Uint64("from_end", report.UnreadFrom).
+			Msg("rows of a worker's report cannot be read")
+	}
+}
+
+// mayBeUnread reports whether an attempt that the last report did not show may be in a row of it
+// that could not be read.
+func (w *worker) mayBeUnread(now time.Time) bool {
+	return !w.unreadAt.IsZero() && now.Sub(w.unreadAt) < unreadPatience
+}
+
+// noteSequence notes that an end is taken in. Ends that it leaves out could not be read, and are
+// taken in when they can.
+func (w *worker) noteSequence(sequence uint64) {
+	delete(w.gaps, sequence)
+	for missed := w.seen + 1; w.unreadFrom > 0 && missed < sequence && len(w.gaps) < mostGaps; missed++ {
+		if w.gaps == nil {
+			w.gaps = map[uint64]bool{}
+		}
+		w.gaps[missed] = true
+	}
+	w.seen = max(w.seen, sequence)
+}
+
+// mostGaps bounds the ends that are remembered as not read: as many as one report lists.
+const mostGaps = 500
+
 // firstContact bounds until when anything can run on a worker without this owner's word. The lock
 // is held.
 func (s *Scheduler) firstContact(w *worker, now time.Time) {
@@ -128,10 +172,11 @@
 
 // takeEnd takes in one end that a worker lists.
 func (s *Scheduler) takeEnd(w *worker, end fleet.End) {
-	if end.Sequence <= w.seen {
+	if end.Sequence <= w.seen && !w.gaps[end.Sequence] {
 		return
 	}
-	w.seen = end.Sequence
+	late := end.Sequence <= w.seen
+	w.noteSequence(end.Sequence)
 	note := pendingNote{sequence: end.Sequence}
 	if t := w.tasks[end.Task]; t != nil && t.attempt == end.Number {
 		j := t.step.job
@@ -140,9 +185,22 @@
 	} else if id, err := workload.ParseTaskID(end.Task); err == nil {
 		s.takeLateEnd(id, end)
 	}
+	if late {
+		w.holdBack(note)
+		return
+	}
 	w.pending = append(w.pending, note)
 }
 
+// holdBack has the ends from one on be acknowledged only once that one is in the store: later ones
+// were taken in before it could be read.
+func (w *worker) holdBack(note pendingNote) {
+	from := note.sequence
+	note.sequence = max(note.sequence, w.noted)
+	w.noted = min(w.noted, from-1)
+	w.pending = slices.Insert(w.pending, 0, note)
+}
+
 // takeLateEnd takes in the end of an attempt that the owner had given up. A task
 // that is done is done, whoever counted on it.
 func (s *Scheduler) takeLateEnd(id workload.TaskID, end fleet.End) {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -13,8 +13,9 @@
 // worker is one life of a worker, as the owner knows it.
 type worker struct {
 	info fleet.Worker
-	// known is whether discovery names this life now, listed how it does, and entered whether it
-	// ever did: what a life has and offers is known from its own entry alone.
+	// known is whether discovery names this life now, and listed how it does. entered is whether
+	// it does so or did until an outage of the store: what a life has and offers is known from its
+	// own entry alone, and an entry that another writer has replaced names no worker.
 	known   bool
 	listed  fleet.Life
 	entered bool
@@ -38,10 +39,15 @@
 	lost      []lostAttempt // with it, while it is not known whether it has ended
 	trial     trial
 
-	seen     uint64 // the last end that was taken in
-	noted    uint64 // ends up to here are in the store
-	pending  []pendingNote
-	noteWake chan struct{}
+	seen uint64          // the last end that was taken in
+	gaps map[uint64]bool // ends before that which could not be read
+	// unreadFrom, if not 0, is from which end on the last report could not be read in full, and
+	// unreadAt since when rows of reports could not be read.
+	unreadFrom uint64
+	unreadAt   time.Time
+	noted      uint64 // ends up to here are in the store
+	pending    []pendingNote
+	noteWake   chan struct{}
 
 	foreign int // attempts in the last report that are not this owner's
 	// grew is the serial at which the worker last could take more than before.
@@ -168,6 +174,15 @@
 // are back; the users' platform says about two seconds.
 const relistedWithin = 2 * time.Second
 
+// acknowledged returns up to which end the worker may forget what it lists: no end that could not
+// be read yet.
+func (w *worker) acknowledged() uint64 {
+	if w.unreadFrom > 0 {
+		return min(w.noted, w.unreadFrom-1)
+	}
+	return w.noted
+}
+
 // advanceNoted moves noted over the ends that are in the store. The lock is held.
 func (w *worker) advanceNoted() {
 	moved := false
@@ -207,6 +222,7 @@
 	for _, w := range s.workers {
 		if w.known && !named[w.listed] {
 			w.known = false
+			w.entered = s.listIncomplete(time.Now()) || !s.term.FailingSince().IsZero()
 			w.leaving = w.leaving || !w.failing && !w.superseded
 			s.log.Info().Str("worker", w.info.ID).Int64("born", w.info.Born).Int("attempts", len(w.tasks)).Msg("worker is no longer listed")
 		}
