--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -211,15 +211,6 @@
 	return newest != nil && newest.listed == w.listed
 }
 
-// keepFromBeginning has a worker told to stop an attempt that may begin late.
-func (s *Scheduler) keepFromBeginning(t *task) {
-	if t.state == taskDone {
-		s.sendStops(t)
-		return
-	}
-	s.recall(t, "its worker has started again, and its start may be late")
-}
-
 // shownAttempt names an attempt in a report.
 type shownAttempt struct {
 	task   string
