--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// hold makes one call to a worker. First calls go some at a time: at a takeover they
+// hold makes one call to a worker, and returns with what order and when it was sent. First calls go some at a time: at a takeover they
 // all come at once, each with a new connection.
 func (s *Scheduler) hold(ctx context.Context, w *worker) (report fleet.Report, order fleet.HoldOrder, sent time.Time, err error) {
 	if s.isFirst(w) {
@@ -186,8 +186,9 @@
 	return false
 }
 
-// lapse ends every attempt on a worker whose lease has run out or whose life is over. The end of one member
-// of a gang takes back the others that were only granted, so each is looked at anew.
+// lapse ends every attempt on a worker whose lease has run out or whose life is over. The end
+// of one member of a gang takes back the others that were only granted, so each is looked at
+// anew. The lock is held.
 func (s *Scheduler) lapse(w *worker, why string) {
 	for _, t := range w.list() {
 		if t.worker == w {
