--- a/scheduler/later_life_test.go
+++ b/scheduler/later_life_test.go
@@ -16,6 +16,14 @@
 // oneWorker returns a job whose task fills a worker and lasts for a while.
 func oneWorker() workload.Request { return jobOf(1, 16_000) }
 
+// assertStarts checks how many attempts have begun.
+func (c *cell) assertStarts(want int) {
+	c.t.Helper()
+	if got := c.fleet.Starts(); got != want {
+		c.t.Errorf("%d starts, want %d", got, want)
+	}
+}
+
 // A start without answer that the next life of its worker carries out, after it is known that
 // the former one is over: the attempt is stopped there, and what it takes there is not given to
 // another until then.
@@ -71,9 +79,7 @@
 		for i := range 8 {
 			c.await(o, fmt.Sprintf("after-%d", i), workload.Completed, 5*time.Second)
 		}
-		if got := c.fleet.Starts(); got != 18 {
-			t.Errorf("%d starts, want 18", got)
-		}
+		c.assertStarts(18)
 	})
 }
 
@@ -131,9 +137,7 @@
 			t.Fatal(err)
 		}
 		c.await(o, "job", workload.Completed, 5*time.Second)
-		if got := c.fleet.Starts(); got != 4 {
-			t.Errorf("%d starts, want 4", got)
-		}
+		c.assertStarts(4)
 	})
 }
 
@@ -152,9 +156,7 @@
 		time.Sleep(430 * time.Millisecond) // the end has been listed, and is being written
 		c.fleet.StartAgain(host, 50*time.Millisecond)
 		c.await(o, "job", workload.Completed, 5*time.Second)
-		if got := c.fleet.Starts(); got != 1 {
-			t.Errorf("%d starts, want 1", got)
-		}
+		c.assertStarts(1)
 	})
 }
 
@@ -287,9 +289,7 @@
 			t.Error("the worker is not used, and its entry is sound again")
 		}
 		c.await(o, "next", workload.Completed, 8*time.Second)
-		if got := c.fleet.Starts(); got != 12 {
-			t.Errorf("%d starts, want 12", got)
-		}
+		c.assertStarts(12)
 	})
 }
 
@@ -311,8 +311,6 @@
 		o = c.rule()
 		c.awaitStarts(42, 2*time.Second) // on one worker first: none is known not to be their doing
 		c.await(o, "job", workload.Completed, 4*time.Second)
-		if got := c.fleet.Starts(); got != 42 {
-			t.Errorf("%d starts, want 42", got)
-		}
+		c.assertStarts(42)
 	})
 }
