evacuation, scheduler, node, platform: data halls that the operator evacuates get nothing new

Cause: the code knew no evacuation.

Change: every node has the evacuated halls by the calls that bring the configuration. The owner places nothing there, and looks again before each call with a start.

Ruled out: word from other nodes (an owner without the store grants nothing anyhow); a condition on the operator's rows in each transaction (they are of another partition, and such transactions take twice as long).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,13 +76,13 @@
 		Self: node.Member{Node: set.Self.Name, Address: set.Self.Peer, Hall: set.Self.Hall, Power: set.Self.Power},
 		Scheduler: scheduler.Config{
 			Shard: shard, Lease: set.LeaseInForce(), LongestLease: set.Times.LongestLease, KeepFinal: set.Times.KeepFinal,
-			PartitionWrites: set.Store.PartitionWrites,
-			Workers:         scheduler.WorkerTimes{Stop: set.Worker.Stop, Restore: set.Worker.Restore}, RemoteFactor: set.Worker.RemoteFactor,
+			PartitionWrites: set.Store.PartitionWrites, EvacuateWithin: set.Times.Evacuate,
+			Workers: scheduler.WorkerTimes{Stop: set.Worker.Stop, Restore: set.Worker.Restore}, RemoteFactor: set.Worker.RemoteFactor,
 		},
 		Owns: collectFor,
 	}, node.Platform{
 		Store: d.store, Workers: platform.NewWorkers(), Advisor: d.advisor,
-		FollowWorkers: directory.FollowWorkers, FollowTable: directory.FollowTable,
+		FollowWorkers: directory.FollowWorkers, FollowOrders: directory.FollowOrders,
 	}, peer.NewPlainClient(), metrics, logs.For(log, logs.Node))
 	return d, d.listen(metrics, directory.Var(), missed)
 }
--- a/explain/line.go
+++ b/explain/line.go
@@ -93,6 +93,18 @@
 	return text
 }
 
+// texts returns a field that is a list of texts.
+func (l Line) texts(key string) []string {
+	list, _ := l.Fields[key].([]any)
+	var texts []string
+	for _, item := range list {
+		if text, ok := item.(string); ok {
+			texts = append(texts, text)
+		}
+	}
+	return texts
+}
+
 // duration returns a field that is a time in milliseconds.
 func (l Line) duration(key string) time.Duration {
 	ms, _ := l.Fields[key].(float64)
--- a/explain/losses.go
+++ b/explain/losses.go
@@ -18,6 +18,7 @@
 	CauseAttempts   Cause = "attempts failed or were lost"
 	CauseGaveWay    Cause = "gave way to urgent work"
 	CauseQuota      Cause = "its account was at its quota"
+	CauseEvacuated  Cause = "waited while data halls were evacuated"
 	CauseWaited     Cause = "waited for room or advice"
 	CauseRan        Cause = "ran for long"
 )
@@ -62,7 +63,7 @@
 func Losses(lines []Line, zero time.Time, window time.Duration) []Loss {
 	lines = slices.Clone(lines)
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
-	causes := dayCauses{slow: slowSpans(lines), ownerless: ownerlessSpans(lines)}
+	causes := dayCauses{slow: slowSpans(lines), ownerless: ownerlessSpans(lines), evacuated: evacuatedSpans(lines)}
 	counts := map[Loss]int{}
 	for _, own := range byJob(lines) {
 		cause, at, lost := causes.of(own)
@@ -132,7 +133,7 @@
 }
 
 // dayCauses are the times of a day that hold all jobs up.
-type dayCauses struct{ slow, ownerless []span }
+type dayCauses struct{ slow, ownerless, evacuated []span }
 
 // of returns what held a job up and when it came, if it was lost.
 func (d dayCauses) of(own []Line) (cause Cause, came time.Time, lost bool) {
@@ -164,6 +165,7 @@
 	wait, retried, yielded := heldUp(own, life.from)
 	held := heldByQuota(own, life.to)
 	waited := wait.to.Sub(wait.from) - wait.overlap(d.slow) - wait.overlap(d.ownerless) - wait.overlap(held)
+	short := min(waited, wait.overlap(d.evacuated))
 	type share struct {
 		cause Cause
 		time  time.Duration
@@ -174,7 +176,8 @@
 		{CauseAttempts, retried},
 		{CauseGaveWay, yielded},
 		{CauseQuota, life.overlap(held)},
-		{CauseWaited, waited},
+		{CauseEvacuated, short},
+		{CauseWaited, waited - short},
 	}
 	most := slices.MaxFunc(shares, func(a, b share) int { return cmp.Compare(a.time, b.time) })
 	if most.time < leastShare {
--- a/explain/losses_test.go
+++ b/explain/losses_test.go
@@ -53,6 +53,8 @@
 		{"its account's quota", []string{accepted, `1.1|a|waits for its account's quota|"job":"j","account":"x"`, `2|a|its account's quota has room|"job":"j","waited":900`, `2.05|a|granted|"job":"j"`, `3|a|job is final|` + lateAfterTwo}, explain.CauseQuota},
 		{"its account's quota to the end", []string{accepted, granted, `1.1|a|waits for its account's quota|"job":"j","account":"x"`, `3|a|job is final|` + lateAfterTwo}, explain.CauseQuota},
 		{"refused for its quota", []string{`1|a|refused|"job":"j","queue":"q","account":"x","error":"not taken: step 0 needs more"`}, explain.CauseQuota},
+		{"an evacuated data hall", []string{`0.5|a|evacuated data halls|"version":7,"halls":["h"],"before":[]`, `0.6|b|evacuated data halls|"version":7,"halls":["h"],"before":[]`, accepted, `1.9|a|evacuated data halls|"version":9,"halls":[],"before":["h"]`, `2|a|granted|"job":"j"`, `3|a|job is final|` + lateAfterTwo}, explain.CauseEvacuated},
+		{"no room after an evacuation", []string{`0.5|a|evacuated data halls|"version":7,"halls":["h"],"before":[]`, `0.9|a|evacuated data halls|"version":9,"halls":[],"before":["h"]`, accepted, `2|a|granted|"job":"j"`, `3|a|job is final|` + lateAfterTwo}, explain.CauseWaited},
 		{"long work", []string{accepted, granted, `3|a|job is final|` + lateAfterTwo}, explain.CauseRan},
 		{"refused", []string{`1|a|refused|"job":"j","queue":"q"`}, explain.CauseRefused},
 		{"given back", []string{accepted, `2|a|given back|"job":"j","queue":"q"`}, explain.CauseRefused},
--- a/explain/story.go
+++ b/explain/story.go
@@ -14,6 +14,7 @@
 var general = []string{
 	"shard taken", "shard loaded", "shard cannot be loaded yet", "handing the shard over", "term over",
 	"store does not answer", "store answers again", "slow transaction", "configuration in force",
+	hallsEvacuated, wordStale, wordFresh,
 }
 
 // Story is what the logs say of a job.
@@ -60,16 +61,20 @@
 }
 
 // firstOfVersions drops all lines but the first that tell of one version of the
-// configuration: every box writes one.
+// configuration or of the evacuated data halls: every box writes one.
 func firstOfVersions(lines []Line) []Line {
-	seen := map[any]bool{}
+	type told struct {
+		message string
+		version any
+	}
+	seen := map[told]bool{}
 	return slices.DeleteFunc(lines, func(line Line) bool {
 		version, ok := line.Fields["version"]
-		if line.Message != "configuration in force" || !ok {
+		if line.Message != "configuration in force" && line.Message != hallsEvacuated || !ok {
 			return false
 		}
-		former := seen[version]
-		seen[version] = true
+		former := seen[told{line.Message, version}]
+		seen[told{line.Message, version}] = true
 		return former
 	})
 }
@@ -90,10 +95,11 @@
 		summary = append(summary, "None of its tasks was placed: look for \"no advice\" and for owners without the store.")
 	}
 	summary = append(summary, quotaWaits(own)...)
+	summary = append(summary, heldBack(own)...)
 	summary = append(summary, attempts(own)...)
 	summary = append(summary, endedUnder(own)...)
 	if final != nil {
-		return append(summary, takeovers(others)...)
+		return append(append(summary, evacuations(others)...), takeovers(others)...)
 	}
 	return append(summary, "It is not final in these logs.")
 }
--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -87,9 +87,11 @@
 
 	unlisted  bool // discovery names nobody
 	entries   map[string]func(fleet.Worker) fleet.Worker
-	crashAway time.Duration // see SetStartAgain
-	timeOfDay time.Duration // by which the workers' time of day has stepped
-	stray     bool          // the order at hand is carried out by a later life than was meant
+	crashAway time.Duration        // see SetStartAgain
+	timeOfDay time.Duration        // by which the workers' time of day has stepped
+	stray     bool                 // the order at hand is carried out by a later life than was meant
+	late      bool                 // the order at hand is carried out late
+	closed    map[string]time.Time // from when on nothing may begin in a data hall
 }
 
 // New returns a fleet without workers.
@@ -98,8 +100,8 @@
 		workers: map[string]*worker{}, kinds: map[string]Kind{}, gangs: map[string]*gang{}, tickets: map[string]ticket{},
 		dones: map[string]bool{}, well: map[string]bool{}, failed: map[string]int{}, begun: map[string]bool{},
 		crashes: map[string]*crashes{}, under: map[string]int{}, quotas: map[string][]quotaInForce{}, most: map[string]resource.Amount{},
-		entries: map[string]func(fleet.Worker) fleet.Worker{},
-		sick:    map[string]Plan{}, refused: map[fleet.Reason]int{}, news: noNews{}, grace: resizeGrace,
+		entries: map[string]func(fleet.Worker) fleet.Worker{}, closed: map[string]time.Time{},
+		sick: map[string]Plan{}, refused: map[fleet.Reason]int{}, news: noNews{}, grace: resizeGrace,
 	}
 }
 
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -55,9 +55,9 @@
 			// The life that has the id then takes it: a call names no other life. What it begins
 			// so before it has been called is nobody's promise to keep: no caller can prevent it.
 			if taker := f.workers[info.ID]; taker != nil && !taker.dead {
-				f.stray = taker != w && taker.token == 0
+				f.stray, f.late = taker != w && taker.token == 0, true
 				do(taker)
-				f.stray = false
+				f.stray, f.late = false, false
 			}
 		}()
 		silent = true
@@ -145,6 +145,7 @@
 	if !f.stray {
 		f.judge(w, task, order, kind)
 		f.judgeCrashes(task)
+		f.judgeHall(w, task)
 	}
 	r := &run{task: task, number: order.Number, saved: order.Checkpoint, stray: f.stray}
 	if task.Step < len(kind.Request.Steps) {
--- /dev/null
+++ b/node/evacuation_test.go
@@ -0,0 +1,89 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chutereach/rowstore"
+	"chutereach/rowstore/memory"
+)
+
+// evacuationBound is how long after an evacuation work may still begin in the data hall.
+const evacuationBound = 5 * time.Second
+
+// heedEvacuations gives every node a new life that heeds evacuations within the bound.
+func (c *cell) heedEvacuations() {
+	c.evacuateWithin = evacuationBound
+	for _, m := range c.nodes {
+		c.stop(m)
+	}
+	for _, m := range c.nodes {
+		c.start(m)
+	}
+	time.Sleep(5 * time.Second)
+}
+
+func (c *cell) evacuate(hall string) {
+	c.t.Helper()
+	put := rowstore.Put{Key: rowstore.Key{Table: "config", Name: evacuateRow + hall}, Value: []byte("{}")}
+	if _, err := c.store.Commit(c.ctx, rowstore.Transaction{Puts: []rowstore.Put{put}}); err != nil {
+		c.t.Fatal(err)
+	}
+	c.fleet.Evacuate(hall, evacuationBound)
+}
+
+// Whoever owns the shard after a data hall was evacuated, nothing begins there, and work goes on
+// elsewhere.
+func TestEveryOwnerHeedsEvacuations(t *testing.T) {
+	cases := []struct {
+		name string
+		harm func(c *cell, owner *member) (end func())
+	}{
+		{"the owner stays", func(*cell, *member) func() { return func() {} }},
+		{"the owner is killed at once", func(c *cell, owner *member) func() {
+			c.stop(owner)
+			return func() { c.start(owner) }
+		}},
+		{"every node is killed at once", func(c *cell, owner *member) func() {
+			for _, m := range c.nodes {
+				c.stop(m)
+			}
+			for _, m := range c.nodes {
+				c.start(m)
+			}
+			return func() {}
+		}},
+		{"the store turns the owner away", func(c *cell, owner *member) func() {
+			owner.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Refuse: true} })
+			return func() { owner.caller.SetFault(nil) }
+		}},
+		{"no node reads the store", func(c *cell, _ *member) func() {
+			for _, m := range c.nodes {
+				m.caller.SetFault(func(write bool) memory.Fault { return memory.Fault{Silent: !write} })
+			}
+			return func() { c.harmStore(nil) }
+		}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			inCell(t, 4, func(c *cell) {
+				c.heedEvacuations()
+				owner := c.owner()
+				end := test.harm(c, owner)
+				c.evacuate(hallOf(0))
+				for i := range 30 { // some are refused
+					at := c.nodes[i%len(c.nodes)]
+					c.submit(at, fmt.Sprintf("job-%d", i))
+					time.Sleep(400 * time.Millisecond)
+				}
+				end()
+				time.Sleep(5 * time.Second)
+				if err := c.submit(c.nodes[1], "after"); err != nil {
+					t.Fatal(err)
+				}
+				c.await(c.nodes[1], "after", 3*time.Second)
+			})
+		})
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -11,6 +11,10 @@
 type Metrics struct {
 	Scheduler *scheduler.Metrics
 
+	// evacuatedHalls are the data halls that get nothing new now, evacuationChanges how often
+	// that set has changed.
+	evacuatedHalls, evacuationChanges *expvar.Int
+
 	tableVersion  *expvar.Int // of the configuration in force
 	tables        *expvar.Map // tables of routes by how they came, and what failed
 	transferTimes *histogram.Times
@@ -20,13 +24,15 @@
 func NewMetrics() *Metrics {
 	return &Metrics{
 		Scheduler: scheduler.NewMetrics(), tableVersion: new(expvar.Int), tables: new(expvar.Map),
-		transferTimes: histogram.New(),
+		transferTimes: histogram.New(), evacuatedHalls: new(expvar.Int), evacuationChanges: new(expvar.Int),
 	}
 }
 
 // Var is everything but the scheduler's part, as a variable of expvar.
 func (m *Metrics) Var() expvar.Var {
 	all := new(expvar.Map)
+	all.Set("halls_evacuated", m.evacuatedHalls)
+	all.Set("evacuation_changes", m.evacuationChanges)
 	all.Set("config_version", m.tableVersion)
 	all.Set("config_exchanges", m.tables)
 	all.Set("config_transfer_ms", m.transferTimes)
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chutereach/evacuation"
 	"chutereach/fleet"
 	"chutereach/peer"
 	"chutereach/routing"
@@ -39,9 +40,10 @@
 	// FollowWorkers calls changed with the workers that discovery names, after
 	// the first read and after each change, until ctx ends.
 	FollowWorkers func(ctx context.Context, changed func([]fleet.Worker))
-	// FollowTable calls changed with each table of routes, until ctx ends, and
-	// tells reach how its calls to the store go.
-	FollowTable func(ctx context.Context, changed func(routing.Table), reach rowstore.Reach)
+	// FollowOrders calls changed with each table of routes and evacuated, after each answer of
+	// the store, with the data halls that are evacuated, until ctx ends. It tells reach how its
+	// calls to the store go.
+	FollowOrders func(ctx context.Context, changed func(routing.Table), evacuated func(evacuation.View), reach rowstore.Reach)
 }
 
 // Node is one machine of the system.
@@ -52,6 +54,8 @@
 	log      zerolog.Logger
 	metrics  *Metrics
 	routes   routing.Newest
+	// evacuations are the data halls that the operator has evacuated.
+	evacuations evacuation.Newest
 
 	mu     sync.Mutex
 	owner  ownership // the one with the highest token that was heard of
@@ -107,6 +111,7 @@
 		peers: map[string]peerState{},
 	}
 	n.config.Scheduler.Lateness = n.lag.Mean
+	n.config.Scheduler.Evacuations = n.evacuations.Current
 	n.routes.OnChange(n.tableChanged)
 	return n
 }
@@ -114,7 +119,7 @@
 // Run lives until New's ctx ends.
 func (n *Node) Run() {
 	ctx := n.ctx
-	n.tasks.Go(func() { n.followTable(ctx) })
+	n.tasks.Go(func() { n.followOrders(ctx) })
 	n.tasks.Go(func() { n.register(ctx) })
 	n.tasks.Go(func() { n.watchOwner(ctx) })
 	n.tasks.Go(func() { n.beatLoop(ctx) })
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -5,12 +5,15 @@
 	"errors"
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"chutereach/clock"
+	"chutereach/evacuation"
 	"chutereach/fleet"
 	"chutereach/fleet/fleettest"
 	"chutereach/node"
@@ -37,6 +40,9 @@
 	fleet   *fleettest.Fleet
 	nodes   []*member
 	owns    func(bool) // told by nodes that start from now on; nil: nobody is
+	// evacuateWithin is for how long nodes that start from now on may start work in a data hall
+	// that is evacuated; 0: not bounded.
+	evacuateWithin time.Duration
 }
 
 // member is one node.
@@ -74,7 +80,7 @@
 		c := &cell{t: t, ctx: ctx, network: peertest.New(), store: memory.New(), fleet: fleettest.New()}
 		for i := range 4 {
 			c.fleet.Add(fleet.Worker{
-				Life: fleet.Life{ID: fmt.Sprintf("w-%d", i)}, Service: service, Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30},
+				Life: fleet.Life{ID: fmt.Sprintf("w-%d", i)}, Service: service, Zone: hallOf(i), Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30},
 			})
 		}
 		for i := range count {
@@ -109,15 +115,18 @@
 				time.Sleep(500 * time.Millisecond)
 			}
 		},
-		FollowTable: func(ctx context.Context, changed func(routing.Table), reach rowstore.Reach) {
+		FollowOrders: func(ctx context.Context, changed func(routing.Table), evacuated func(evacuation.View), reach rowstore.Reach) {
+			var halls []string
+			reach.Current = func(version uint64, asOf clock.Instant) { evacuated(evacuation.NewView(halls, version, asOf)) }
 			rowstore.Follow(ctx, caller, "config", "", func(rows map[string]rowstore.Row) {
+				halls = hallsOf(rows)
 				changed(tableOf(rows))
 			}, reach)
 		},
 	}
 	config := node.Config{
 		Self:      node.Member{Node: m.name, Address: m.name, Hall: "h"},
-		Scheduler: scheduler.Config{Shard: "main", Lease: fleettest.MostLease, KeepFinal: time.Minute},
+		Scheduler: scheduler.Config{Shard: "main", Lease: fleettest.MostLease, KeepFinal: time.Minute, EvacuateWithin: c.evacuateWithin},
 		Owns:      c.owns,
 	}
 	m.Node = node.New(ctx, config, platform, peer.NewPlainClientOver(c.network.Dial(m.name)), node.NewMetrics(), zerolog.Nop())
@@ -130,6 +139,23 @@
 	}()
 }
 
+// hallOf returns the data hall of a worker.
+func hallOf(worker int) string { return fmt.Sprintf("hall-%d", worker%2) }
+
+// evacuateRow begins the name of a row that evacuates the data hall after it.
+const evacuateRow = "evacuate/"
+
+// hallsOf returns the data halls that rows evacuate.
+func hallsOf(rows map[string]rowstore.Row) []string {
+	var halls []string
+	for name := range rows {
+		if hall, found := strings.CutPrefix(name, evacuateRow); found {
+			halls = append(halls, hall)
+		}
+	}
+	return halls
+}
+
 // tableOf is the table of routes that the rows of a configuration come to: a version for
 // each row, and a route for each routeBytes in them, one at least.
 func tableOf(rows map[string]rowstore.Row) routing.Table {
--- a/node/table.go
+++ b/node/table.go
@@ -44,11 +44,12 @@
 	version  uint64
 }
 
-// followTable keeps the table of routes as the store has it.
-func (n *Node) followTable(ctx context.Context) {
+// followOrders keeps the table of routes and the evacuated data halls as the store has them.
+func (n *Node) followOrders(ctx context.Context) {
 	offer := func(table routing.Table) { n.routes.Offer(table) }
-	n.platform.FollowTable(ctx, offer, rowstore.Reach{
+	n.platform.FollowOrders(ctx, offer, n.takeEvacuations, rowstore.Reach{
 		Answered: n.tableArrived, Failed: n.tableFails, Progressed: n.tableArrives, Received: n.tableReceived,
+		Wait: n.config.Scheduler.EvacuateWithin / evacuationCalls,
 	})
 }
 
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"chutereach/clock"
 	"chutereach/transfer"
 	"chutereach/wait"
 )
@@ -38,6 +39,26 @@
 	Progressed func()
 	// Received is told of each answer of a table, as it came in.
 	Received func(table string, answer transfer.Received)
+	// Current is told, once an answer is taken in, of which version the rows are. They were so at
+	// asOf or later.
+	Current func(version uint64, asOf clock.Instant)
+	// Wait bounds for how long a call of the feed stays open without news; 0: 2 s. Rows are known
+	// to be at most as old as two such calls.
+	Wait time.Duration
+}
+
+// wait returns for how long a call of the feed stays open at the most.
+func (r Reach) wait() time.Duration {
+	if r.Wait <= 0 {
+		return followWait
+	}
+	return min(r.Wait, followWait)
+}
+
+func (r Reach) current(version uint64, asOf clock.Instant) {
+	if r.Current != nil {
+		r.Current(version, asOf)
+	}
 }
 
 func (r Reach) failed(err *FollowError) {
@@ -82,9 +103,12 @@
 // rows after the first read and after each change, until ctx ends. Failed calls
 // are tried again.
 func Follow(ctx context.Context, store Store, table, partition string, changed func(map[string]Row), reach Reach) {
-	f := follower{store: store, table: table, partition: partition, wait: followWait, quiet: readQuiet, progressed: reach.Progressed}
+	f := follower{
+		store: store, table: table, partition: partition, longest: reach.wait(), wait: reach.wait(), quiet: readQuiet,
+		progressed: reach.Progressed,
+	}
 	for ctx.Err() == nil {
-		begun, exchange := time.Now(), f.exchange()
+		begun, asOf, exchange := time.Now(), clock.Now(), f.exchange()
 		news, received, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -97,6 +121,9 @@
 		if news {
 			changed(f.rows)
 		}
+		if f.rows != nil {
+			reach.current(f.version, asOf)
+		}
 		reach.answered(table, received)
 		if news {
 			wait.For(ctx, newsGap-time.Since(begun))
@@ -109,7 +136,7 @@
 	table, partition string
 	rows             map[string]Row // nil before the first read
 	version          uint64
-	wait             time.Duration // for how long a call of the feed stays open
+	longest, wait    time.Duration // for how long a call of the feed stays open at the most, and now
 	quiet            time.Duration // for how long nothing may come while all rows are read
 	progressed       func()        // nil: nobody is told
 }
@@ -167,9 +194,9 @@
 func (f *follower) adaptWait(took time.Duration, rows int, err error) {
 	switch {
 	case err != nil:
-		f.wait = shortWait
+		f.wait = min(shortWait, f.longest)
 	case rows == 0 && took-f.wait < slowAnswer:
-		f.wait = followWait
+		f.wait = f.longest
 	}
 }
 
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"chutereach/account"
+	"chutereach/evacuation"
 	"chutereach/fleet"
 	"chutereach/resource"
 	"chutereach/urgency"
@@ -27,7 +28,7 @@
 		w.known, w.contact, w.used = true, now, used(i)
 		s.workers[w.info.Life] = w
 	}
-	p := newPass(now, 1, false, defaultTimes)
+	p := newPass(now, 1, false, defaultTimes, evacuation.View{})
 	for _, w := range s.workers {
 		p.add(w)
 	}
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -35,6 +35,9 @@
 	queue workload.Queue
 	lease time.Duration
 	times scheduler.WorkerTimes // zero: the defaults
+	// evacuateWithin is how long after an evacuation starts may begin in the data hall; 0: owners
+	// hear of none.
+	evacuateWithin time.Duration
 }
 
 // shortLease is the lease that nodes give unless their settings say otherwise.
@@ -141,7 +144,7 @@
 		}
 		for i := range workers {
 			c.fleet.Add(fleet.Worker{
-				Life: fleet.Life{ID: fmt.Sprintf("w-%02d", i), Born: int64(1 + i)}, Service: testService, Rack: fmt.Sprintf("r1-%d", i/2), Labels: []string{"a"},
+				Life: fleet.Life{ID: fmt.Sprintf("w-%02d", i), Born: int64(1 + i)}, Service: testService, Zone: hallOf(i), Rack: fmt.Sprintf("r1-%d", i/2), Labels: []string{"a"},
 				Capacity: resource.Amount{CPU: 16_000, Memory: 64 * gigabyte},
 			})
 		}
@@ -182,6 +185,9 @@
 	client := &pausableClient{Client: c.fleet, open: make(chan struct{})}
 	client.resume()
 	config := scheduler.Config{Shard: testShard, Lease: c.lease, LongestLease: fleettest.MostLease, KeepFinal: 2 * time.Minute, Workers: c.times}
+	if c.evacuateWithin > 0 {
+		config.EvacuateWithin, config.Evacuations = c.evacuateWithin, c.followEvacuations(ctx, caller)
+	}
 	o := &owner{
 		Scheduler: scheduler.New(config, caller, client, term, scheduler.NewMetrics(), zerolog.Nop()),
 		caller:    caller, client: client, kill: kill, ended: make(chan error, 1),
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -64,13 +64,13 @@
 		return
 	}
 	s.serial++
-	p := newPass(now, s.serial, s.listIncomplete(now), s.times)
+	p := newPass(now, s.serial, s.listIncomplete(now), s.times, s.gate.view())
 	for _, w := range s.workers {
 		p.add(w)
 	}
 	p.sortPools()
 	p.countGaps(s.demands)
-	if since := s.term.FailingSince(); !since.IsZero() && now.Sub(since) > holdGrants {
+	if since := s.term.FailingSince(); !since.IsZero() && now.Sub(since) > holdGrants || !s.wordIsFresh() {
 		s.keepAdvice(p, list)
 		return
 	}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -50,9 +50,13 @@
 	void := time.Now().Add(startWithin)
 	doubtful := false // an earlier call had no answer and may have been carried out
 	for ctx.Err() == nil {
-		info, order, ok := s.startOrder(t, number, void)
-		if !ok {
+		info, order, next := s.startOrder(t, number, void)
+		switch next {
+		case startOver:
 			return
+		case startHeld:
+			wait.For(ctx, heldPause)
+			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, s.answerLimit())
 		begun := time.Now()
@@ -67,25 +71,37 @@
 	}
 }
 
-// startOrder returns the order, unless the start is no longer wanted.
-func (s *Scheduler) startOrder(t *task, number int, void time.Time) (fleet.Worker, fleet.StartOrder, bool) {
+// startNext is what is done next about a start.
+type startNext int
+
+const (
+	startSent startNext = iota // the worker is called
+	startHeld                  // it is looked at again after heldPause
+	startOver                  // it is no longer wanted
+)
+
+// startOrder returns the order, if the worker is to be called now.
+func (s *Scheduler) startOrder(t *task, number int, void time.Time) (fleet.Worker, fleet.StartOrder, startNext) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t.state != taskStarting || t.attempt != number || t.worker == nil {
-		return fleet.Worker{}, fleet.StartOrder{}, false
+		return fleet.Worker{}, fleet.StartOrder{}, startOver
 	}
 	w := t.worker
 	if !t.told && w.overfull() {
 		s.metrics.refused("its worker has shrunk since the grant")
 		s.endAttempt(t, fleet.Stopped, "", "its worker has shrunk since the grant")
-		return fleet.Worker{}, fleet.StartOrder{}, false
+		return fleet.Worker{}, fleet.StartOrder{}, startOver
+	}
+	if next := s.admitStart(t, void); next != startSent {
+		return fleet.Worker{}, fleet.StartOrder{}, next
 	}
 	w.extends(void, 0)
 	t.told = true
 	return w.info, fleet.StartOrder{
 		Task: t.id().String(), Number: number, Spec: t.step.job.record.Request.Spec,
 		Checkpoint: t.checkpoint, Ticket: t.ticket, Token: s.tokenOf(w.info.ID), Deadline: w.clockNow(void),
-	}, true
+	}, startSent
 }
 
 // answerLimit returns how long the answer to a start is waited for before it is sent
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"chutereach/evacuation"
 	"chutereach/headroom"
 	"chutereach/reliability"
 	"chutereach/urgency"
@@ -14,6 +15,7 @@
 type pass struct {
 	now     time.Time
 	times   WorkerTimes
+	halls   evacuation.View // the evacuated ones get nothing
 	serial  uint64
 	grew    map[string]uint64        // the latest growth of a worker, by service
 	pools   map[string][]*worker     // usable workers by service, the most free first
@@ -32,9 +34,9 @@
 	made        int     // steps for which room was sought by preemption
 }
 
-func newPass(now time.Time, serial uint64, trusted bool, times WorkerTimes) *pass {
+func newPass(now time.Time, serial uint64, trusted bool, times WorkerTimes, halls evacuation.View) *pass {
 	return &pass{
-		now: now, serial: serial, trusted: trusted, times: times, pools: map[string][]*worker{}, grew: map[string]uint64{},
+		now: now, serial: serial, trusted: trusted, times: times, halls: halls, pools: map[string][]*worker{}, grew: map[string]uint64{},
 		gaps: map[string]headroom.Gaps{}, blocked: map[*worker]bool{}, sparing: map[string]sparing{}, kept: map[*accountState]*step{},
 		quotaSought: map[*accountState]bool{},
 	}
@@ -42,7 +44,7 @@
 
 // add puts a worker into its pool, if it is usable.
 func (p *pass) add(w *worker) {
-	usable := w.usable(p.now, p.trusted)
+	usable := w.usable(p.now, p.trusted) && !p.halls.Covers(w.info.Zone)
 	former := w.standing
 	w.standing = w.health.reliability.Standing(p.now)
 	if usable && (!w.wasUsable || w.freed || w.standing < former) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"chutereach/account"
+	"chutereach/evacuation"
 	"chutereach/fleet"
 	"chutereach/headroom"
 	"chutereach/leadership"
@@ -48,6 +49,11 @@
 	RemoteFactor float64
 	// Lateness, if given, tells by how much this process serves its timers late.
 	Lateness func() time.Duration
+	// Evacuations, if given, tells which data halls are evacuated.
+	Evacuations func() evacuation.View
+	// EvacuateWithin is how long after an evacuation starts may still begin in the data hall; 0:
+	// not bounded.
+	EvacuateWithin time.Duration
 }
 
 // lateness returns by how much this process is late; answers that have come wait as
@@ -83,6 +89,7 @@
 
 	shard     string
 	lateness  func() time.Duration
+	gate      evacuationGate
 	lease     time.Duration
 	longest   time.Duration // the longest lease that a worker takes
 	keepFinal time.Duration
@@ -141,7 +148,7 @@
 // New returns a Scheduler for a term. Load must follow, then Run.
 func New(config Config, store rowstore.Store, client fleet.Client, term *leadership.Term, metrics *Metrics, log zerolog.Logger) *Scheduler {
 	return &Scheduler{
-		shard: config.Shard, lateness: config.lateness, lease: config.Lease, keepFinal: config.KeepFinal,
+		shard: config.Shard, lateness: config.lateness, gate: newEvacuationGate(config), lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, term: term, log: log.With().Uint64("token", term.Token()).Logger(), metrics: metrics,
 		commitGap: commitGapFor(config.PartitionWrites), times: config.workerTimes(), remoteFactor: config.remoteFactor(),
 		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[fleet.Life]*worker{},
--- a/settings/node.go
+++ b/settings/node.go
@@ -74,6 +74,7 @@
 	Lease        time.Duration `long:"lease" ini-name:"lease" default:"3s" description:"for which a worker runs on without word from the owner"`
 	LongestLease time.Duration `long:"longest-lease" ini-name:"longest-lease" default:"6s" description:"longest lease that workers take; a longer lease is cut to it"`
 	KeepFinal    time.Duration `long:"keep-final" ini-name:"keep-final" default:"120s" description:"for which the state of a final job can be asked for"`
+	Evacuate     time.Duration `long:"evacuate" ini-name:"evacuate" default:"0s" description:"after the evacuation of a data hall within which starts there must have ended; 0: not bounded"`
 	Grace        time.Duration `long:"grace" ini-name:"grace" default:"6s" description:"between the order to stop and the kill"`
 }
 
@@ -181,6 +182,8 @@
 		return s.fault("times", "longest-lease", fmt.Sprintf("must be at least %v", minLease))
 	case s.Times.KeepFinal < 0:
 		return s.fault("times", "keep-final", "must not be negative")
+	case s.Times.Evacuate < 0:
+		return s.fault("times", "evacuate", "must not be negative")
 	case s.Times.Grace <= 0:
 		return s.fault("times", "grace", "must be more than 0")
 	case s.Worker.Stop < 0:
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -26,6 +26,17 @@
 grace = 0.5s
 `
 
+func TestABoundOfEvacuations(t *testing.T) {
+	text := strings.Replace(goodNode, "[times]\n", "[times]\nevacuate = 4s\n", 1)
+	if s, err := settings.LoadNode([]string{"--config", nodeFile(t, text)}); err != nil || s.Times.Evacuate != 4*time.Second {
+		t.Errorf("got %+v, %v", s, err)
+	}
+	text = strings.Replace(goodNode, "[times]\n", "[times]\nevacuate = -4s\n", 1)
+	if _, err := settings.LoadNode([]string{"--config", nodeFile(t, text)}); err == nil || !strings.Contains(err.Error(), "evacuate") {
+		t.Errorf("a negative bound: %v", err)
+	}
+}
+
 func nodeFile(t *testing.T, text string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "node.ini")
