scheduler: after a takeover workers that have work are called first, and silent ones hold nobody up

Cause: a successor calls all workers for the first time, 32 at once, in no order. A silent worker kept its place for 0.4 s.

Change: a gate with two queues, workers with attempts ahead; a call has its turn for 25 ms.

Tests, failing before: TestASuccessorCallsWorkersWithWorkFirst (the last of 20 busy ones among 400 was called after 377 others, now after 52 at most), TestSilentWorkersHoldNoFirstCallUp (130 of 400 workers called within 0.5 s with half of them silent, now all).

--- /dev/null
+++ b/scheduler/first_calls_test.go
@@ -0,0 +1,97 @@
+package scheduler_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"chutereach/fleet/fleettest"
+	"chutereach/workload"
+)
+
+// firstCalls notes in which order workers are called for the first time from now on.
+func (c *cell) firstCalls() func() []string {
+	var mu sync.Mutex
+	var order []string
+	seen := map[string]bool{}
+	c.fleet.SetFault(func(call fleettest.Call, worker string) fleettest.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if call == fleettest.CallHold && !seen[worker] {
+			seen[worker] = true
+			order = append(order, worker)
+		}
+		return fleettest.Fault{}
+	})
+	return func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return order
+	}
+}
+
+// Workers that do not answer hold up nobody's first call, however many there are.
+func TestSilentWorkersHoldNoFirstCallUp(t *testing.T) {
+	const (
+		workers = 400
+		within  = 500 * time.Millisecond
+	)
+	inCell(t, workers, func(c *cell) {
+		var mu sync.Mutex
+		called := map[string]bool{}
+		c.fleet.SetFault(func(_ fleettest.Call, worker string) fleettest.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			called[worker] = true
+			return fleettest.Fault{Lost: worker[len(worker)-1]%2 == 0}
+		})
+		c.rule()
+		time.Sleep(within)
+		mu.Lock()
+		defer mu.Unlock()
+		if len(called) != workers {
+			t.Errorf("%d of %d workers were called within %v", len(called), workers, within)
+		}
+	})
+}
+
+// After a takeover the workers that have work are called before the idle ones, however many there
+// are: what has ended there is what callers wait for.
+func TestASuccessorCallsWorkersWithWorkFirst(t *testing.T) {
+	const (
+		workers = 400
+		tasks   = 40
+		// atOnce is how many first calls are under way before the workers' list is whole.
+		atOnce = 32
+	)
+	inCell(t, workers, func(c *cell) {
+		o := c.rule()
+		time.Sleep(2 * time.Second)
+		if err := c.submit(o, "job", jobOf(tasks, 8000), work(3*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		busy := map[string]bool{}
+		for index := range tasks {
+			busy[c.fleet.HostOf(workload.TaskID{Job: "job", Index: index}.String())] = true
+		}
+		o.kill()
+		order := c.firstCalls()
+		next := c.rule()
+		time.Sleep(time.Second)
+		called := order()
+		if len(called) != workers {
+			t.Fatalf("%d of %d workers were called", len(called), workers)
+		}
+		last := 0
+		for i, worker := range called {
+			if busy[worker] {
+				last = i
+			}
+		}
+		if most := len(busy) + atOnce; last >= most {
+			t.Errorf("the last of %d workers with work was called after %d others, want %d at most", len(busy), last, most)
+		}
+		c.await(next, "job", workload.Completed, 5*time.Second)
+	})
+}
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -35,55 +35,65 @@
 	clockSlack = 200 * time.Millisecond
 )
 
-// follow holds a worker until its life is over or ctx ends.
-func (s *Scheduler) follow(ctx context.Context, w *worker) {
-	for ctx.Err() == nil {
-		report, order, sent, err := s.hold(ctx, w)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			if s.holdFailed(w, order, err) {
-				return
-			}
-			wait.For(ctx, s.pauseAfterFailure(w))
-			continue
-		}
-		if s.takeReport(w, report, sent) {
-			s.awaitNoted(ctx, w)
-		}
+// follow holds a worker until its life is over or ctx ends. Its first call waits for its turn: at a
+// takeover they all come at once, each with a new connection.
+func (s *Scheduler) follow(ctx context.Context, w *worker, turn callTurn) {
+	if s.firstCalls.await(ctx, turn) != nil {
+		return
+	}
+	leave := s.firstCalls.leaveWithin(firstCallTurn)
+	answer := s.hold(ctx, w)
+	leave()
+	for s.holdAnswered(ctx, w, answer) {
+		answer = s.hold(ctx, w)
 	}
 }
 
-// hold makes one call to a worker, and returns with what order and when it was sent. First calls go some at a time: at a takeover they
-// all come at once, each with a new connection.
-func (s *Scheduler) hold(ctx context.Context, w *worker) (report fleet.Report, order fleet.HoldOrder, sent time.Time, err error) {
-	if s.isFirst(w) {
-		select {
-		case s.firstCalls <- struct{}{}:
-			defer func() { <-s.firstCalls }()
-		case <-ctx.Done():
-			return fleet.Report{}, order, time.Time{}, ctx.Err()
-		}
-	}
-	order, sent = s.holdOrder(w)
+// holdAnswer is what came of a call that holds a worker, with what order and when it was sent.
+type holdAnswer struct {
+	report fleet.Report
+	order  fleet.HoldOrder
+	sent   time.Time
+	err    error
+}
+
+// hold makes one call to a worker.
+func (s *Scheduler) hold(ctx context.Context, w *worker) holdAnswer {
+	order, sent := s.holdOrder(w)
 	callCtx, cancel := context.WithTimeout(ctx, s.holdLimit(w, order))
 	defer cancel()
-	report, err = s.client.Hold(callCtx, s.infoOf(w), order)
-	return report, order, sent, err
+	report, err := s.client.Hold(callCtx, s.infoOf(w), order)
+	return holdAnswer{report, order, sent, err}
 }
 
-// maxFirstCalls bounds the first calls to workers under way.
-const maxFirstCalls = 32
-
-// isFirst reports whether a worker that was not given up yet is to be called for the
-// first time.
-func (s *Scheduler) isFirst(w *worker) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return w.contact.IsZero() && !w.failing
+// holdAnswered takes in what came of a call, waits until the next is due, and reports whether there
+// is to be one.
+func (s *Scheduler) holdAnswered(ctx context.Context, w *worker, answer holdAnswer) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if answer.err != nil {
+		if s.holdFailed(w, answer.order, answer.err) {
+			return false
+		}
+		wait.For(ctx, s.pauseAfterFailure(w))
+		return ctx.Err() == nil
+	}
+	if s.takeReport(w, answer.report, answer.sent) {
+		s.awaitNoted(ctx, w)
+	}
+	return ctx.Err() == nil
 }
 
+const (
+	// maxFirstCalls bounds the first calls to workers that have their turn.
+	maxFirstCalls = 32
+	// firstCallTurn is for how long a first call has its turn. A worker that has not answered by
+	// then may be gone, and costs no more than the wait for it: with half of 6,000 workers gone,
+	// the others would otherwise wait for their turns for half a minute.
+	firstCallTurn = 25 * time.Millisecond
+)
+
 // holdLimit returns how long a call may take. One to a worker that has not answered
 // ends with its lease, so that what ran there is placed anew at once.
 func (s *Scheduler) holdLimit(w *worker, order fleet.HoldOrder) time.Duration {
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -125,6 +125,17 @@
 	s.workers[life] = w
 }
 
+// watchListed has all listed workers called, those that have work first. The lock is held.
+func (s *Scheduler) watchListed() {
+	for _, works := range []bool{true, false} {
+		for _, w := range s.workers {
+			if w.known && works == (len(w.tasks) > 0) {
+				s.watch(w)
+			}
+		}
+	}
+}
+
 // watch has a worker called until its life is over. The lock is held.
 func (s *Scheduler) watch(w *worker) {
 	if w.cancel != nil || s.ctx == nil {
@@ -132,7 +143,8 @@
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	w.cancel = cancel
-	s.running.Go(func() { s.follow(ctx, w) })
+	turn := s.firstCalls.queue(len(w.tasks) > 0)
+	s.running.Go(func() { s.follow(ctx, w, turn) })
 }
 
 // another reports whether the report that answers a call is of another life than the worker's.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -140,7 +140,7 @@
 	ctx          context.Context
 	end          context.CancelCauseFunc
 	running      wait.Group
-	firstCalls   chan struct{} // holds a token for each first call to a worker under way
+	firstCalls   *callGate // of first calls to workers
 	commitWake   chan struct{}
 	dispatchWake chan struct{}
 }
@@ -156,7 +156,7 @@
 		queues: map[string]workload.Queue{}, accounts: map[string]*accountState{}, demands: map[string]headroom.Demand{},
 		stopping: map[string]bool{}, bundles: map[string]*bundle{}, healthy: map[string]float64{}, fleetSpeed: 1,
 		formerLeasesEnd: leaseEnd(term.FormerSuccess().Add(confirmedFor), config.Lease), Loaded: make(chan struct{}),
-		firstCalls: make(chan struct{}, maxFirstCalls),
+		firstCalls: newCallGate(maxFirstCalls),
 		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1), commitTurn: make(chan struct{}, 1),
 	}
 }
@@ -197,11 +197,7 @@
 	s.mu.Lock()
 	s.ctx, s.end = ctx, end
 	s.recallFinal()
-	for _, w := range s.workers {
-		if w.known {
-			s.watch(w)
-		}
-	}
+	s.watchListed()
 	deposed := s.deposed
 	s.mu.Unlock()
 	if deposed != nil {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -218,6 +218,7 @@
 			s.setWorker(info)
 		}
 	}
+	s.watchListed()
 	maps.DeleteFunc(s.past, func(life fleet.Life, _ bool) bool { return !named[life] })
 	for _, w := range s.workers {
 		if w.known && !named[w.listed] {
@@ -246,5 +247,4 @@
 		s.log.Info().Str("worker", info.ID).Dur("remaining", info.Remaining).Msg("worker drains")
 	}
 	w.info, w.known, w.listed, w.entered, w.leaving = info, true, listed, true, info.Draining
-	s.watch(w)
 }
