node, rowstore: what a node reads and is told of the others does not grow with the fleet

Change: rows of nodes are named so that the best owners come first; a node reads the first 13, and is told those, for all others wait for the same time before they try to take the shard. Only an owner reads all rows, while it reads the shard, and the list of workers beside them. A read of one row asks the store for one row, not for a page.

Tests, failing before: TestWhatANodeKnowsOfOthersIsBounded (60 nodes known by each, now 14 at most), TestASuccessorReadsWorkersAndRowsAtOnce.

--- a/node/beat.go
+++ b/node/beat.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math"
-	"slices"
 	"syscall"
 	"time"
 
@@ -68,16 +67,20 @@
 		return
 	}
 	table, _ := n.routes.Current()
-	others := n.others()
-	slices.SortFunc(others, Member.compare)
-	period := farPeriod(len(others) - nearMost)
+	ranked := n.ranked()
+	period := farPeriod(len(ranked) - 1 - nearMost)
 	short := beat{Owner: n.owner, TableVersion: table.Version, TableAge: n.tableAge()}
 	full := short
-	full.Members = append(others, n.config.Self)
-	serial := n.memberSerial
-	for i, member := range others {
+	told, serial := n.tellSuccession()
+	full.Members = told
+	near := nearMost
+	for i, member := range ranked {
+		if member.Node == n.config.Self.Node {
+			near++ // it counts for none of them
+			continue
+		}
 		every := 1
-		if i >= nearMost {
+		if i >= near {
 			every = period
 		}
 		if turn != allNodes && (turn+i)%every != 0 {
@@ -96,7 +99,7 @@
 	}
 }
 
-// sendBeat sends a heartbeat with the members as of a serial, or without them.
+// sendBeat sends a heartbeat with the succession as of a serial, or without it.
 func (n *Node) sendBeat(member Member, message beat, serial uint64) {
 	ctx, cancel := context.WithTimeout(n.ctx, beatTimeout)
 	defer cancel()
@@ -107,7 +110,7 @@
 	wasLost := state.lost
 	if err == nil {
 		state = peerState{heard: now, storeOK: answer.StoreOK, lag: answer.Lag, told: serial}
-		if answer.Members < len(n.members) {
+		if answer.Members < len(n.told) {
 			state.told = 0 // it has begun anew, or has not heard of all
 		}
 	} else {
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -19,3 +19,25 @@
 	defer n.mu.Unlock()
 	return n.peers[name].lost
 }
+
+// ShardLoaded reports whether this node owns the shard and has read its rows.
+func (n *Node) ShardLoaded() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.own == nil {
+		return false
+	}
+	select {
+	case <-n.own.Loaded:
+		return true
+	default:
+		return false
+	}
+}
+
+// FollowedOwner returns the node that this one takes for the owner.
+func (n *Node) FollowedOwner() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owner.Node
+}
--- /dev/null
+++ b/node/growth_test.go
@@ -0,0 +1,92 @@
+package node_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"chutereach/rowstore"
+	"chutereach/rowstore/memory"
+)
+
+// mostKnown is how many members a node knows that never owned the shard: the succession and itself.
+const mostKnown = 14
+
+// rowsOfMembers counts the rows of members that a caller of the store was sent.
+func rowsOfMembers(page rowstore.Page) int {
+	count := 0
+	for _, row := range page.Rows {
+		if row.Table == "nodes" {
+			count++
+		}
+	}
+	return count
+}
+
+// What a node reads of the others when it begins, and is told of them, does not grow with their
+// number; the owner knows them all.
+func TestWhatANodeKnowsOfOthersIsBounded(t *testing.T) {
+	inCell(t, largeCell, func(c *cell) {
+		owner := c.owner()
+		if got := owner.MemberCount(); got != largeCell {
+			t.Errorf("the owner knows %d nodes, want %d", got, largeCell)
+		}
+		var anew *member
+		for _, m := range c.nodes {
+			if m != owner && m.MemberCount() > mostKnown {
+				t.Errorf("%s knows %d nodes, want %d at most", m.name, m.MemberCount(), mostKnown)
+			}
+			if m != owner {
+				anew = m
+			}
+		}
+		c.stop(anew)
+		c.start(anew)
+		read := 0
+		anew.caller.Observe(func(page rowstore.Page) { read += rowsOfMembers(page) })
+		time.Sleep(5 * time.Second)
+		if read > mostKnown {
+			t.Errorf("%s has read %d rows of members, want %d at most", anew.name, read, mostKnown)
+		}
+		if err := anew.Ready(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// A successor reads the workers while it reads the shard's rows, and every node soon follows it.
+func TestASuccessorReadsWorkersAndRowsAtOnce(t *testing.T) {
+	const slow = 600 * time.Millisecond // for each read
+	inCell(t, largeCell, func(c *cell) {
+		owner := c.owner()
+		var early []string
+		c.listing = func(m *member) {
+			if !m.ShardLoaded() {
+				early = append(early, m.name)
+			}
+		}
+		for _, m := range c.nodes {
+			m.caller.SetFault(func(write bool) memory.Fault {
+				if write {
+					return memory.Fault{}
+				}
+				return memory.Fault{Slow: slow}
+			})
+		}
+		c.stop(owner)
+		defer c.start(owner)
+		time.Sleep(5 * time.Second)
+		next := c.owner()
+		if next == nil {
+			t.Fatal("nobody took the shard")
+		}
+		if !slices.Contains(early, next.name) {
+			t.Error("the rows were read before the workers")
+		}
+		for _, m := range c.nodes {
+			if m != owner && m.FollowedOwner() != next.name {
+				t.Errorf("%s follows %q, want %s", m.name, m.FollowedOwner(), next.name)
+			}
+		}
+	})
+}
--- a/node/members.go
+++ b/node/members.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -14,14 +18,31 @@
 	"chutereach/wait"
 )
 
-// register writes the node's row, so that owners find it, and reads the others'.
+const (
+	// succession is how many members every node knows: those that would own the shard first. All
+	// others wait for the same time before they try, and only an owner has to know them. Were all
+	// members read by all nodes, and told to all with each change, both would grow with the square
+	// of the nodes.
+	succession = nearMost + 1
+	// mostPower is the power in thousandths of a core up to which names of rows tell members apart.
+	mostPower = 999_999
+)
+
+// rowName returns the name of the member's row. The rows of the best owners come first, so that
+// the first page holds those that every node must know.
+func (m Member) rowName() string {
+	weakness := max(0, mostPower-int(math.Round(1000*m.Power)))
+	return fmt.Sprintf("%06d %s", weakness, m.Node)
+}
+
+// register writes the node's row, so that owners find it, and reads those of the succession.
 func (n *Node) register(ctx context.Context) {
-	key := rowstore.Key{Table: nodesTable, Name: n.config.Self.Node}
+	key := rowstore.Key{Table: nodesTable, Name: n.config.Self.rowName()}
 	put := rowstore.Put{Key: key, Value: codec.MustMarshal(n.config.Self)}
 	for ctx.Err() == nil {
 		err := n.writeMember(ctx, put)
 		if err == nil {
-			err = n.readMembers(ctx)
+			err = n.readSuccession(ctx)
 		}
 		if err == nil {
 			n.storeAnswers()
@@ -42,15 +63,16 @@
 	return err
 }
 
-func (n *Node) readMembers(ctx context.Context) error {
+// readSuccession reads who would own the shard first.
+func (n *Node) readSuccession(ctx context.Context) error {
 	ctx, cancel := transfer.WithStallLimit(ctx, storeTimeout, nil)
 	defer cancel()
-	all, err := rowstore.ReadAll(ctx, n.platform.Store, nodesTable, "")
+	first, err := n.platform.Store.Read(ctx, nodesTable, "", "", succession)
 	if err != nil {
 		return err
 	}
-	byName := make(map[string]rowstore.Row, len(all.Rows))
-	for _, row := range all.Rows {
+	byName := make(map[string]rowstore.Row, len(first.Rows))
+	for _, row := range first.Rows {
 		byName[row.Name] = row
 	}
 	n.setMembers(byName)
@@ -78,6 +100,27 @@
 	}
 }
 
+// ranked returns all members, the best owner first. The lock is held.
+func (n *Node) ranked() []Member {
+	if n.rankedAt != n.memberSerial {
+		n.rankedMembers = slices.SortedFunc(maps.Values(n.members), Member.compare)
+		n.rankedAt = n.memberSerial
+	}
+	return n.rankedMembers
+}
+
+// tellSuccession returns the members that every node is told, and a serial that rises with each
+// change of them. The lock is held.
+func (n *Node) tellSuccession() ([]Member, uint64) {
+	ranked := n.ranked()
+	first := ranked[:min(len(ranked), succession)]
+	if !slices.Equal(first, n.told) {
+		n.told = slices.Clone(first)
+		n.toldSerial++
+	}
+	return n.told, n.toldSerial
+}
+
 // others returns the other members by name. The lock is held.
 func (n *Node) others() []Member {
 	list := make([]Member, 0, len(n.members))
--- a/node/node.go
+++ b/node/node.go
@@ -66,11 +66,16 @@
 	changed  chan struct{}
 	members  map[string]Member
 	peers    map[string]peerState
-	// memberSerial counts changes of members; an owner tells each node the members
-	// once for each.
-	memberSerial uint64
-	own          *scheduler.Scheduler // while this node owns the shard
-	ownSince     time.Time
+	// memberSerial counts changes of members; rankedMembers are all of them as of rankedAt, the
+	// best owner first.
+	memberSerial, rankedAt uint64
+	rankedMembers          []Member
+	// told are the members of the succession, which an owner tells each node once for each change
+	// of them; toldSerial counts those.
+	told       []Member
+	toldSerial uint64
+	own        *scheduler.Scheduler // while this node owns the shard
+	ownSince   time.Time
 	// calmSince is since when this owner's timers are in time, and wasCalm whether
 	// they have been for a while in this term.
 	calmSince time.Time
@@ -100,7 +105,7 @@
 	lag     time.Duration // its mean lateness
 	lost    bool
 	failed  time.Time
-	told    uint64 // the serial of the members that it has been told
+	told    uint64 // the serial of the succession that it has been told
 }
 
 // New returns a Node that may answer calls until ctx ends; Run makes it live.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -40,6 +40,8 @@
 	fleet   *fleettest.Fleet
 	nodes   []*member
 	owns    func(bool) // told by nodes that start from now on; nil: nobody is
+	// listing, if given, is called when a node begins to read the workers.
+	listing func(*member)
 	// evacuateWithin is for how long nodes that start from now on may start work in a data hall
 	// that is evacuated; 0: not bounded.
 	evacuateWithin time.Duration
@@ -110,6 +112,9 @@
 	platform := node.Platform{
 		Store: caller, Workers: c.fleet, Advisor: c.fleet,
 		FollowWorkers: func(ctx context.Context, changed func([]fleet.Worker)) {
+			if c.listing != nil {
+				c.listing(m)
+			}
 			for ctx.Err() == nil {
 				changed(c.fleet.List())
 				time.Sleep(500 * time.Millisecond)
--- a/node/owner.go
+++ b/node/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"chutereach/fleet"
 	"chutereach/leadership"
 	"chutereach/peer"
 	"chutereach/rowstore"
@@ -227,19 +228,16 @@
 	n.mu.Unlock()
 	n.config.owns(true)
 	n.announce(allNodes)
+	loaded := make(chan struct{})
+	n.tasks.Go(func() { n.platform.FollowWorkers(ctx, afterLoad(ctx, loaded, own.SetWorkers)) })
+	n.tasks.Go(func() { n.followMembers(ctx) })
 	n.tasks.Go(func() {
 		defer cancel()
 		err := n.load(ctx, own)
 		if err == nil {
 			n.log.Info().Uint64("token", term.Token()).Dur("took", time.Since(begun)).Msg("shard loaded")
 			n.setLanes()
-			n.tasks.Go(func() { n.platform.FollowWorkers(ctx, own.SetWorkers) })
-			n.tasks.Go(func() {
-				rowstore.Follow(ctx, n.platform.Store, nodesTable, "", func(rows map[string]rowstore.Row) {
-					n.setMembers(rows)
-					n.setLanes()
-				}, rowstore.Reach{})
-			})
+			close(loaded)
 			close(own.Loaded)
 			err = own.Run(ctx)
 		}
@@ -257,6 +255,33 @@
 	})
 }
 
+// afterLoad has a list of workers wait until the shard is loaded. Both are read from the store at
+// the same time: one after the other, the workers of a large deployment took as long as the rows,
+// and no end was heard of meanwhile.
+func afterLoad(ctx context.Context, loaded <-chan struct{}, set func([]fleet.Worker)) func([]fleet.Worker) {
+	return func(list []fleet.Worker) {
+		select {
+		case <-loaded:
+			set(list)
+		case <-ctx.Done():
+		}
+	}
+}
+
+// followMembers keeps all members while this node owns the shard, and has each be told of its owner
+// as soon as it is known.
+func (n *Node) followMembers(ctx context.Context) {
+	first := true
+	rowstore.Follow(ctx, n.platform.Store, nodesTable, "", func(rows map[string]rowstore.Row) {
+		n.setMembers(rows)
+		n.setLanes()
+		if first {
+			n.announce(allNodes)
+		}
+		first = false
+	}, rowstore.Reach{})
+}
+
 // load reads the shard's rows until that succeeds. A node that the store turns away
 // meanwhile hands the shard on; one that it answers quickly does not, as a shard that
 // takes long to read takes as long elsewhere.
--- a/rowstore/memory/memory.go
+++ b/rowstore/memory/memory.go
@@ -108,7 +108,7 @@
 }
 
 // Read implements rowstore.Store.
-func (s *Store) Read(_ context.Context, table, partition, from string) (rowstore.Page, error) {
+func (s *Store) Read(_ context.Context, table, partition, from string, limit int) (rowstore.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	page := rowstore.Page{Version: s.version}
@@ -118,8 +118,11 @@
 		}
 	}
 	sort.Slice(page.Rows, func(i, k int) bool { return page.Rows[i].Name < page.Rows[k].Name })
-	if len(page.Rows) > rowstore.MaxPage {
-		page.Rows, page.More = page.Rows[:rowstore.MaxPage], true
+	if limit <= 0 || limit > rowstore.MaxPage {
+		limit = rowstore.MaxPage
+	}
+	if len(page.Rows) > limit {
+		page.Rows, page.More = page.Rows[:limit], true
 	}
 	return page, nil
 }
@@ -177,8 +180,10 @@
 	store *Store
 	mu    sync.Mutex
 	fault func(write bool) Fault
-	down  Carry // of answers
-	up    Carry // of transactions
+	// observe, if given, is told the pages that this caller is sent.
+	observe func(rowstore.Page)
+	down    Carry // of answers
+	up      Carry // of transactions
 }
 
 // Carry waits until so many bytes have passed a link.
@@ -223,11 +228,21 @@
 	return nil
 }
 
+// Observe has f called with each page that this caller is sent from now on.
+func (c *Caller) Observe(f func(rowstore.Page)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observe = f
+}
+
 // receive lets an answer come in.
 func (c *Caller) receive(ctx context.Context, page rowstore.Page) (rowstore.Page, error) {
 	c.mu.Lock()
-	down := c.down
+	down, observe := c.down, c.observe
 	c.mu.Unlock()
+	if observe != nil {
+		observe(page)
+	}
 	size, begun := 0, time.Now()
 	for _, row := range page.Rows {
 		size += len(row.Value)
@@ -307,11 +322,11 @@
 }
 
 // Read implements rowstore.Store.
-func (c *Caller) Read(ctx context.Context, table, partition, from string) (rowstore.Page, error) {
+func (c *Caller) Read(ctx context.Context, table, partition, from string, limit int) (rowstore.Page, error) {
 	if err := c.pass(ctx, c.next(false)); err != nil {
 		return rowstore.Page{}, err
 	}
-	page, err := c.store.Read(ctx, table, partition, from)
+	page, err := c.store.Read(ctx, table, partition, from, limit)
 	if err != nil {
 		return page, err
 	}
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -67,8 +67,9 @@
 type Store interface {
 	// Commit applies a transaction and returns the version of the rows it wrote.
 	Commit(ctx context.Context, transaction Transaction) (uint64, error)
-	// Read returns rows of one partition whose names are from or later.
-	Read(ctx context.Context, table, partition, from string) (Page, error)
+	// Read returns rows of one partition whose names are from or later, by name, at most limit of
+	// them; 0: as many as a page holds.
+	Read(ctx context.Context, table, partition, from string, limit int) (Page, error)
 	// Watch returns the rows of a table that changed after a version, as soon as
 	// there are any, or an empty page after wait.
 	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
@@ -80,7 +81,7 @@
 	var all Page
 	from := ""
 	for {
-		page, err := store.Read(ctx, table, partition, from)
+		page, err := store.Read(ctx, table, partition, from, 0)
 		if err != nil {
 			return Page{}, err
 		}
@@ -98,7 +99,7 @@
 
 // ReadOne reads a single row; an absent row has Version 0.
 func ReadOne(ctx context.Context, store Store, key Key) (Row, error) {
-	page, err := store.Read(ctx, key.Table, key.Partition, key.Name)
+	page, err := store.Read(ctx, key.Table, key.Partition, key.Name, 1)
 	if err != nil {
 		return Row{}, err
 	}
