scheduler, workload: rows of progress tell where a worker is called

Change: each attempt's row has the worker's address, 17 bytes; workers with attempts are called at once. Test, failing before: TestASuccessorWaitsForNoDiscovery.

--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -144,7 +144,7 @@
 		}
 		for i := range workers {
 			c.fleet.Add(fleet.Worker{
-				Life: fleet.Life{ID: fmt.Sprintf("w-%02d", i), Born: int64(1 + i)}, Service: testService, Zone: hallOf(i), Rack: fmt.Sprintf("r1-%d", i/2), Labels: []string{"a"},
+				Life: fleet.Life{ID: fmt.Sprintf("w-%02d", i), Born: int64(1 + i)}, Service: testService, Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: hallOf(i), Rack: fmt.Sprintf("r1-%d", i/2), Labels: []string{"a"},
 				Capacity: resource.Amount{CPU: 16_000, Memory: 64 * gigabyte},
 			})
 		}
--- a/scheduler/first_calls_test.go
+++ b/scheduler/first_calls_test.go
@@ -30,6 +30,29 @@
 	}
 }
 
+// A successor hears of what has ended before discovery names any worker to it.
+func TestASuccessorWaitsForNoDiscovery(t *testing.T) {
+	inCell(t, 6, func(c *cell) {
+		c.lease = shortLease
+		o := c.rule()
+		time.Sleep(time.Second)
+		if err := c.submit(o, "job", jobOf(6, 8000), work(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.fleet.Unlist(true)
+		o.kill()
+		next := c.rule()
+		c.await(next, "job", workload.Completed, time.Second)
+		c.fleet.Unlist(false)
+		time.Sleep(time.Second)
+		if err := c.submit(next, "another", jobOf(6, 8000), work(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		c.await(next, "another", workload.Completed, 3*time.Second)
+	})
+}
+
 // Workers that do not answer hold up nobody's first call, however many there are.
 func TestSilentWorkersHoldNoFirstCallUp(t *testing.T) {
 	const (
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -328,7 +328,7 @@
 		case t.attempt > 0 || t.checkpoint != "":
 			tp := workload.TaskProgress{Index: t.index, Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes}
 			if t.worker != nil {
-				tp.Worker, tp.Born = t.worker.info.ID, t.worker.info.Born
+				tp.Worker, tp.Born, tp.Address = t.worker.info.ID, t.worker.info.Born, t.worker.info.Address
 			}
 			sp.Tasks = append(sp.Tasks, tp)
 		}
@@ -337,7 +337,7 @@
 }
 
 // restore applies what lasted of the job. hosts returns a life of a worker.
-func (j *job) restore(p workload.Progress, hosts func(fleet.Life) *worker) {
+func (j *job) restore(p workload.Progress, hosts func(life fleet.Life, address string) *worker) {
 	j.state, j.savedState, j.begun, j.finalAt = p.State, p.State, p.Begun, p.FinalAt
 	j.generation, j.saved = max(1, p.Generation), max(1, p.Generation)
 	for _, sp := range p.Steps {
@@ -348,7 +348,7 @@
 	}
 }
 
-func (st *step) restore(sp workload.StepProgress, hosts func(fleet.Life) *worker) {
+func (st *step) restore(sp workload.StepProgress, hosts func(life fleet.Life, address string) *worker) {
 	for _, t := range st.tasks {
 		if sp.All || workload.HasBit(sp.Done, t.index) {
 			t.markDone()
@@ -362,11 +362,11 @@
 		t.attempt, t.failures, t.checkpoint, t.crashes = tp.Attempt, tp.Failures, tp.Checkpoint, tp.Crashes
 		st.suspected = st.suspected || t.crashes.Suspect
 		if tp.Worker != "" {
-			hosts(fleet.Life{ID: tp.Worker, Born: tp.Born}).host(t, taskStarting)
+			hosts(fleet.Life{ID: tp.Worker, Born: tp.Born}, tp.Address).host(t, taskStarting)
 			t.recovered, t.told = true, true
 		}
 		for _, lost := range t.crashes.Open {
-			w := hosts(lost.Life())
+			w := hosts(lost.Life(), "")
 			w.lost = append(w.lost, lostAttempt{t, t.attempt})
 		}
 	}
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -125,11 +125,12 @@
 	s.workers[life] = w
 }
 
-// watchListed has all listed workers called, those that have work first. The lock is held.
-func (s *Scheduler) watchListed() {
+// watchAll has all workers called that are listed, or whose address a former owner's rows tell,
+// those that have work first. The lock is held.
+func (s *Scheduler) watchAll() {
 	for _, works := range []bool{true, false} {
 		for _, w := range s.workers {
-			if w.known && works == (len(w.tasks) > 0) {
+			if (w.known || w.info.Address != "") && works == (len(w.tasks) > 0) {
 				s.watch(w)
 			}
 		}
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -121,14 +121,19 @@
 	}
 }
 
-// hostOf returns a life of a worker, and makes one that was never seen if discovery does not
-// name it any more.
-func (s *Scheduler) hostOf(life fleet.Life) *worker {
+// hostOf returns a life of a worker, and makes one that was never seen if discovery has not named
+// it. It is called at the address that the row tells until then: reading the workers of a large
+// deployment takes long, and what has ended on this one is waited for.
+func (s *Scheduler) hostOf(life fleet.Life, address string) *worker {
 	life = s.resolve(life)
-	if w := s.workers[life]; w != nil {
-		return w
+	w := s.workers[life]
+	if w == nil {
+		w = s.enter(fleet.Worker{Life: life})
 	}
-	return s.enter(fleet.Worker{Life: life})
+	if w.info.Address == "" {
+		w.info.Address = address
+	}
+	return w
 }
 
 // expireUnseen ends what ran on workers that discovery no longer names and that
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -197,7 +197,7 @@
 	s.mu.Lock()
 	s.ctx, s.end = ctx, end
 	s.recallFinal()
-	s.watchListed()
+	s.watchAll()
 	deposed := s.deposed
 	s.mu.Unlock()
 	if deposed != nil {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -218,7 +218,7 @@
 			s.setWorker(info)
 		}
 	}
-	s.watchListed()
+	s.watchAll()
 	maps.DeleteFunc(s.past, func(life fleet.Life, _ bool) bool { return !named[life] })
 	for _, w := range s.workers {
 		if w.known && !named[w.listed] {
