node: a node that begins again finds its row and writes nothing

Cause: every node wrote its row at each start, 588 of them at once after the kill of all nodes, in one partition that takes 200 transactions a second: the last of them 2.9 s later, and a node knew who goes before it only then.

Change: a node reads the succession first, and writes only if its row is not there as it should be.

--- a/node/growth_test.go
+++ b/node/growth_test.go
@@ -54,6 +54,26 @@
 	})
 }
 
+// Nodes that begin again write nothing: their rows stand.
+func TestNodesThatBeginAgainWriteNothing(t *testing.T) {
+	inCell(t, largeCell, func(c *cell) {
+		written := c.store.RowsWritten("nodes")
+		for _, m := range c.nodes {
+			c.stop(m)
+		}
+		for _, m := range c.nodes {
+			c.start(m)
+		}
+		time.Sleep(2 * time.Second)
+		if got := c.store.RowsWritten("nodes") - written; got != 0 {
+			t.Errorf("%d rows of nodes were written", got)
+		}
+		if c.owner() == nil {
+			t.Error("nobody owns the shard")
+		}
+	})
+}
+
 // A successor reads the workers while it reads the shard's rows, and every node soon follows it.
 func TestASuccessorReadsWorkersAndRowsAtOnce(t *testing.T) {
 	const slow = 600 * time.Millisecond // for each read
--- a/node/members.go
+++ b/node/members.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
@@ -35,15 +36,10 @@
 	return fmt.Sprintf("%06d %s", weakness, m.Node)
 }
 
-// register writes the node's row, so that owners find it, and reads those of the succession.
+// register has the node's row written, so that owners find it, and reads those of the succession.
 func (n *Node) register(ctx context.Context) {
-	key := rowstore.Key{Table: nodesTable, Name: n.config.Self.rowName()}
-	put := rowstore.Put{Key: key, Value: codec.MustMarshal(n.config.Self)}
 	for ctx.Err() == nil {
-		err := n.writeMember(ctx, put)
-		if err == nil {
-			err = n.readSuccession(ctx)
-		}
+		err := n.enrol(ctx)
 		if err == nil {
 			n.storeAnswers()
 			n.mu.Lock()
@@ -56,29 +52,54 @@
 	}
 }
 
-func (n *Node) writeMember(ctx context.Context, put rowstore.Put) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	_, err := n.platform.Store.Commit(ctx, rowstore.Transaction{Puts: []rowstore.Put{put}})
-	return err
-}
-
-// readSuccession reads who would own the shard first.
-func (n *Node) readSuccession(ctx context.Context) error {
+// enrol reads the succession, and writes the node's row if it is not there as it should be. A node
+// that begins again finds it: all rows are of one partition, whose transactions take turns, and when
+// all nodes of a large deployment begin again at once the last of their writes would take seconds.
+func (n *Node) enrol(ctx context.Context) error {
 	ctx, cancel := transfer.WithStallLimit(ctx, storeTimeout, nil)
 	defer cancel()
-	first, err := n.platform.Store.Read(ctx, nodesTable, "", "", succession)
+	store := n.platform.Store
+	put := rowstore.Put{Key: rowstore.Key{Table: nodesTable, Name: n.config.Self.rowName()}, Value: codec.MustMarshal(n.config.Self)}
+	first, err := store.Read(ctx, nodesTable, "", "", succession)
 	if err != nil {
 		return err
 	}
-	byName := make(map[string]rowstore.Row, len(first.Rows))
-	for _, row := range first.Rows {
-		byName[row.Name] = row
+	standing, err := isStanding(ctx, store, first.Rows, put)
+	if err != nil {
+		return err
+	}
+	if !standing {
+		if _, err = store.Commit(ctx, rowstore.Transaction{Puts: []rowstore.Put{put}}); err != nil {
+			return err
+		}
+		if first, err = store.Read(ctx, nodesTable, "", "", succession); err != nil {
+			return err
+		}
 	}
-	n.setMembers(byName)
+	n.setMembers(byName(first.Rows))
 	return nil
 }
 
+// isStanding reports whether a row is there, among some that were read or by itself.
+func isStanding(ctx context.Context, store rowstore.Store, read []rowstore.Row, put rowstore.Put) (bool, error) {
+	row, found := byName(read)[put.Key.Name]
+	if !found {
+		var err error
+		if row, err = rowstore.ReadOne(ctx, store, put.Key); err != nil {
+			return false, err
+		}
+	}
+	return row.Version != 0 && bytes.Equal(row.Value, put.Value), nil
+}
+
+func byName(rows []rowstore.Row) map[string]rowstore.Row {
+	named := make(map[string]rowstore.Row, len(rows))
+	for _, row := range rows {
+		named[row.Name] = row
+	}
+	return named
+}
+
 func (n *Node) setMembers(rows map[string]rowstore.Row) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/rowstore/memory/memory.go
+++ b/rowstore/memory/memory.go
@@ -107,6 +107,19 @@
 	s.history = append(s.history, row)
 }
 
+// RowsWritten counts the changes of rows of a table.
+func (s *Store) RowsWritten(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, row := range s.history {
+		if row.Table == table {
+			count++
+		}
+	}
+	return count
+}
+
 // Read implements rowstore.Store.
 func (s *Store) Read(_ context.Context, table, partition, from string, limit int) (rowstore.Page, error) {
 	s.mu.Lock()
