node: an owner that the store turns away hands over after 0.15 s to a node that it answers at once

Change: after 0.15 s, looked at each 0.05 s, it asks nodes that the store answers within 0.05 s; after 0.35 s those that it answers within 0.15 s, as before. A store that is slow for all answers nobody at once, so that nothing is handed over for it. Tests: TestAnOwnerThatTheStoreTurnsAwayHandsOver, TestASlowStoreKeepsItsOwner.

--- a/node/beat.go
+++ b/node/beat.go
@@ -26,8 +26,13 @@
 	memberLost = time.Second
 	// lostPause spares a node that does not answer most heartbeats.
 	lostPause = time.Second
-	// storeFailing is after how long without the store an owner hands over.
+	// storeFailing is after how long without the store an owner hands over to any node that the
+	// store answers, and storeDoubted to one that it answers at once: the longer it is waited, the
+	// more ends and new jobs wait with it.
 	storeFailing = 350 * time.Millisecond
+	storeDoubted = 150 * time.Millisecond
+	// storeCheck is how often an owner looks at how the store answers it.
+	storeCheck = 50 * time.Millisecond
 )
 
 // beatLoop sends heartbeats while this node owns the shard.
@@ -43,11 +48,18 @@
 func (n *Node) fitnessLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, beatEvery)
-		n.checkStore(ctx)
 		n.checkLag(ctx)
 	}
 }
 
+// storeLoop looks whether the store answers this node.
+func (n *Node) storeLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait.For(ctx, storeCheck)
+		n.checkStore(ctx)
+	}
+}
+
 // allNodes is the turn in which every node gets a heartbeat.
 const allNodes = 0
 
@@ -200,10 +212,16 @@
 		return
 	}
 	since := own.Term().FailingSince()
-	if since.IsZero() || time.Since(since) < storeFailing {
+	if since.IsZero() {
 		return
 	}
-	n.handOver(ctx, "the store does not answer this node", anySuccessor)
+	const why = "the store does not answer this node"
+	switch silent := time.Since(since); {
+	case silent >= storeFailing:
+		n.handOver(ctx, why, anySuccessor)
+	case silent >= storeDoubted:
+		n.handOverTo(ctx, handover{why: why, fits: anySuccessor, look: promptLook, pause: storeFailing - storeDoubted})
+	}
 }
 
 // isRefused reports whether a machine answered that nobody listens there.
--- a/node/handover.go
+++ b/node/handover.go
@@ -13,32 +13,53 @@
 // anySuccessor is the choice of an owner that must not be.
 func anySuccessor(Member, peerState) bool { return true }
 
+// handover is one try to have another node take the shard.
+type handover struct {
+	why  string
+	fits func(Member, peerState) bool // who may take it
+	// look is how quickly the store must answer a successor, and pause what passes before the
+	// next try.
+	look, pause time.Duration
+}
+
 // handOver has another node that reaches the store, and that fits, take the shard.
-// It asks a few of the best, each first whether it could: the owner's transactions
-// are held only while one that can takes over.
 func (n *Node) handOver(ctx context.Context, why string, fits func(Member, peerState) bool) {
+	n.handOverTo(ctx, handover{why, fits, quickLook, handoverPause})
+}
+
+// handOverTo asks a few of the best nodes, each first whether it could take the shard: the owner's
+// transactions are held only while one that can takes over.
+func (n *Node) handOverTo(ctx context.Context, h handover) {
 	n.mu.Lock()
 	own := n.own
-	if own == nil || time.Now().Before(n.handOverAt) {
+	if own == nil || n.handingOver || time.Now().Before(n.handOverAt) {
 		n.mu.Unlock()
 		return
 	}
-	successors := n.successors(fits)
+	n.handingOver = true
+	defer n.endHandover()
+	successors := n.successors(h.fits)
 	if len(successors) > 0 {
-		n.handOverAt = time.Now().Add(handoverPause)
+		n.handOverAt = time.Now().Add(h.pause)
 	}
 	n.mu.Unlock()
 	for _, successor := range successors {
-		if err := n.callSuccessor(ctx, successor, true); err != nil {
-			n.log.Info().Str("successor", successor.Node).Str("why", why).Err(err).Msg("successor cannot take the shard")
+		if err := n.callSuccessor(ctx, successor, takeoverCall{From: n.config.Self.Node, Probe: true, Look: h.look}); err != nil {
+			n.log.Info().Str("successor", successor.Node).Str("why", h.why).Err(err).Msg("successor cannot take the shard")
 			continue
 		}
-		if n.passOn(ctx, own, successor, why) {
+		if n.passOn(ctx, own, successor, h) {
 			return
 		}
 	}
 }
 
+func (n *Node) endHandover() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handingOver = false
+}
+
 // successors returns the members that fit, the best first. The lock is held.
 func (n *Node) successors(fits func(Member, peerState) bool) []Member {
 	var successors []Member
@@ -58,16 +79,16 @@
 }
 
 // callSuccessor asks a node to take the shard, or whether it could.
-func (n *Node) callSuccessor(ctx context.Context, successor Member, probe bool) error {
+func (n *Node) callSuccessor(ctx context.Context, successor Member, call takeoverCall) error {
 	callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	_, err := peer.Call[nothing](callCtx, n.client, successor.Address, takeoverPath, takeoverCall{n.config.Self.Node, probe})
+	_, err := peer.Call[nothing](callCtx, n.client, successor.Address, takeoverPath, call)
 	return err
 }
 
 // passOn holds the owner's transactions while a successor takes the shard, and
 // reports whether this node owns it no more.
-func (n *Node) passOn(ctx context.Context, own *scheduler.Scheduler, successor Member, why string) bool {
+func (n *Node) passOn(ctx context.Context, own *scheduler.Scheduler, successor Member, h handover) bool {
 	patience := holdTimeout
 	if !own.Term().FailingSince().IsZero() {
 		patience = failingHold
@@ -78,8 +99,8 @@
 	if err == nil {
 		defer release()
 	}
-	err = n.callSuccessor(ctx, successor, false)
-	n.log.Info().Str("successor", successor.Node).Str("why", why).Dur("lag", n.lag.Mean()).
+	err = n.callSuccessor(ctx, successor, takeoverCall{From: n.config.Self.Node, Look: h.look})
+	n.log.Info().Str("successor", successor.Node).Str("why", h.why).Dur("lag", n.lag.Mean()).
 		Bool("machine_slow", n.speed.slow()).Err(err).Msg("handing the shard over")
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -93,7 +114,11 @@
 // the store answers this node quickly: one that is slow for all is no reason to hand
 // over.
 func (n *Node) answerTakeover(_ context.Context, call takeoverCall) (nothing, error) {
-	if err := n.lookQuickly(n.ctx); err != nil || call.Probe {
+	look := call.Look
+	if look <= 0 {
+		look = quickLook
+	}
+	if err := n.lookQuickly(n.ctx, look); err != nil || call.Probe {
 		return nothing{}, err
 	}
 	var err error
@@ -119,9 +144,9 @@
 	return n.take(parent, seen, "handed over by "+from)
 }
 
-// lookQuickly reads the owner's row, and fails if that takes long.
-func (n *Node) lookQuickly(ctx context.Context) error {
-	quick, cancel := context.WithTimeout(ctx, quickLook)
+// lookQuickly reads the owner's row, and fails if that takes longer than a time.
+func (n *Node) lookQuickly(ctx context.Context, within time.Duration) error {
+	quick, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	_, err := leadership.Look(quick, n.platform.Store, n.config.Scheduler.Shard)
 	return err
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -34,6 +34,44 @@
 	})
 }
 
+// turnedAwayFor is for how long nobody may own a shard whose owner the store turns away, at the most:
+// jobs of the shortest objective at hand have some 0.5 s to spare.
+const turnedAwayFor = 400 * time.Millisecond
+
+// An owner that the store alone turns away hands over before urgent work is late.
+func TestAnOwnerThatTheStoreTurnsAwayHandsOver(t *testing.T) {
+	for name, fault := range map[string]memory.Fault{"refused": {Refuse: true}, "unanswered": {Silent: true}} {
+		t.Run(name, func(t *testing.T) {
+			inCell(t, 9, func(c *cell) {
+				former := c.owner()
+				former.caller.SetFault(func(bool) memory.Fault { return fault })
+				time.Sleep(turnedAwayFor)
+				if next := c.owner(); next == nil || next == former {
+					t.Errorf("nobody else owns the shard after %v", turnedAwayFor)
+				}
+			})
+		})
+	}
+}
+
+// A store that is slow for all is no reason to hand over.
+func TestASlowStoreKeepsItsOwner(t *testing.T) {
+	for _, slow := range []time.Duration{30 * time.Millisecond, 120 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond} {
+		t.Run(slow.String(), func(t *testing.T) {
+			inCell(t, 9, func(c *cell) {
+				former := c.owner()
+				c.harmStore(&memory.Fault{Slow: slow})
+				for range 100 {
+					time.Sleep(50 * time.Millisecond)
+					if c.owner() != former {
+						t.Fatalf("%s owns the shard no more", former.name)
+					}
+				}
+			})
+		})
+	}
+}
+
 // The regression of own day 725: the store turned a successor away between its takeover
 // and its reading of the shard, and the successor went on trying for seven seconds.
 func TestAnHeirThatCannotLoadHandsOn(t *testing.T) {
--- a/node/messages.go
+++ b/node/messages.go
@@ -74,6 +74,8 @@
 type takeoverCall struct {
 	From  string `cbor:"1,keyasint"`
 	Probe bool   `cbor:"2,keyasint,omitempty"` // only say whether it could be done
+	// Look is how quickly the store must answer the successor; 0: quickLook.
+	Look time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 type submitCall struct {
--- a/node/node.go
+++ b/node/node.go
@@ -80,15 +80,16 @@
 	// they have been for a while in this term.
 	calmSince time.Time
 	wasCalm   bool
-	// handOverAt is when a handover may be tried next.
-	handOverAt time.Time
-	endOwn     context.CancelFunc
-	storeOK    time.Time
-	storeBad   bool
-	stopping   bool
-	registered bool        // the others' rows were read, so that their ranks are known
-	taking     bool        // a takeover is under way: the row may name this node already
-	loadFails  atomic.Bool // the store does not let this owner load the shard
+	// handOverAt is when a handover may be tried next, and handingOver whether one is under way.
+	handOverAt  time.Time
+	handingOver bool
+	endOwn      context.CancelFunc
+	storeOK     time.Time
+	storeBad    bool
+	stopping    bool
+	registered  bool        // the others' rows were read, so that their ranks are known
+	taking      bool        // a takeover is under way: the row may name this node already
+	loadFails   atomic.Bool // the store does not let this owner load the shard
 
 	tables tableExchange
 	lag    lagMeter
@@ -129,6 +130,7 @@
 	n.tasks.Go(func() { n.watchOwner(ctx) })
 	n.tasks.Go(func() { n.beatLoop(ctx) })
 	n.tasks.Go(func() { n.fitnessLoop(ctx) })
+	n.tasks.Go(func() { n.storeLoop(ctx) })
 	n.tasks.Go(func() { n.lag.run(ctx, &n.speed) })
 	<-ctx.Done()
 	n.tasks.Close()
--- a/node/owner.go
+++ b/node/owner.go
@@ -39,7 +39,10 @@
 	failingHold = 10 * time.Millisecond
 	// quickLook is how quickly the store must answer a successor, and handoverTimeout
 	// how long one successor is waited for.
-	quickLook       = 150 * time.Millisecond
+	quickLook = 150 * time.Millisecond
+	// promptLook is the same where the owner has waited for the store for a short time only, and
+	// the store may be slow for all.
+	promptLook      = 50 * time.Millisecond
 	handoverTimeout = 700 * time.Millisecond
 	// maxSuccessors bounds the nodes that a handover asks, and handoverPause follows it.
 	maxSuccessors = 4
@@ -302,7 +305,7 @@
 		}
 		n.loadFails.Store(true)
 		n.log.Warn().Err(err).Msg("shard cannot be loaded yet")
-		if time.Since(begun) > loadFailing && n.lookQuickly(ctx) != nil {
+		if time.Since(begun) > loadFailing && n.lookQuickly(ctx, quickLook) != nil {
 			n.handOver(ctx, "the store does not let this node load the shard", anySuccessor)
 		}
 		if err := wait.For(ctx, registerWait); err != nil {
