rowstore, node, leadership: who the store refuses, or who is without an owner, asks less and less often

Change: feeds that are refused are asked again after 0.1 to 0.8 s (a call that was silent for long at once); nodes beyond the succession look each 0.05 to 0.8 s; tries to take a shard pause 25 to 400 ms. The succession and an owner's own transactions are as quick as before.

--- a/leadership/commit.go
+++ b/leadership/commit.go
@@ -41,7 +41,9 @@
 	// outageFrom is how long the store must have answered nothing for that to count as
 	// an outage, in which what others keep alive there may have lapsed.
 	outageFrom = time.Second
+	// retryPause follows a refusal, and takeRest is the longest that follows one of a takeover.
 	retryPause = 25 * time.Millisecond
+	takeRest   = 400 * time.Millisecond
 )
 
 // Commit applies puts and deletes as the shard's owner. It tries until the outcome is
@@ -83,8 +85,9 @@
 	lastSent    clock.Atomic // when a part of it was last sent
 	large       bool
 	results     chan result
-	sendings    int // under way
-	looks       int // under way
+	sendings    int           // under way
+	looks       int           // under way
+	rest        time.Duration // after the last refusal
 }
 
 // result is what came of one call.
@@ -120,7 +123,7 @@
 			case certain:
 				return version, err
 			case got.err != nil && c.sendings+c.looks == 0:
-				again.Reset(retryPause) // refused: no call waits for the store's return
+				again.Reset(c.pauseRefused()) // no call waits for the store's return
 			case got.err == nil && c.seemsLost(got.took):
 				c.send(ctx)
 				again.Reset(c.term.patience)
@@ -129,6 +132,17 @@
 	}
 }
 
+// pauseRefused returns what passes after a refusal until the next sending. An owner sends often, for
+// all work waits for the store's return. Of the many nodes that may try to take a shard at once each
+// sends less and less often.
+func (c *commit) pauseRefused() time.Duration {
+	c.rest = max(retryPause, 2*c.rest)
+	if c.term.token != 0 {
+		c.rest = retryPause
+	}
+	return min(takeRest, c.rest)
+}
+
 // take takes in the result of one call, and reports whether the outcome is certain.
 func (c *commit) take(got result) (version uint64, err error, certain bool) {
 	if got.look {
--- a/node/growth_test.go
+++ b/node/growth_test.go
@@ -74,6 +74,48 @@
 	})
 }
 
+// Nodes that would not take the shard for long ask the store seldom while it has no owner, and
+// follow the next one all the same.
+func TestHowOftenNodesLookForAnOwner(t *testing.T) {
+	const (
+		ownerless = 4 * time.Second
+		// mostCalls is for looks 50, 100, 200, 400 and 800 ms after one another and each 0.8 s, for
+		// two tries to take the shard of six calls each, and for two calls of the feed.
+		mostCalls = 22
+	)
+	inCell(t, largeCell, func(c *cell) {
+		owner := c.owner()
+		for _, m := range c.nodes {
+			m.caller.SetFault(func(write bool) memory.Fault { return memory.Fault{Refuse: write} })
+		}
+		c.stop(owner)
+		defer c.start(owner)
+		time.Sleep(100 * time.Millisecond)
+		before := map[*member]int{}
+		for _, m := range c.nodes {
+			before[m] = m.caller.Calls()
+		}
+		time.Sleep(ownerless)
+		far := 0
+		for _, m := range c.nodes {
+			if m != owner && m.caller.Calls()-before[m] <= mostCalls {
+				far++
+			}
+		}
+		if want := largeCell - mostKnown; far < want {
+			t.Errorf("%d nodes asked the store at most %d times in %v, want %d", far, mostCalls, ownerless, want)
+		}
+		c.harmStore(nil)
+		time.Sleep(3 * time.Second)
+		next := c.owner()
+		for _, m := range c.nodes {
+			if m != owner && m.FollowedOwner() != next.name {
+				t.Errorf("%s follows %q, want %s", m.name, m.FollowedOwner(), next.name)
+			}
+		}
+	})
+}
+
 // A successor reads the workers while it reads the shard's rows, and every node soon follows it.
 func TestASuccessorReadsWorkersAndRowsAtOnce(t *testing.T) {
 	const slow = 600 * time.Millisecond // for each read
--- a/node/owner.go
+++ b/node/owner.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	nodesTable   = "nodes"
-	lookEvery    = 50 * time.Millisecond
+	nodesTable = "nodes"
+	lookEvery  = 50 * time.Millisecond
+	// farLook is how often, at the least, a node beyond the succession looks for an owner. Others
+	// take the shard before it tries; if each looked as often as they do, the store would have to
+	// answer as many times more as there are nodes.
+	farLook      = 800 * time.Millisecond
 	pingTimeout  = 150 * time.Millisecond
 	storeTimeout = 1500 * time.Millisecond
 	// unchangedFor is how long the row of an owner that answers nothing must stay as it
@@ -56,6 +60,7 @@
 // a deployment came back at once, eight of them took the shard within 0.1 s, weak ones all.
 func (n *Node) watchOwner(ctx context.Context) {
 	var d doubt
+	var looks lookPace
 	for ctx.Err() == nil {
 		wait.For(ctx, lookEvery)
 		n.mu.Lock()
@@ -66,10 +71,55 @@
 			d = doubt{}
 			continue
 		}
-		n.examine(ctx, &d, owner)
+		if looks.due(time.Now(), n.succeeds()) {
+			n.examine(ctx, &d, owner)
+		}
 	}
 }
 
+// lookPace spaces the looks of a node for an owner.
+type lookPace struct {
+	last  time.Time
+	pause time.Duration // until the next look of a node beyond the succession
+}
+
+// due reports whether a node looks now, and counts on it to do so. Between looks of a node beyond
+// the succession the time doubles, until it has needed none for a while.
+func (p *lookPace) due(now time.Time, succeeds bool) bool {
+	since := now.Sub(p.last)
+	switch {
+	case succeeds:
+		return true
+	case since > 2*farLook:
+		p.pause = lookEvery
+	case since < p.pause:
+		return false
+	default:
+		p.pause = min(farLook, 2*p.pause)
+	}
+	p.last = now
+	return true
+}
+
+// succeeds reports whether the node is of the succession, as far as it knows.
+func (n *Node) succeeds() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rank("") < nearMost
+}
+
+// rank returns how many members would own the shard before this node, but for one. The lock is
+// held.
+func (n *Node) rank(but string) int {
+	rank := 0
+	for _, member := range n.members {
+		if member.Node != but && member.compare(n.config.Self) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
 // doubt is what a node has seen of an owner that it does not hear.
 type doubt struct {
 	version uint64    // of the owner's row
@@ -164,12 +214,7 @@
 // still no owner.
 func (n *Node) myTurn(ctx context.Context, seen leadership.Sighting) bool {
 	n.mu.Lock()
-	rank := 0
-	for _, member := range n.others() {
-		if member.compare(n.config.Self) < 0 && member.Node != seen.Node {
-			rank++
-		}
-	}
+	rank := n.rank(seen.Node)
 	n.mu.Unlock()
 	begun := time.Now()
 	wait.For(ctx, time.Duration(min(rank, maxRank))*rankDelay)
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -17,7 +17,11 @@
 	// has silently gone is noticed soon. A long answer takes as long as it takes.
 	followWait  = 2 * time.Second
 	followQuiet = followWait + 500*time.Millisecond
+	// followPause follows a call that failed. From one failed call to the next the time doubles up
+	// to followRest, so that a store that turns many callers away is not asked by all of them all
+	// the time.
 	followPause = 100 * time.Millisecond
+	followRest  = 800 * time.Millisecond
 	// newsGap is the least time between two calls that bring news. A table of which a row
 	// changes each millisecond would otherwise be told a thousand times a second.
 	newsGap = 50 * time.Millisecond
@@ -107,6 +111,7 @@
 		store: store, table: table, partition: partition, longest: reach.wait(), wait: reach.wait(), quiet: readQuiet,
 		progressed: reach.Progressed,
 	}
+	pause := followPause
 	for ctx.Err() == nil {
 		begun, asOf, exchange := time.Now(), clock.Now(), f.exchange()
 		news, received, err := f.step(ctx)
@@ -115,9 +120,11 @@
 		}
 		if err != nil {
 			reach.failed(&FollowError{table, exchange, time.Since(begun), err})
-			wait.For(ctx, followPause)
+			wait.For(ctx, max(followPause, pause-time.Since(begun)))
+			pause = min(followRest, 2*pause)
 			continue
 		}
+		pause = followPause
 		if news {
 			changed(f.rows)
 		}
--- a/rowstore/follow_test.go
+++ b/rowstore/follow_test.go
@@ -218,3 +218,31 @@
 		}
 	})
 }
+
+// A store that refuses every call is asked seldom, and soon again once it serves.
+func TestFollowAsksARefusingStoreSeldom(t *testing.T) {
+	const (
+		refused = 9 * time.Second
+		// mostCalls is for calls 0.1, 0.2, 0.4 and 0.8 s after one another, and each 0.8 s.
+		mostCalls = 16
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := memory.New()
+		caller := store.Caller()
+		caller.SetFault(func(bool) memory.Fault { return memory.Fault{Refuse: true} })
+		read := make(chan struct{}, 1)
+		go rowstore.Follow(ctx, caller, table, "", func(map[string]rowstore.Row) { read <- struct{}{} }, rowstore.Reach{})
+		time.Sleep(refused)
+		if calls := caller.Calls(); calls > mostCalls {
+			t.Errorf("%d calls in %v, want %d at most", calls, refused, mostCalls)
+		}
+		caller.SetFault(nil)
+		select {
+		case <-read:
+		case <-time.After(time.Second):
+			t.Error("nothing was read for a second")
+		}
+	})
+}
--- a/rowstore/memory/memory.go
+++ b/rowstore/memory/memory.go
@@ -195,6 +195,7 @@
 	fault func(write bool) Fault
 	// observe, if given, is told the pages that this caller is sent.
 	observe func(rowstore.Page)
+	calls   int
 	down    Carry // of answers
 	up      Carry // of transactions
 }
@@ -241,6 +242,13 @@
 	return nil
 }
 
+// Calls counts the calls that were made.
+func (c *Caller) Calls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
 // Observe has f called with each page that this caller is sent from now on.
 func (c *Caller) Observe(f func(rowstore.Page)) {
 	c.mu.Lock()
@@ -285,6 +293,7 @@
 func (c *Caller) next(write bool) Fault {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.calls++
 	if c.fault == nil {
 		return Fault{}
 	}
