node, settings: in large data halls a few nodes read the operator's orders for the others

Change: an owner names in its heartbeats, for data halls of 16 nodes and more, relays: nodes of the hall with a link of 100 Mbit/s and more (new setting node.link), each for at most 32 others. A node asks its relay with calls held for 1 s, and gets what is newer with its age. It reads the store itself if it has no relay, owns the shard or is of the succession, if the relay does not answer within 1.3 s, says that the store fails it, or has word that may be older than 1.5 s. A view or a table never gives way to an older one.

Ruled out: sending only what changed (most is gained by the way, and a digest would be needed); relays among the narrow links (32 copies of 0.5 MB take 6 s on 20 Mbit/s).

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -47,6 +47,9 @@
 	return i.at.Add(d - max(0, suspended()-i.suspended))
 }
 
+// Before returns the instant that was so much earlier, with no suspension in between.
+func (i Instant) Before(d time.Duration) Instant { return Instant{i.at.Add(-d), i.suspended} }
+
 // Sub returns the time from an earlier instant to this one, suspensions included.
 func (i Instant) Sub(earlier Instant) time.Duration {
 	return i.at.Sub(earlier.at) + max(0, i.suspended-earlier.suspended)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,7 +73,7 @@
 	directory := platform.NewDirectory(d.store, logs.For(log, logs.Store))
 	metrics := node.NewMetrics()
 	d.node = node.New(ctx, node.Config{
-		Self: node.Member{Node: set.Self.Name, Address: set.Self.Peer, Hall: set.Self.Hall, Power: set.Self.Power},
+		Self: node.Member{Node: set.Self.Name, Address: set.Self.Peer, Hall: set.Self.Hall, Power: set.Self.Power, Link: set.Self.Link},
 		Scheduler: scheduler.Config{
 			Shard: shard, Lease: set.LeaseInForce(), LongestLease: set.Times.LongestLease, KeepFinal: set.Times.KeepFinal,
 			PartitionWrites: set.Store.PartitionWrites, EvacuateWithin: set.Times.Evacuate,
--- a/node/beat.go
+++ b/node/beat.go
@@ -85,6 +85,7 @@
 	full := short
 	told, serial := n.tellSuccession()
 	full.Members = told
+	relays := n.relaysOf(ranked)
 	near := nearMost
 	for i, member := range ranked {
 		if member.Node == n.config.Self.Node {
@@ -103,6 +104,7 @@
 			continue
 		}
 		short.Next, full.Next = time.Duration(every)*beatEvery, time.Duration(every)*beatEvery
+		short.Relay, full.Relay = relays[member.Node], relays[member.Node]
 		message := short
 		if state.told != serial {
 			message = full
@@ -130,6 +132,9 @@
 		state.lost = now.Sub(state.heard) > memberLost
 	}
 	n.peers[member.Node] = state
+	if wasLost != state.lost {
+		n.relays = nil // who is lost relays nothing
+	}
 	n.mu.Unlock()
 	if wasLost != state.lost {
 		n.log.Info().Str("node", member.Node).Bool("lost", state.lost).Msg("node lost or back")
@@ -147,6 +152,7 @@
 // takeBeat takes in an owner's heartbeat.
 func (n *Node) takeBeat(_ context.Context, message beat) (beatAnswer, error) {
 	n.heard(message.Owner, message.Next)
+	n.orders.assign(message.Relay)
 	n.hearOfTable(message.TableVersion, message.Owner.Address)
 	if !n.routes.Lacks(message.TableVersion) {
 		n.tables.current(message.TableAge)
--- a/node/evacuation.go
+++ b/node/evacuation.go
@@ -12,6 +12,7 @@
 	if !changed {
 		return
 	}
+	n.orders.news()
 	n.metrics.evacuationChanges.Add(1)
 	n.metrics.evacuatedHalls.Set(int64(len(view.Halls())))
 	n.log.Info().Uint64("version", view.Version()).Strs("halls", view.Halls()).Strs("before", former.Halls()).
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -41,3 +41,9 @@
 	defer n.mu.Unlock()
 	return n.owner.Node
 }
+
+// Relay returns the relay that the node is to ask, or nothing.
+func (n *Node) Relay() string { return n.orders.usable(time.Now()) }
+
+// OrdersRelayed reports whether the operator's orders come from a relay now.
+func (n *Node) OrdersRelayed() bool { return n.orders.relayed() }
--- a/node/messages.go
+++ b/node/messages.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"chutereach/codec"
 	"chutereach/peer"
 	"chutereach/routing"
 	"chutereach/scheduler"
@@ -22,6 +23,7 @@
 	pendingPath  = "/v1/pending"
 	advisePath   = "/v1/advise"
 	tablePath    = "/v1/table"
+	ordersPath   = "/v1/orders"
 )
 
 // Member is a node as the others know it.
@@ -31,6 +33,8 @@
 	Hall    string `cbor:"3,keyasint"`
 	// Power is what the machine has of a processor's core.
 	Power float64 `cbor:"4,keyasint,omitempty"`
+	// Link is what the machine's link takes in Mbit/s; 0: not known.
+	Link float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // compare orders members that fit, the best owner first.
@@ -54,6 +58,9 @@
 	Members  []Member      `cbor:"3,keyasint,omitempty"` // empty: as last told
 	// Next is after how long the next one comes; 0: beatEvery.
 	Next time.Duration `cbor:"4,keyasint,omitempty"`
+	// Relay is the address of the node from which the operator's orders are to be had; empty: from
+	// the store.
+	Relay string `cbor:"6,keyasint,omitempty"`
 }
 
 // beatAnswer is what a node tells the owner.
@@ -65,6 +72,26 @@
 	Members      int           `cbor:"5,keyasint"` // how many it knows, itself included
 }
 
+// ordersCall asks a relay for the operator's orders that are newer than the caller's.
+type ordersCall struct {
+	Table       uint64        `cbor:"1,keyasint"` // version of the caller's table of routes
+	Evacuations uint64        `cbor:"2,keyasint"` // version of its view of evacuated data halls
+	Halls       []string      `cbor:"3,keyasint,omitempty"`
+	Wait        time.Duration `cbor:"4,keyasint"` // for how long the call may be held without news
+}
+
+// ordersAnswer is what a relay has from the store.
+type ordersAnswer struct {
+	TableVersion uint64    `cbor:"1,keyasint"`
+	Table        codec.Raw `cbor:"2,keyasint,omitempty"` // only if it is newer than the caller's
+	Evacuations  uint64    `cbor:"3,keyasint"`
+	Halls        []string  `cbor:"4,keyasint,omitempty"`
+	// Age is for how long, at the most, all of this may have been untrue when it was sent.
+	Age time.Duration `cbor:"5,keyasint"`
+	// Held is for how long the call was held.
+	Held time.Duration `cbor:"6,keyasint"`
+}
+
 // pingAnswer tells whom a node follows, and whether it is the owner itself.
 type pingAnswer struct {
 	Owner ownership `cbor:"1,keyasint"`
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -16,6 +16,7 @@
 	evacuatedHalls, evacuationChanges *expvar.Int
 
 	tableVersion  *expvar.Int // of the configuration in force
+	relays        *expvar.Map // calls to relays by outcome
 	tables        *expvar.Map // tables of routes by how they came, and what failed
 	transferTimes *histogram.Times
 }
@@ -23,7 +24,7 @@
 // NewMetrics returns Metrics that count from nothing.
 func NewMetrics() *Metrics {
 	return &Metrics{
-		Scheduler: scheduler.NewMetrics(), tableVersion: new(expvar.Int), tables: new(expvar.Map),
+		Scheduler: scheduler.NewMetrics(), tableVersion: new(expvar.Int), tables: new(expvar.Map), relays: new(expvar.Map),
 		transferTimes: histogram.New(), evacuatedHalls: new(expvar.Int), evacuationChanges: new(expvar.Int),
 	}
 }
@@ -35,10 +36,17 @@
 	all.Set("evacuation_changes", m.evacuationChanges)
 	all.Set("config_version", m.tableVersion)
 	all.Set("config_exchanges", m.tables)
+	all.Set("relay_calls", m.relays)
 	all.Set("config_transfer_ms", m.transferTimes)
 	return all
 }
 
+// Keys of calls to relays.
+const (
+	relayAnswered = "answered"
+	relayFailed   = "failed"
+)
+
 // Keys of the exchanges that bring a table of routes.
 const (
 	fromStore       = "store"
@@ -46,4 +54,5 @@
 	storeBrokenOff  = "store_broken_off"
 	nodeFetchFailed = "node_failed"
 	servedToNode    = "served"
+	fromRelay       = "relay"
 )
--- a/node/node.go
+++ b/node/node.go
@@ -74,8 +74,12 @@
 	// of them; toldSerial counts those.
 	told       []Member
 	toldSerial uint64
-	own        *scheduler.Scheduler // while this node owns the shard
-	ownSince   time.Time
+	// relays are the addresses of the nodes that pass the operator's orders on, by the node that is
+	// to ask there, as of relaysAt; nil: to be worked out.
+	relays   map[string]string
+	relaysAt uint64
+	own      *scheduler.Scheduler // while this node owns the shard
+	ownSince time.Time
 	// calmSince is since when this owner's timers are in time, and wasCalm whether
 	// they have been for a while in this term.
 	calmSince time.Time
@@ -92,6 +96,7 @@
 	loadFails   atomic.Bool // the store does not let this owner load the shard
 
 	tables tableExchange
+	orders orderExchange
 	lag    lagMeter
 	speed  speedMeter
 	takeMu sync.Mutex // one takeover at a time
@@ -164,8 +169,10 @@
 // reaching it: a feed without news answers about this often.
 const storeFresh = 3 * time.Second
 
+// A node that has its orders from a relay has not asked the store of late; it is asked once more
+// before it is given the shard.
 func (n *Node) reachesStore() bool {
-	return !n.storeBad && time.Since(n.storeOK) < storeFresh
+	return !n.storeBad && (time.Since(n.storeOK) < storeFresh || n.orders.relayed())
 }
 
 // beatLate is by how much a heartbeat is late when its owner is asked and its row watched.
@@ -209,6 +216,7 @@
 	peer.Handle(mux, pendingPath, n.answerPending)
 	peer.Handle(mux, advisePath, n.answerAdvise)
 	peer.Handle(mux, tablePath, n.answerTable)
+	peer.Handle(mux, ordersPath, n.answerOrders)
 	return mux
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -40,6 +40,7 @@
 	fleet   *fleettest.Fleet
 	nodes   []*member
 	owns    func(bool) // told by nodes that start from now on; nil: nobody is
+	wide    int        // how many of the nodes that are added have wide links and strong machines
 	// listing, if given, is called when a node begins to read the workers.
 	listing func(*member)
 	// evacuateWithin is for how long nodes that start from now on may start work in a data hall
@@ -56,6 +57,8 @@
 	kill    context.CancelFunc
 	done    chan struct{}
 	lives   int
+	// power and link are what its machine has, in cores and Mbit/s.
+	power, link float64
 }
 
 // anybody is a caller without an account, let in by a table that is newer than any other.
@@ -85,11 +88,7 @@
 				Life: fleet.Life{ID: fmt.Sprintf("w-%d", i)}, Service: service, Zone: hallOf(i), Capacity: resource.Amount{CPU: 16_000, Memory: 64 << 30},
 			})
 		}
-		for i := range count {
-			m := &member{name: fmt.Sprintf("node-%d:80", i)} // HTTP adds port 80 to an address without one
-			c.nodes = append(c.nodes, m)
-			c.start(m)
-		}
+		c.addNodes(count)
 		time.Sleep(2 * time.Second)
 		test(c)
 		for _, m := range c.nodes {
@@ -130,7 +129,7 @@
 		},
 	}
 	config := node.Config{
-		Self:      node.Member{Node: m.name, Address: m.name, Hall: "h"},
+		Self:      node.Member{Node: m.name, Address: m.name, Hall: "h", Power: m.power, Link: m.link},
 		Scheduler: scheduler.Config{Shard: "main", Lease: fleettest.MostLease, KeepFinal: time.Minute, EvacuateWithin: c.evacuateWithin},
 		Owns:      c.owns,
 	}
@@ -193,6 +192,18 @@
 	<-m.done
 }
 
+// addNodes starts a number of nodes.
+func (c *cell) addNodes(count int) {
+	for i := range count {
+		m := &member{name: fmt.Sprintf("node-%d:80", i)} // HTTP adds port 80 to an address without one
+		if i < c.wide {
+			m.link, m.power = 1000, 1.6
+		}
+		c.nodes = append(c.nodes, m)
+		c.start(m)
+	}
+}
+
 func request() workload.Request {
 	need := resource.Amount{CPU: 1000, Memory: 1 << 30}
 	return workload.Request{Spec: "s", Steps: []workload.Step{{Count: 2, Need: need, Estimate: time.Second}}}
--- /dev/null
+++ b/node/relay.go
@@ -0,0 +1,370 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chutereach/clock"
+	"chutereach/codec"
+	"chutereach/evacuation"
+	"chutereach/peer"
+	"chutereach/routing"
+	"chutereach/rowstore"
+	"chutereach/transfer"
+)
+
+// The operator's orders, the configuration and the evacuations, reach every node from the store's
+// feed. In a large data hall most nodes have them from a relay instead, a node of the same hall
+// that reads the feed for them: else each change would go from the store to each node, and every
+// node would hold a call of the feed open. The owner, who knows all nodes, names the relays in its
+// heartbeats. A node whose relay does not answer, or has old word, reads the store itself.
+
+const (
+	// relayHall is how many nodes a data hall has, at the least, for some to relay.
+	relayHall = 16
+	// relayLink is what the link of a relay takes at the least, in Mbit/s, and linkShare how much of
+	// it there is to be for each node that it serves: a configuration of 0.5 MB then reaches them
+	// all within half a second. maxFollowers bounds these nodes.
+	relayLink    = 100
+	linkShare    = 8
+	maxFollowers = 32
+
+	// relayWait is how long a relay holds a call without news, and relaySlack how much longer the
+	// answer is waited for.
+	relayWait  = time.Second
+	relaySlack = 300 * time.Millisecond
+	// relayFeed is how long a relay's own call of the feed stays open, so that its word is young,
+	// and relaying for how long it counts as a relay after a node has asked.
+	relayFeed = 500 * time.Millisecond
+	relaying  = 5 * time.Second
+	// relayTrust is how old a relay's word may be. Its own calls make it twice relayFeed, and the
+	// node's own make it relayWait older until the next answer.
+	relayTrust = 1500 * time.Millisecond
+	// relayRest is for how long a relay is not asked after it has failed.
+	relayRest = 5 * time.Second
+)
+
+// relaysOf returns the relay of each node that has one, by the node's name. The lock is held.
+func (n *Node) relaysOf(ranked []Member) map[string]string {
+	if n.relays != nil && n.relaysAt == n.memberSerial {
+		return n.relays
+	}
+	var present []Member
+	for _, member := range ranked {
+		if !n.peers[member.Node].lost {
+			present = append(present, member)
+		}
+	}
+	n.relays, n.relaysAt = assignRelays(present, n.config.Self.Node), n.memberSerial
+	return n.relays
+}
+
+// assignRelays gives nodes of large data halls a relay each, as far as there are enough with wide
+// links. The owner is none.
+func assignRelays(ranked []Member, owner string) map[string]string {
+	halls := map[string][]Member{}
+	for _, member := range ranked {
+		halls[member.Hall] = append(halls[member.Hall], member)
+	}
+	assigned := map[string]string{}
+	for _, members := range halls {
+		if len(members) >= relayHall {
+			assignHall(assigned, members, owner)
+		}
+	}
+	delete(assigned, owner)
+	for _, member := range ranked[:min(len(ranked), succession)] {
+		delete(assigned, member.Node) // its word must be young when it takes the shard
+	}
+	return assigned
+}
+
+// assignHall gives the nodes of one data hall their relays: the best owners, as few as serve all.
+func assignHall(assigned map[string]string, members []Member, owner string) {
+	var relays, others []Member
+	room := 0
+	for _, member := range members {
+		served := followersOf(member)
+		if member.Node == owner || served == 0 || room >= len(members)-len(relays) {
+			others = append(others, member)
+			continue
+		}
+		relays = append(relays, member)
+		room += served
+	}
+	next := 0
+	for _, relay := range relays {
+		for range min(followersOf(relay), len(others)-next) {
+			assigned[others[next].Node] = relay.Address
+			next++
+		}
+	}
+}
+
+// followersOf returns how many nodes a member may serve as a relay.
+func followersOf(member Member) int {
+	if member.Link < relayLink {
+		return 0
+	}
+	return min(maxFollowers, int(member.Link/linkShare))
+}
+
+// orderExchange is what a node knows of where to have the operator's orders.
+type orderExchange struct {
+	mu       sync.Mutex
+	relay    string    // as the owner names it; empty: the store
+	failed   string    // the relay that failed last
+	failedAt time.Time // when it did
+	inUse    bool      // the orders come from a relay
+	askedAt  time.Time // when a node last asked this one
+	changed  chan struct{}
+}
+
+// assign notes which relay the owner names.
+func (e *orderExchange) assign(relay string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.relay = relay
+}
+
+// usable returns the relay to be asked now, or nothing.
+func (e *orderExchange) usable(now time.Time) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.relay == e.failed && now.Sub(e.failedAt) < relayRest {
+		return ""
+	}
+	return e.relay
+}
+
+// distrust notes that a relay has failed.
+func (e *orderExchange) distrust(relay string, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failed, e.failedAt = relay, now
+}
+
+// use notes whether the orders come from a relay.
+func (e *orderExchange) use(inUse bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inUse = inUse
+}
+
+// relayed reports whether the orders come from a relay.
+func (e *orderExchange) relayed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.inUse
+}
+
+// asked notes that a node asks this one.
+func (e *orderExchange) asked(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.askedAt = now
+}
+
+// feedWait returns how long this node's calls of the feed may stay open, for those that ask it; 0:
+// as long as any.
+func (e *orderExchange) feedWait(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Sub(e.askedAt) < relaying {
+		return relayFeed
+	}
+	return 0
+}
+
+// news wakes the calls that are held for it.
+func (e *orderExchange) news() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.changed != nil {
+		close(e.changed)
+		e.changed = nil
+	}
+}
+
+// awaitNews returns a channel that is closed with the next news.
+func (e *orderExchange) awaitNews() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.changed == nil {
+		e.changed = make(chan struct{})
+	}
+	return e.changed
+}
+
+// followOrders keeps the table of routes and the evacuated data halls as the store has them, by way
+// of a relay where there is one that can be trusted.
+func (n *Node) followOrders(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.followStore(ctx)
+		n.followRelay(ctx)
+	}
+}
+
+// relayNow returns the relay to be asked now. An owner reads the store itself: what it starts rests
+// on how young its word is. So does a node that has no table yet.
+func (n *Node) relayNow() string {
+	n.mu.Lock()
+	owns := n.own != nil
+	n.mu.Unlock()
+	if _, ok := n.routes.Current(); !ok || owns {
+		return ""
+	}
+	return n.orders.usable(time.Now())
+}
+
+// followStore follows the store until there is a relay to be asked.
+func (n *Node) followStore(parent context.Context) {
+	ctx, stop := context.WithCancel(parent)
+	defer stop()
+	offer := func(table routing.Table) { n.routes.Offer(table) }
+	answered := func() {
+		n.tableArrived()
+		if n.relayNow() != "" {
+			stop()
+		}
+	}
+	n.platform.FollowOrders(ctx, offer, n.takeEvacuations, rowstore.Reach{
+		Answered: answered, Failed: n.tableFails, Progressed: n.tableArrives, Received: n.tableReceived, Wait: n.feedWait,
+	})
+}
+
+// feedWait returns how long a call of the feed may stay open; 0: as long as any.
+func (n *Node) feedWait() time.Duration {
+	wait := n.orders.feedWait(time.Now())
+	if within := n.config.Scheduler.EvacuateWithin / evacuationCalls; within > 0 && (wait == 0 || within < wait) {
+		wait = within
+	}
+	return wait
+}
+
+// followRelay follows a relay for as long as it is to be asked.
+func (n *Node) followRelay(ctx context.Context) {
+	defer n.orders.use(false)
+	begun := ""
+	for ctx.Err() == nil {
+		relay := n.relayNow()
+		if relay == "" {
+			return
+		}
+		n.orders.use(true)
+		if relay != begun {
+			n.log.Info().Str("relay", relay).Msg("orders come from a relay")
+			begun = relay
+		}
+		if err := n.askRelay(ctx, relay); err != nil && ctx.Err() == nil {
+			n.metrics.relays.Add(relayFailed, 1)
+			n.log.Info().Str("relay", relay).Err(err).Msg("orders come from the store: the relay failed")
+			n.orders.distrust(relay, time.Now())
+		}
+	}
+}
+
+// OldWordError says that a relay's word is older than is trusted.
+type OldWordError struct{ Age time.Duration }
+
+func (e *OldWordError) Error() string {
+	return "its word may be " + e.Age.Round(time.Millisecond).String() + " old"
+}
+
+// askRelay asks a relay for news and takes them in.
+func (n *Node) askRelay(parent context.Context, relay string) error {
+	ctx, cancel := transfer.WithStallLimit(parent, relayWait+relaySlack, func() { n.tables.setArriving(true) })
+	defer cancel()
+	defer n.tables.setArriving(false)
+	table, _ := n.routes.Current()
+	view := n.evacuations.Current()
+	sent := clock.Now()
+	answer, err := peer.Call[ordersAnswer](ctx, n.client, relay, ordersPath, ordersCall{table.Version, view.Version(), view.Halls(), relayWait})
+	if err != nil {
+		return err
+	}
+	now := clock.Now()
+	age := answer.Age + max(0, now.Sub(sent)-answer.Held)
+	if age > relayTrust {
+		return &OldWordError{age}
+	}
+	n.metrics.relays.Add(relayAnswered, 1)
+	return n.takeOrders(answer, now, age)
+}
+
+// takeOrders takes in what a relay has told, which was true a time before now.
+func (n *Node) takeOrders(answer ordersAnswer, now clock.Instant, age time.Duration) error {
+	if len(answer.Table) > 0 {
+		var table routing.Table
+		if err := codec.Unmarshal(answer.Table, &table); err != nil {
+			return err
+		}
+		n.metrics.tables.Add(fromRelay, 1)
+		n.routes.Offer(table)
+	}
+	n.takeEvacuations(evacuation.NewView(answer.Halls, answer.Evacuations, now.Before(age)))
+	if !n.routes.Lacks(answer.TableVersion) {
+		n.tables.current(age)
+	}
+	return nil
+}
+
+// answerOrders holds a node's call until there is news for it, or for as long as it allows. A relay
+// that the store does not answer says so at once.
+func (n *Node) answerOrders(ctx context.Context, call ordersCall) (ordersAnswer, error) {
+	begun := time.Now()
+	n.orders.asked(begun)
+	timer := time.NewTimer(min(call.Wait, relayWait))
+	defer timer.Stop()
+	for {
+		news := n.orders.awaitNews()
+		if n.storeFailing() {
+			return ordersAnswer{}, &StoreFailsError{}
+		}
+		table, ok := n.routes.Current()
+		if !ok {
+			return ordersAnswer{}, &NoTableError{}
+		}
+		view := n.evacuations.Current()
+		if table.Version > call.Table || !view.SameHalls(evacuation.NewView(call.Halls, 0, clock.Instant{})) {
+			return n.ordersNow(call, time.Since(begun))
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return n.ordersNow(call, time.Since(begun))
+		case <-ctx.Done():
+			return ordersAnswer{}, ctx.Err()
+		}
+	}
+}
+
+// ordersNow returns what this node has of the operator's orders.
+func (n *Node) ordersNow(call ordersCall, held time.Duration) (ordersAnswer, error) {
+	table, _ := n.routes.Current()
+	view := n.evacuations.Current()
+	age, known := view.Age(clock.Now())
+	if !known {
+		return ordersAnswer{}, &StoreFailsError{}
+	}
+	answer := ordersAnswer{TableVersion: table.Version, Evacuations: view.Version(), Halls: view.Halls(), Age: age, Held: held}
+	if table.Version <= call.Table {
+		return answer, nil
+	}
+	var err error
+	answer.Table, err = n.tables.encode(table)
+	return answer, err
+}
+
+// storeFailing reports whether the store does not answer this node.
+func (n *Node) storeFailing() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeBad
+}
+
+// StoreFailsError says that a node cannot relay, for the store does not answer it.
+type StoreFailsError struct{}
+
+func (e *StoreFailsError) Error() string { return "the store does not answer this node" }
--- /dev/null
+++ b/node/relay_internal_test.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// hallOfMembers returns members of one data hall, some with wide links.
+func hallOfMembers(hall string, wide, narrow int, link float64) []Member {
+	var members []Member
+	for i := range wide + narrow {
+		member := Member{Node: fmt.Sprintf("%s-%03d", hall, i), Address: fmt.Sprintf("%s-%03d:1", hall, i), Hall: hall, Power: 0.2, Link: 20}
+		if i < wide {
+			member.Power, member.Link = 1.6, link
+		}
+		members = append(members, member)
+	}
+	return members
+}
+
+func TestRelaysOfDataHalls(t *testing.T) {
+	cases := []struct {
+		name         string
+		wide, narrow int
+		link         float64
+		served       int // nodes that have a relay, the succession apart
+	}{
+		{"a small hall", 3, 12, 1000, 0},
+		{"no wide links", 0, 90, 1000, 0},
+		{"links that are not known", 12, 90, 0, 0},
+		{"wide links", 12, 90, 1000, 98 - 9},
+		{"links for 25 nodes each", 3, 40, 200, 41 - 11},
+		{"too few for all", 1, 90, 1000, 32},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			members := hallOfMembers("h", test.wide, test.narrow, test.link)
+			slices.SortFunc(members, Member.compare)
+			assigned := assignRelays(members, members[0].Node)
+			followers := map[string]int{}
+			for _, relay := range assigned {
+				followers[relay]++
+			}
+			for _, member := range members {
+				if most := followersOf(member); followers[member.Address] > most {
+					t.Errorf("%s serves %d nodes, want %d at most", member.Node, followers[member.Address], most)
+				}
+				if _, has := assigned[member.Node]; has && followers[member.Address] > 0 {
+					t.Errorf("%s is a relay and has one", member.Node)
+				}
+			}
+			if _, has := assigned[members[0].Node]; has || followers[members[0].Address] > 0 {
+				t.Error("the owner takes part")
+			}
+			if test.served == 0 && len(assigned) > 0 {
+				t.Errorf("%d nodes have a relay, want none", len(assigned))
+			}
+			t.Logf("%d nodes, %d with a relay, %d relays", len(members), len(assigned), len(followers))
+		})
+	}
+}
+
+// Relays serve nodes of their own data hall, and stay as they are while nobody comes or goes.
+func TestRelaysStayInTheirHall(t *testing.T) {
+	var members []Member
+	for _, hall := range []string{"a", "b", "c"} {
+		members = append(members, hallOfMembers(hall, 4, 40, 1000)...)
+	}
+	slices.SortFunc(members, Member.compare)
+	assigned := assignRelays(members, "a-000")
+	if len(assigned) < len(members)/2 {
+		t.Errorf("%d of %d nodes have a relay", len(assigned), len(members))
+	}
+	for node, relay := range assigned {
+		if node[0] != relay[0] {
+			t.Errorf("%s asks %s", node, relay)
+		}
+	}
+	for node, relay := range assignRelays(members, "a-000") {
+		if assigned[node] != relay {
+			t.Errorf("%s asks %s, and before %s", node, relay, assigned[node])
+		}
+	}
+}
--- /dev/null
+++ b/node/relay_test.go
@@ -0,0 +1,146 @@
+package node_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"chutereach/rowstore"
+	"chutereach/rowstore/memory"
+)
+
+const (
+	// relayCell is a data hall with relays, wideNodes of its nodes have a wide link.
+	relayCell = 50
+	wideNodes = 16
+	// appliedWithin is the shortest time at hand in which a configuration must be in force.
+	appliedWithin = 2 * time.Second
+)
+
+// inRelayCell runs a test in a large data hall once its relays are known.
+func inRelayCell(t *testing.T, test func(c *cell, relays, served []*member)) {
+	t.Helper()
+	inCell(t, 0, func(c *cell) {
+		c.wide = wideNodes
+		c.addNodes(relayCell)
+		time.Sleep(10 * time.Second)
+		var relays, served []*member
+		for _, m := range c.nodes {
+			if relay := m.Relay(); relay != "" {
+				served = append(served, m)
+				for _, other := range c.nodes {
+					if other.name == relay && !slices.Contains(relays, other) {
+						relays = append(relays, other)
+					}
+				}
+			}
+		}
+		if len(relays) == 0 || len(served) < relayCell/2 {
+			t.Fatalf("%d relays serve %d of %d nodes", len(relays), len(served), relayCell)
+		}
+		test(c, relays, served)
+	})
+}
+
+// Nodes that have a relay ask the store nothing while nothing happens, and a change of the
+// configuration comes to them from their relay.
+func TestRelaysSpareTheStore(t *testing.T) {
+	inRelayCell(t, func(c *cell, _, served []*member) {
+		calls, rows := map[*member]int{}, 0
+		for _, m := range served {
+			calls[m] = m.caller.Calls()
+			m.caller.Observe(func(page rowstore.Page) { rows += len(page.Rows) })
+		}
+		time.Sleep(10 * time.Second)
+		c.configure("a change", 40)
+		for _, m := range c.nodes {
+			c.assertInForce(m, 2, appliedWithin/4)
+		}
+		for _, m := range served {
+			if asked := m.caller.Calls() - calls[m]; asked > 0 {
+				t.Errorf("%s asked the store %d times", m.name, asked)
+			}
+		}
+		if rows > 0 {
+			t.Errorf("%d rows came from the store to nodes with a relay", rows)
+		}
+	})
+}
+
+// Whatever becomes of its relay, and at any moment, a node has a change of the configuration in time.
+func TestAChangeReachesNodesWhoseRelayFails(t *testing.T) {
+	cases := []struct {
+		name string
+		harm func(c *cell, relay *member) (end func())
+	}{
+		{"is killed", func(c *cell, relay *member) func() {
+			c.stop(relay)
+			return func() { c.start(relay) }
+		}},
+		{"is cut off from the nodes", func(c *cell, relay *member) func() {
+			for _, m := range c.nodes {
+				c.network.Cut(m.name, relay.name)
+			}
+			return func() {
+				for _, m := range c.nodes {
+					c.network.Heal(m.name, relay.name)
+				}
+			}
+		}},
+		{"is turned away by the store", func(_ *cell, relay *member) func() {
+			relay.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Refuse: true} })
+			return func() { relay.caller.SetFault(nil) }
+		}},
+		{"is not answered by the store", func(_ *cell, relay *member) func() {
+			relay.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
+			return func() { relay.caller.SetFault(nil) }
+		}},
+	}
+	for _, test := range cases {
+		for _, after := range []time.Duration{0, 300 * time.Millisecond, 900 * time.Millisecond, 1400 * time.Millisecond} {
+			t.Run(test.name+", a change "+after.String()+" later", func(t *testing.T) {
+				inRelayCell(t, func(c *cell, relays, served []*member) {
+					var ends []func()
+					for _, relay := range relays {
+						ends = append(ends, test.harm(c, relay))
+					}
+					time.Sleep(after)
+					c.configure("a change", 40)
+					changed := time.Now()
+					for _, m := range served {
+						c.assertInForce(m, 2, appliedWithin-time.Since(changed))
+					}
+					for _, end := range ends {
+						end()
+					}
+					time.Sleep(time.Second)
+					c.configure("another change", 40)
+					changed = time.Now()
+					for _, m := range c.nodes {
+						c.assertInForce(m, 3, appliedWithin-time.Since(changed))
+					}
+				})
+			})
+		}
+	}
+}
+
+// Nodes with a relay hear of evacuations, and take the shard over when all others are gone.
+func TestNodesWithARelayCanOwn(t *testing.T) {
+	inRelayCell(t, func(c *cell, _, served []*member) {
+		for _, m := range c.nodes {
+			if !slices.Contains(served, m) {
+				c.stop(m)
+			}
+		}
+		time.Sleep(6 * time.Second)
+		if owner := c.owner(); owner == nil || owner.Relay() != "" && owner.OrdersRelayed() {
+			t.Error("nobody owns the shard, or an owner has its orders from a relay")
+		}
+		for _, m := range c.nodes {
+			if !slices.Contains(served, m) {
+				c.start(m)
+			}
+		}
+	})
+}
--- a/node/table.go
+++ b/node/table.go
@@ -44,15 +44,6 @@
 	version  uint64
 }
 
-// followOrders keeps the table of routes and the evacuated data halls as the store has them.
-func (n *Node) followOrders(ctx context.Context) {
-	offer := func(table routing.Table) { n.routes.Offer(table) }
-	n.platform.FollowOrders(ctx, offer, n.takeEvacuations, rowstore.Reach{
-		Answered: n.tableArrived, Failed: n.tableFails, Progressed: n.tableArrives, Received: n.tableReceived,
-		Wait: n.config.Scheduler.EvacuateWithin / evacuationCalls,
-	})
-}
-
 // tableChanged takes note of the table that is in force from now on.
 func (n *Node) tableChanged(table routing.Table) {
 	n.log.Info().Uint64("version", table.Version).Int("routes", len(table.Routes)).Msg("configuration in force")
@@ -60,6 +51,7 @@
 	n.tables.mu.Lock()
 	n.tables.behind = time.Time{}
 	n.tables.mu.Unlock()
+	n.orders.news()
 	n.mu.Lock()
 	own := n.own
 	n.mu.Unlock()
@@ -146,6 +138,7 @@
 // off leaves a line each time: it was long under way.
 func (n *Node) tableFails(err *rowstore.FollowError) {
 	n.storeFails(err)
+	n.orders.news() // who waits for this node's word asks elsewhere
 	n.tables.setArriving(false)
 	broken := transfer.ReceivedBefore(err)
 	if broken.Bytes == 0 {
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -46,17 +46,20 @@
 	// Current is told, once an answer is taken in, of which version the rows are. They were so at
 	// asOf or later.
 	Current func(version uint64, asOf clock.Instant)
-	// Wait bounds for how long a call of the feed stays open without news; 0: 2 s. Rows are known
-	// to be at most as old as two such calls.
-	Wait time.Duration
+	// Wait, if given, tells for how long a call of the feed may stay open without news; 0: 2 s. What
+	// is known of the rows is at most as old as two such calls.
+	Wait func() time.Duration
 }
 
 // wait returns for how long a call of the feed stays open at the most.
 func (r Reach) wait() time.Duration {
-	if r.Wait <= 0 {
+	if r.Wait == nil {
 		return followWait
 	}
-	return min(r.Wait, followWait)
+	if wait := r.Wait(); wait > 0 {
+		return min(wait, followWait)
+	}
+	return followWait
 }
 
 func (r Reach) current(version uint64, asOf clock.Instant) {
@@ -108,11 +111,11 @@
 // are tried again.
 func Follow(ctx context.Context, store Store, table, partition string, changed func(map[string]Row), reach Reach) {
 	f := follower{
-		store: store, table: table, partition: partition, longest: reach.wait(), wait: reach.wait(), quiet: readQuiet,
-		progressed: reach.Progressed,
+		store: store, table: table, partition: partition, wait: reach.wait(), quiet: readQuiet, progressed: reach.Progressed,
 	}
 	pause := followPause
 	for ctx.Err() == nil {
+		f.longest = reach.wait()
 		begun, asOf, exchange := time.Now(), clock.Now(), f.exchange()
 		news, received, err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -165,6 +168,7 @@
 	callCtx, cancel := transfer.WithStallLimit(ctx, followQuiet, f.progressed)
 	defer cancel()
 	begun := time.Now()
+	f.wait = min(f.wait, f.longest)
 	page, err := f.store.Watch(callCtx, f.table, f.version, f.wait)
 	f.adaptWait(time.Since(begun), len(page.Rows), err)
 	var (
--- a/scheduler/evacuated_test.go
+++ b/scheduler/evacuated_test.go
@@ -39,7 +39,7 @@
 	var halls []string
 	reach := rowstore.Reach{Current: func(version uint64, asOf clock.Instant) {
 		newest.Offer(evacuation.NewView(halls, version, asOf))
-	}, Wait: c.evacuateWithin / 3}
+	}, Wait: func() time.Duration { return c.evacuateWithin / 3 }}
 	go rowstore.Follow(ctx, caller, ordersTable, "", func(rows map[string]rowstore.Row) {
 		halls = nil
 		for name := range rows {
--- a/settings/node.go
+++ b/settings/node.go
@@ -36,6 +36,7 @@
 var platformFigures = []ini.Option{
 	{Section: "node", Key: "power"},
 	{Section: "node", Key: "memory"},
+	{Section: "node", Key: "link"},
 	{Section: "store", Key: "partition-writes"},
 	{Section: "times", Key: "longest-lease"},
 	{Section: "times", Key: "keep-final"},
@@ -54,6 +55,7 @@
 	Peer    string  `long:"peer" ini-name:"peer" description:"address for the other nodes"`
 	Power   float64 `long:"power" ini-name:"power" default:"1" description:"what this machine has of a processor's core; strong machines own the shard first"`
 	Memory  int     `long:"memory" ini-name:"memory" default:"0" description:"memory of this machine in MiB, which the collector keeps below; 0: not known"`
+	Link    float64 `long:"link" ini-name:"link" default:"0" description:"what this machine's link takes in Mbit/s; a node with a wide one passes configurations on to others of its data hall; 0: not known"`
 	Metrics string  `long:"metrics" ini-name:"metrics" description:"address for metrics; empty: none"`
 }
 
@@ -172,6 +174,8 @@
 	switch {
 	case s.Self.Power <= 0:
 		return s.fault("node", "power", "must be more than 0")
+	case s.Self.Link < 0:
+		return s.fault("node", "link", "must not be negative")
 	case s.Self.Memory < 0:
 		return s.fault("node", "memory", "must not be negative")
 	case s.Store.PartitionWrites <= 0:
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -66,6 +66,7 @@
 peer = 10.1.0.13:7720
 power = 0.4
 memory = 284
+link = 200
 [store]
 address = 10.200.1.7:8169
 partition-writes = 150
