--- a/node/relay.go
+++ b/node/relay.go
@@ -38,8 +38,8 @@
 	// and relaying for how long it counts as a relay after a node has asked.
 	relayFeed = 500 * time.Millisecond
 	relaying  = 5 * time.Second
-	// relayTrust is how old a relay's word may be. Its own calls make it twice relayFeed, and the
-	// node's own make it relayWait older until the next answer.
+	// relayTrust is how old a node's word may be after a relay's answer; it becomes relayWait older
+	// until the next one. The relay's own calls make it as old as twice relayFeed.
 	relayTrust = 1500 * time.Millisecond
 	// relayRest is for how long a relay is not asked after it has failed.
 	relayRest = 5 * time.Second
@@ -265,11 +265,11 @@
 	}
 }
 
-// OldWordError says that a relay's word is older than is trusted.
+// OldWordError says that a node's word is older than is trusted in spite of its relay.
 type OldWordError struct{ Age time.Duration }
 
 func (e *OldWordError) Error() string {
-	return "its word may be " + e.Age.Round(time.Millisecond).String() + " old"
+	return "word of the store may be " + e.Age.Round(time.Millisecond).String() + " old"
 }
 
 // askRelay asks a relay for news and takes them in.
@@ -285,12 +285,15 @@
 		return err
 	}
 	now := clock.Now()
-	age := answer.Age + max(0, now.Sub(sent)-answer.Held)
-	if age > relayTrust {
+	if err := n.takeOrders(answer, now, answer.Age+max(0, now.Sub(sent)-answer.Held)); err != nil {
+		return err
+	}
+	// A relay's word is old until it has heard that it is one; this node's own may be younger.
+	if age, _ := n.evacuations.Current().Age(now); age > relayTrust {
 		return &OldWordError{age}
 	}
 	n.metrics.relays.Add(relayAnswered, 1)
-	return n.takeOrders(answer, now, age)
+	return nil
 }
 
 // takeOrders takes in what a relay has told, which was true a time before now.
