node: relays are named once they are ready, and outlive their owner

A new owner that has heard of no relay would have sent all nodes back at once.

Change: heartbeats say who is to relay; answers say when its word is young; only then are others sent there. An owner in its first 4 s leaves everybody where it is. Tests: TestRelaysStayInTheirHall (one relay is not ready), TestRelaysOutliveTheirOwner.

--- a/node/beat.go
+++ b/node/beat.go
@@ -81,11 +81,11 @@
 	table, _ := n.routes.Current()
 	ranked := n.ranked()
 	period := farPeriod(len(ranked) - 1 - nearMost)
-	short := beat{Owner: n.owner, TableVersion: table.Version, TableAge: n.tableAge()}
+	short := beat{Undecided: time.Since(n.ownSince) < relayTerm, Owner: n.owner, TableVersion: table.Version, TableAge: n.tableAge()}
 	full := short
 	told, serial := n.tellSuccession()
 	full.Members = told
-	relays := n.relaysOf(ranked)
+	plan := n.relayPlan(ranked)
 	near := nearMost
 	for i, member := range ranked {
 		if member.Node == n.config.Self.Node {
@@ -104,7 +104,8 @@
 			continue
 		}
 		short.Next, full.Next = time.Duration(every)*beatEvery, time.Duration(every)*beatEvery
-		short.Relay, full.Relay = relays[member.Node], relays[member.Node]
+		short.Relay, full.Relay = plan.relays[member.Node], plan.relays[member.Node]
+		short.Relays, full.Relays = plan.chosen[member.Node], plan.chosen[member.Node]
 		message := short
 		if state.told != serial {
 			message = full
@@ -121,9 +122,9 @@
 	now := time.Now()
 	n.mu.Lock()
 	state := n.peers[member.Node]
-	wasLost := state.lost
+	wasLost, relayed := state.lost, state.relays
 	if err == nil {
-		state = peerState{heard: now, storeOK: answer.StoreOK, lag: answer.Lag, told: serial}
+		state = peerState{heard: now, storeOK: answer.StoreOK, lag: answer.Lag, told: serial, relays: answer.Relays}
 		if answer.Members < len(n.told) {
 			state.told = 0 // it has begun anew, or has not heard of all
 		}
@@ -132,8 +133,8 @@
 		state.lost = now.Sub(state.heard) > memberLost
 	}
 	n.peers[member.Node] = state
-	if wasLost != state.lost {
-		n.relays = nil // who is lost relays nothing
+	if wasLost != state.lost || relayed != state.relays {
+		n.plan = nil
 	}
 	n.mu.Unlock()
 	if wasLost != state.lost {
@@ -152,7 +153,7 @@
 // takeBeat takes in an owner's heartbeat.
 func (n *Node) takeBeat(_ context.Context, message beat) (beatAnswer, error) {
 	n.heard(message.Owner, message.Next)
-	n.orders.assign(message.Relay)
+	n.orders.assign(message, time.Now())
 	n.hearOfTable(message.TableVersion, message.Owner.Address)
 	if !n.routes.Lacks(message.TableVersion) {
 		n.tables.current(message.TableAge)
@@ -163,7 +164,10 @@
 	for _, member := range message.Members {
 		n.addMember(member)
 	}
-	return beatAnswer{n.owner, n.reachesStore() && !n.stopping, table.Version, n.lag.Mean(), len(n.members)}, nil
+	return beatAnswer{
+		Owner: n.owner, StoreOK: n.reachesStore() && !n.stopping, TableVersion: table.Version, Lag: n.lag.Mean(),
+		Members: len(n.members), Relays: n.relaysNow() && !n.storeBad && !n.stopping,
+	}, nil
 }
 
 // heard notes a sign of life of an owner, unless a later one is known, and after how long
--- a/node/messages.go
+++ b/node/messages.go
@@ -59,8 +59,11 @@
 	// Next is after how long the next one comes; 0: beatEvery.
 	Next time.Duration `cbor:"4,keyasint,omitempty"`
 	// Relay is the address of the node from which the operator's orders are to be had; empty: from
-	// the store.
-	Relay string `cbor:"6,keyasint,omitempty"`
+	// the store. An owner that does not know yet who relays leaves it to each node to go on as before.
+	Relay     string `cbor:"6,keyasint,omitempty"`
+	Undecided bool   `cbor:"8,keyasint,omitempty"`
+	// Relays is whether the node itself is to be a relay.
+	Relays bool `cbor:"7,keyasint,omitempty"`
 }
 
 // beatAnswer is what a node tells the owner.
@@ -68,8 +71,9 @@
 	Owner        ownership     `cbor:"1,keyasint"` // whom the node follows now
 	StoreOK      bool          `cbor:"2,keyasint"` // it has reached the store of late
 	TableVersion uint64        `cbor:"3,keyasint"`
-	Lag          time.Duration `cbor:"4,keyasint"` // its mean lateness
-	Members      int           `cbor:"5,keyasint"` // how many it knows, itself included
+	Lag          time.Duration `cbor:"4,keyasint"`           // its mean lateness
+	Members      int           `cbor:"5,keyasint"`           // how many it knows, itself included
+	Relays       bool          `cbor:"6,keyasint,omitempty"` // it is a relay, and its word is young
 }
 
 // ordersCall asks a relay for the operator's orders that are newer than the caller's.
--- a/node/node.go
+++ b/node/node.go
@@ -74,10 +74,9 @@
 	// of them; toldSerial counts those.
 	told       []Member
 	toldSerial uint64
-	// relays are the addresses of the nodes that pass the operator's orders on, by the node that is
-	// to ask there, as of relaysAt; nil: to be worked out.
-	relays   map[string]string
-	relaysAt uint64
+	// plan is which nodes relay the operator's orders, as of the serial planAt; nil: to be made.
+	plan     *relayPlan
+	planAt   uint64
 	own      *scheduler.Scheduler // while this node owns the shard
 	ownSince time.Time
 	// calmSince is since when this owner's timers are in time, and wasCalm whether
@@ -111,6 +110,7 @@
 	lag     time.Duration // its mean lateness
 	lost    bool
 	failed  time.Time
+	relays  bool   // it is a relay, and ready
 	told    uint64 // the serial of the succession that it has been told
 }
 
--- a/node/relay.go
+++ b/node/relay.go
@@ -35,9 +35,13 @@
 	relayWait  = time.Second
 	relaySlack = 300 * time.Millisecond
 	// relayFeed is how long a relay's own call of the feed stays open, so that its word is young,
-	// and relaying for how long it counts as a relay after a node has asked.
-	relayFeed = 500 * time.Millisecond
-	relaying  = 5 * time.Second
+	// and relaying for how long it counts as a relay after the owner has said so. It is ready once
+	// its word is younger than relayReady.
+	relayFeed  = 500 * time.Millisecond
+	relaying   = 3 * farSlowest
+	relayReady = 1200 * time.Millisecond
+	// relayTerm is how long a new owner takes to hear which relays are ready.
+	relayTerm = 2 * farSlowest
 	// relayTrust is how old a node's word may be after a relay's answer; it becomes relayWait older
 	// until the next one. The relay's own calls make it as old as twice relayFeed.
 	relayTrust = 1500 * time.Millisecond
@@ -45,10 +49,18 @@
 	relayRest = 5 * time.Second
 )
 
-// relaysOf returns the relay of each node that has one, by the node's name. The lock is held.
-func (n *Node) relaysOf(ranked []Member) map[string]string {
-	if n.relays != nil && n.relaysAt == n.memberSerial {
-		return n.relays
+// relayPlan is which nodes relay the operator's orders, and to whom. It never changes.
+type relayPlan struct {
+	// chosen are the names of the nodes that are to relay.
+	chosen map[string]bool
+	// relays are the addresses of the relays by the names of the nodes that are to ask there.
+	relays map[string]string
+}
+
+// relayPlan returns the plan as the members and what they answer have it. The lock is held.
+func (n *Node) relayPlan(ranked []Member) relayPlan {
+	if n.plan != nil && n.planAt == n.memberSerial {
+		return *n.plan
 	}
 	var present []Member
 	for _, member := range ranked {
@@ -56,49 +68,54 @@
 			present = append(present, member)
 		}
 	}
-	n.relays, n.relaysAt = assignRelays(present, n.config.Self.Node), n.memberSerial
-	return n.relays
+	plan := planRelays(present, n.config.Self.Node, func(member Member) bool { return n.peers[member.Node].relays })
+	n.plan, n.planAt = &plan, n.memberSerial
+	return plan
 }
 
-// assignRelays gives nodes of large data halls a relay each, as far as there are enough with wide
-// links. The owner is none.
-func assignRelays(ranked []Member, owner string) map[string]string {
+// planRelays chooses relays for large data halls, as far as there are enough nodes with wide links,
+// and has nodes ask those that are ready. The owner takes no part.
+func planRelays(ranked []Member, owner string, ready func(Member) bool) relayPlan {
 	halls := map[string][]Member{}
 	for _, member := range ranked {
-		halls[member.Hall] = append(halls[member.Hall], member)
+		if member.Node != owner {
+			halls[member.Hall] = append(halls[member.Hall], member)
+		}
 	}
-	assigned := map[string]string{}
+	plan := relayPlan{map[string]bool{}, map[string]string{}}
 	for _, members := range halls {
 		if len(members) >= relayHall {
-			assignHall(assigned, members, owner)
+			plan.addHall(members, ready)
 		}
 	}
-	delete(assigned, owner)
 	for _, member := range ranked[:min(len(ranked), succession)] {
-		delete(assigned, member.Node) // its word must be young when it takes the shard
+		delete(plan.relays, member.Node) // its word must be young when it takes the shard
 	}
-	return assigned
+	return plan
 }
 
-// assignHall gives the nodes of one data hall their relays: the best owners, as few as serve all.
-func assignHall(assigned map[string]string, members []Member, owner string) {
+// addHall chooses the relays of one data hall, the best owners, as few as serve all its nodes.
+func (p relayPlan) addHall(members []Member, ready func(Member) bool) {
 	var relays, others []Member
 	room := 0
 	for _, member := range members {
 		served := followersOf(member)
-		if member.Node == owner || served == 0 || room >= len(members)-len(relays) {
+		if served == 0 || room >= len(members)-len(relays) {
 			others = append(others, member)
 			continue
 		}
+		p.chosen[member.Node] = true
 		relays = append(relays, member)
 		room += served
 	}
-	next := 0
 	for _, relay := range relays {
-		for range min(followersOf(relay), len(others)-next) {
-			assigned[others[next].Node] = relay.Address
-			next++
+		served := min(followersOf(relay), len(others))
+		for _, other := range others[:served] {
+			if ready(relay) {
+				p.relays[other.Node] = relay.Address
+			}
 		}
+		others = others[served:]
 	}
 }
 
@@ -117,15 +134,20 @@
 	failed   string    // the relay that failed last
 	failedAt time.Time // when it did
 	inUse    bool      // the orders come from a relay
-	askedAt  time.Time // when a node last asked this one
+	chosenAt time.Time // when the owner last chose this node as a relay
 	changed  chan struct{}
 }
 
-// assign notes which relay the owner names.
-func (e *orderExchange) assign(relay string) {
+// assign notes which relay the owner names, and whether it chooses this node as one.
+func (e *orderExchange) assign(message beat, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.relay = relay
+	if !message.Undecided {
+		e.relay = message.Relay
+	}
+	if message.Relays {
+		e.chosenAt = now
+	}
 }
 
 // usable returns the relay to be asked now, or nothing.
@@ -159,19 +181,12 @@
 	return e.inUse
 }
 
-// asked notes that a node asks this one.
-func (e *orderExchange) asked(now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.askedAt = now
-}
-
-// feedWait returns how long this node's calls of the feed may stay open, for those that ask it; 0:
-// as long as any.
+// feedWait returns how long this node's calls of the feed may stay open, as a relay; 0: as long as
+// any.
 func (e *orderExchange) feedWait(now time.Time) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if now.Sub(e.askedAt) < relaying {
+	if now.Sub(e.chosenAt) < relaying {
 		return relayFeed
 	}
 	return 0
@@ -288,7 +303,6 @@
 	if err := n.takeOrders(answer, now, answer.Age+max(0, now.Sub(sent)-answer.Held)); err != nil {
 		return err
 	}
-	// A relay's word is old until it has heard that it is one; this node's own may be younger.
 	if age, _ := n.evacuations.Current().Age(now); age > relayTrust {
 		return &OldWordError{age}
 	}
@@ -317,7 +331,6 @@
 // that the store does not answer says so at once.
 func (n *Node) answerOrders(ctx context.Context, call ordersCall) (ordersAnswer, error) {
 	begun := time.Now()
-	n.orders.asked(begun)
 	timer := time.NewTimer(min(call.Wait, relayWait))
 	defer timer.Stop()
 	for {
@@ -360,6 +373,12 @@
 	return answer, err
 }
 
+// relaysNow reports whether this node is chosen as a relay and its word is young enough.
+func (n *Node) relaysNow() bool {
+	age, known := n.evacuations.Current().Age(clock.Now())
+	return known && age < relayReady && n.orders.feedWait(time.Now()) > 0
+}
+
 // storeFailing reports whether the store does not answer this node.
 func (n *Node) storeFailing() bool {
 	n.mu.Lock()
--- a/node/relay_internal_test.go
+++ b/node/relay_internal_test.go
@@ -37,7 +37,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			members := hallOfMembers("h", test.wide, test.narrow, test.link)
 			slices.SortFunc(members, Member.compare)
-			assigned := assignRelays(members, members[0].Node)
+			plan := planRelays(members, members[0].Node, func(Member) bool { return true })
+			assigned := plan.relays
 			followers := map[string]int{}
 			for _, relay := range assigned {
 				followers[relay]++
@@ -61,23 +62,25 @@
 	}
 }
 
-// Relays serve nodes of their own data hall, and stay as they are while nobody comes or goes.
+// Relays serve nodes of their own data hall once they are ready, and stay as they are while nobody
+// comes or goes.
 func TestRelaysStayInTheirHall(t *testing.T) {
 	var members []Member
 	for _, hall := range []string{"a", "b", "c"} {
 		members = append(members, hallOfMembers(hall, 4, 40, 1000)...)
 	}
 	slices.SortFunc(members, Member.compare)
-	assigned := assignRelays(members, "a-000")
+	ready := func(member Member) bool { return member.Node != "b-000" }
+	assigned := planRelays(members, "a-000", ready).relays
 	if len(assigned) < len(members)/2 {
 		t.Errorf("%d of %d nodes have a relay", len(assigned), len(members))
 	}
 	for node, relay := range assigned {
-		if node[0] != relay[0] {
+		if node[0] != relay[0] || relay == "b-000:1" {
 			t.Errorf("%s asks %s", node, relay)
 		}
 	}
-	for node, relay := range assignRelays(members, "a-000") {
+	for node, relay := range planRelays(members, "a-000", ready).relays {
 		if assigned[node] != relay {
 			t.Errorf("%s asks %s, and before %s", node, relay, assigned[node])
 		}
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -125,6 +125,30 @@
 	}
 }
 
+// A takeover sends nobody back to the store.
+func TestRelaysOutliveTheirOwner(t *testing.T) {
+	inRelayCell(t, func(c *cell, relays, served []*member) {
+		owner := c.owner()
+		if slices.Contains(relays, owner) || slices.Contains(served, owner) {
+			t.Fatal("the owner takes part")
+		}
+		calls := map[*member]int{}
+		for _, m := range served {
+			calls[m] = m.caller.Calls()
+		}
+		owner.Stop(c.ctx)
+		c.stop(owner)
+		time.Sleep(8 * time.Second)
+		next := c.owner()
+		for _, m := range served {
+			if asked := m.caller.Calls() - calls[m]; asked > 0 && m != next && m.Relay() != "" {
+				t.Errorf("%s asked the store %d times", m.name, asked)
+			}
+		}
+		c.start(owner)
+	})
+}
+
 // Nodes with a relay hear of evacuations, and take the shard over when all others are gone.
 func TestNodesWithARelayCanOwn(t *testing.T) {
 	inRelayCell(t, func(c *cell, _, served []*member) {
