node, scheduler: seldom heartbeats may be later, a worker's address is written once a step

Cause: a node that hears of its owner each 2.9 s asked the owner and the store whenever a heartbeat was 50 ms late, which at 588 nodes on small machines many are. And rows of progress are written anew with each change, so that an address a task made those of 40 tasks some 30% longer. Change: a heartbeat is overdue after an eighth more than it was to come in, 50 ms at the least. The first task of a step on a worker has its address.

--- a/node/beat_test.go
+++ b/node/beat_test.go
@@ -6,6 +6,20 @@
 	"time"
 )
 
+// A node waits a little longer the more seldom it hears of its owner, and never so long that it would
+// count as unready.
+func TestWhenAHeartbeatIsOverdue(t *testing.T) {
+	for _, test := range []struct{ next, want time.Duration }{
+		{beatEvery, beatEvery + beatLate},
+		{2 * beatEvery, 2*beatEvery + beatLate},
+		{farSlowest, farSlowest + farSlowest/8},
+	} {
+		if got := overdue(test.next); got != test.want || got >= unreadyAfter {
+			t.Errorf("overdue after %v if the next comes in %v, want %v", got, test.next, test.want)
+		}
+	}
+}
+
 func TestHeartbeatsToFarNodesAreBounded(t *testing.T) {
 	for _, nodes := range []int{1, 13, 40, 147, 300, 1000} {
 		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -175,9 +175,19 @@
 	return !n.storeBad && (time.Since(n.storeOK) < storeFresh || n.orders.relayed())
 }
 
-// beatLate is by how much a heartbeat is late when its owner is asked and its row watched.
-// An owner that is only late answers.
-const beatLate = 50 * time.Millisecond
+// beatLate is by how much a heartbeat is late, at the least, when its owner is asked and its row
+// watched. An owner that is only late answers. beatShare is the same as a share of the time in which
+// the next one comes: a node that seldom hears of its owner would else ask after most of them.
+const (
+	beatLate  = 50 * time.Millisecond
+	beatShare = 0.125
+)
+
+// overdue returns after what time without a heartbeat its owner is asked, if the next one was to
+// come in a time.
+func overdue(next time.Duration) time.Duration {
+	return next + max(beatLate, time.Duration(beatShare*float64(next)))
+}
 
 // Ready returns nil if the node can serve callers.
 func (n *Node) Ready() error {
--- a/node/owner.go
+++ b/node/owner.go
@@ -64,7 +64,7 @@
 	for ctx.Err() == nil {
 		wait.For(ctx, lookEvery)
 		n.mu.Lock()
-		quiet := n.own != nil || n.stopping || !n.registered || time.Since(n.beatAt) < n.beatNext+beatLate
+		quiet := n.own != nil || n.stopping || !n.registered || time.Since(n.beatAt) < overdue(n.beatNext)
 		owner := n.owner
 		n.mu.Unlock()
 		if quiet {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -321,6 +321,7 @@
 		sp.All = true
 		return sp, true
 	}
+	addressed := map[*worker]bool{}
 	for _, t := range st.tasks {
 		switch {
 		case t.state == taskDone:
@@ -328,7 +329,10 @@
 		case t.attempt > 0 || t.checkpoint != "":
 			tp := workload.TaskProgress{Index: t.index, Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes}
 			if t.worker != nil {
-				tp.Worker, tp.Born, tp.Address = t.worker.info.ID, t.worker.info.Born, t.worker.info.Address
+				tp.Worker, tp.Born = t.worker.info.ID, t.worker.info.Born
+				if !addressed[t.worker] { // once is enough: rows are written anew with each change
+					tp.Address, addressed[t.worker] = t.worker.info.Address, true
+				}
 			}
 			sp.Tasks = append(sp.Tasks, tp)
 		}
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -31,7 +31,8 @@
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
 	// Born tells the worker's life from others under its id; 0: not known.
 	Born int64 `cbor:"11,keyasint,omitempty"`
-	// Address is where the worker is called, so that a successor need not wait for discovery.
+	// Address is where the worker is called, so that a successor need not wait for discovery. The
+	// first task of the step on the worker has it.
 	Address string `cbor:"12,keyasint,omitempty"`
 	Crashes
 }
