--- a/node/lost_test.go
+++ b/node/lost_test.go
@@ -38,6 +38,30 @@
 	})
 }
 
+// replacedWithin is how soon a machine that falls silent owns the shard no more: it is overdue 0.2 s
+// after its last heartbeat, its row must stand for 0.35 s, and two looks and a transaction are left.
+const replacedWithin = 680 * time.Millisecond
+
+// An owner whose machine falls silent is replaced without one more wait for its answer.
+func TestHowSoonASilentOwnerIsReplaced(t *testing.T) {
+	for _, after := range []time.Duration{0, 40 * time.Millisecond, 80 * time.Millisecond, 120 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			inCell(t, 9, func(c *cell) {
+				time.Sleep(after)
+				former := c.owner()
+				for _, other := range c.nodes {
+					c.network.Cut(former.name, other.name)
+					c.network.Cut(other.name, former.name)
+				}
+				former.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Silent: true} })
+				if c.ownerBut(former, replacedWithin) == nil {
+					t.Errorf("nobody has replaced it after %v", replacedWithin)
+				}
+			})
+		})
+	}
+}
+
 // ownerBut waits until a node other than one owns the shard.
 func (c *cell) ownerBut(former *member, within time.Duration) *member {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
--- a/node/owner.go
+++ b/node/owner.go
@@ -124,15 +124,27 @@
 type doubt struct {
 	version uint64    // of the owner's row
 	since   time.Time // when the row was first seen at that version
+	silent  int       // how often the owner was asked since then and did not answer
 }
 
+// stands reports whether the row has not changed for so long that its owner is gone.
+func (d doubt) stands(now time.Time) bool { return now.Sub(d.since) >= unchangedFor }
+
+// enoughAsked is how often an owner is asked: one that was silent so often is not waited for once
+// more when its row stands.
+const enoughAsked = 2
+
 // examine asks the owner and the store, and takes the shard if both say that
 // nobody owns it.
 func (n *Node) examine(ctx context.Context, d *doubt, owner ownership) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	asked := make(chan verdict, 1)
-	n.tasks.Go(func() { asked <- n.askOwner(callCtx, owner) })
+	if d.silent < enoughAsked {
+		n.tasks.Go(func() { asked <- n.askOwner(callCtx, owner) })
+	} else {
+		asked <- ownerSaysNothing
+	}
 	seen, err := leadership.Look(callCtx, n.platform.Store, n.config.Scheduler.Shard)
 	if err != nil {
 		n.storeFails(err)
@@ -141,7 +153,7 @@
 	n.storeAnswers()
 	now := time.Now()
 	if seen.Version != d.version {
-		*d = doubt{seen.Version, now}
+		*d = doubt{version: seen.Version, since: now}
 	}
 	seen.Since = d.since
 	var said verdict
@@ -153,13 +165,16 @@
 	if said == ownerAlive {
 		return
 	}
+	if said == ownerSaysNothing {
+		d.silent++
+	}
 	if seen.Version != 0 && seen.Address != owner.Address && seen.Node != n.config.Self.Node {
 		if said = n.askOwner(ctx, ownership{seen.Node, seen.Address, 0}); said == ownerAlive {
 			return
 		}
 	}
 	gone := said == ownerGone || seen.Version == 0 || seen.Node == n.config.Self.Node
-	if !gone && now.Sub(d.since) < unchangedFor {
+	if !gone && !d.stands(now) {
 		return
 	}
 	if !n.myTurn(ctx, seen) {
