platform, settings: connections to workers are bounded for all workers together

A process without descriptors reaches neither the store nor other nodes. Change: of more than 0.8 of node.descriptors (new setting) the idle one that was used least recently is closed for each new one.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -81,12 +81,19 @@
 		},
 		Owns: collectFor,
 	}, node.Platform{
-		Store: d.store, Workers: platform.NewWorkers(), Advisor: d.advisor,
+		Store: d.store, Workers: platform.NewWorkers().WithMost(workerConnections(set.Self.Descriptors)), Advisor: d.advisor,
 		FollowWorkers: directory.FollowWorkers, FollowOrders: directory.FollowOrders,
 	}, peer.NewPlainClient(), metrics, logs.For(log, logs.Node))
 	return d, d.listen(metrics, directory.Var(), missed)
 }
 
+// workerShare is the share of a process's descriptors that connections to workers may take. The rest
+// is for callers, other nodes and the store.
+const workerShare = 0.8
+
+// workerConnections returns how many connections to workers are kept; 0: any number.
+func workerConnections(descriptors int) int { return int(workerShare * float64(descriptors)) }
+
 func (d *Daemon) listen(metrics *node.Metrics, entries, missed expvar.Var) (err error) {
 	if d.peers, err = peer.ListenPlain(d.settings.Self.Peer, d.node.Mux()); err != nil {
 		return &ListenError{"node.peer", err}
--- a/settings/node.go
+++ b/settings/node.go
@@ -37,6 +37,7 @@
 	{Section: "node", Key: "power"},
 	{Section: "node", Key: "memory"},
 	{Section: "node", Key: "link"},
+	{Section: "node", Key: "descriptors"},
 	{Section: "store", Key: "partition-writes"},
 	{Section: "times", Key: "longest-lease"},
 	{Section: "times", Key: "keep-final"},
@@ -48,15 +49,17 @@
 
 // NodeSelf is who the node is and where it listens.
 type NodeSelf struct {
-	Name    string  `long:"name" ini-name:"name" description:"name of this node"`
-	Hall    string  `long:"hall" ini-name:"hall" description:"data hall in which this node's box stands"`
-	Front   string  `long:"front" ini-name:"front" description:"address for callers"`
-	Ready   string  `long:"ready" ini-name:"ready" description:"address for readiness checks"`
-	Peer    string  `long:"peer" ini-name:"peer" description:"address for the other nodes"`
-	Power   float64 `long:"power" ini-name:"power" default:"1" description:"what this machine has of a processor's core; strong machines own the shard first"`
-	Memory  int     `long:"memory" ini-name:"memory" default:"0" description:"memory of this machine in MiB, which the collector keeps below; 0: not known"`
-	Link    float64 `long:"link" ini-name:"link" default:"0" description:"what this machine's link takes in Mbit/s; a node with a wide one passes configurations on to others of its data hall; 0: not known"`
-	Metrics string  `long:"metrics" ini-name:"metrics" description:"address for metrics; empty: none"`
+	Name   string  `long:"name" ini-name:"name" description:"name of this node"`
+	Hall   string  `long:"hall" ini-name:"hall" description:"data hall in which this node's box stands"`
+	Front  string  `long:"front" ini-name:"front" description:"address for callers"`
+	Ready  string  `long:"ready" ini-name:"ready" description:"address for readiness checks"`
+	Peer   string  `long:"peer" ini-name:"peer" description:"address for the other nodes"`
+	Power  float64 `long:"power" ini-name:"power" default:"1" description:"what this machine has of a processor's core; strong machines own the shard first"`
+	Memory int     `long:"memory" ini-name:"memory" default:"0" description:"memory of this machine in MiB, which the collector keeps below; 0: not known"`
+	Link   float64 `long:"link" ini-name:"link" default:"0" description:"what this machine's link takes in Mbit/s; a node with a wide one passes configurations on to others of its data hall; 0: not known"`
+	// Descriptors is how many files and connections this process may have open.
+	Descriptors int    `long:"descriptors" ini-name:"descriptors" default:"0" description:"files and connections that this process may have open; most are kept for workers; 0: not known"`
+	Metrics     string `long:"metrics" ini-name:"metrics" description:"address for metrics; empty: none"`
 }
 
 // NodeStore is where the store of rows is.
@@ -174,6 +177,8 @@
 	switch {
 	case s.Self.Power <= 0:
 		return s.fault("node", "power", "must be more than 0")
+	case s.Self.Descriptors < 0:
+		return s.fault("node", "descriptors", "must not be negative")
 	case s.Self.Link < 0:
 		return s.fault("node", "link", "must not be negative")
 	case s.Self.Memory < 0:
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -67,6 +67,7 @@
 power = 0.4
 memory = 284
 link = 200
+descriptors = 4100
 [store]
 address = 10.200.1.7:8169
 partition-writes = 150
@@ -133,7 +134,7 @@
 	})
 	t.Run("one that is wrong still names its line", func(t *testing.T) {
 		_, err := settings.LoadNode([]string{"--config", nodeFile(t, strings.Replace(allFigures, "= 150", "= many", 1))})
-		if err == nil || !strings.Contains(err.Error(), ":11: partition-writes") {
+		if err == nil || !strings.Contains(err.Error(), ":12: partition-writes") {
 			t.Errorf("got %v", err)
 		}
 	})
