--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -96,6 +96,30 @@
 	})
 }
 
+// A late job's story leads to the evacuation of its data hall, told once though every box tells it.
+func TestTheStoryOfAnEvacuatedHall(t *testing.T) {
+	const log = `edge-1 {"time":"2026-12-02T10:00:00.1Z","message":"evacuated data halls","version":7,"halls":["north"],"before":[]}
+edge-2 {"time":"2026-12-02T10:00:00.2Z","message":"evacuated data halls","version":7,"halls":["north"],"before":[]}
+edge-1 {"time":"2026-12-02T10:00:00.3Z","message":"accepted","job":"a1","queue":"q"}
+edge-1 {"time":"2026-12-02T10:00:00.4Z","message":"granted","job":"a1","slack":10}
+edge-1 {"time":"2026-12-02T10:00:00.5Z","message":"start held back","job":"a1","task":"a1.0.0.0","worker":"w-1","hall":"north","why":"its data hall is evacuated"}
+edge-1 {"time":"2026-12-02T10:00:00.9Z","message":"job is final","job":"a1","state":"completed","late":true,"age":600,"why":"every task is done"}
+`
+	story, err := explain.Tell(read(t, log, "x"), "a1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	summary := strings.Join(story.Summary, "\n")
+	for _, want := range []string{"1 starts were held back: its data hall is evacuated (north).", "Data halls were evacuated meanwhile, and got nothing new: north."} {
+		if !strings.Contains(summary, want) {
+			t.Errorf("the summary lacks %q:\n%s", want, summary)
+		}
+	}
+	if len(story.Lines) != 5 {
+		t.Errorf("%d lines, want 5", len(story.Lines))
+	}
+}
+
 func TestRead(t *testing.T) {
 	t.Run("the box", func(t *testing.T) {
 		if box := read(t, logOne, "one")[0].Box; box != "one" {
--- a/node/node.go
+++ b/node/node.go
@@ -90,7 +90,7 @@
 	storeOK     time.Time
 	storeBad    bool
 	stopping    bool
-	registered  bool        // the others' rows were read, so that their ranks are known
+	registered  bool        // the rows of the succession were read
 	taking      bool        // a takeover is under way: the row may name this node already
 	loadFails   atomic.Bool // the store does not let this owner load the shard
 
@@ -169,8 +169,8 @@
 // reaching it: a feed without news answers about this often.
 const storeFresh = 3 * time.Second
 
-// A node that has its orders from a relay has not asked the store of late; it is asked once more
-// before it is given the shard.
+// reachesStore reports whether the store answers this node, as far as is known. One that has its orders
+// from a relay has not asked of late; it is asked once more before it is given the shard.
 func (n *Node) reachesStore() bool {
 	return !n.storeBad && (time.Since(n.storeOK) < storeFresh || n.orders.relayed())
 }
--- a/scheduler/evacuated_test.go
+++ b/scheduler/evacuated_test.go
@@ -22,12 +22,12 @@
 	// evacuationBound is how long after an evacuation starts may begin in the data hall.
 	evacuationBound = 5 * time.Second
 	// soonPlaced is within which work waits for no data hall that is taken back.
-	soonPlaced   = 3 * time.Second
-	ordersTable  = "op"
-	evacuateRow  = "evacuate/"
-	cellHalls    = 3
-	everyHall    = -1
-	unknownHalls = 7 // of which no worker is
+	soonPlaced  = 3 * time.Second
+	ordersTable = "op"
+	evacuateRow = "evacuate/"
+	cellHalls   = 3
+	everyHall   = -1
+	unknownHall = "elsewhere" // of which no worker is
 )
 
 // hallOf returns the data hall of a worker.
@@ -186,7 +186,7 @@
 	inHalls(t, func(c *cell) {
 		o := c.rule()
 		time.Sleep(time.Second)
-		c.evacuateOne(fmt.Sprintf("hall-%d", unknownHalls))
+		c.evacuateOne(unknownHall)
 		pastBound()
 		if err := c.submit(o, "job", jobOf(6, 8000), work(time.Second)); err != nil {
 			t.Fatal(err)
