--- a/node/growth_test.go
+++ b/node/growth_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,11 +44,11 @@
 		}
 		c.stop(anew)
 		c.start(anew)
-		read := 0
-		anew.caller.Observe(func(page rowstore.Page) { read += rowsOfMembers(page) })
+		var read atomic.Int64
+		anew.caller.Observe(func(page rowstore.Page) { read.Add(int64(rowsOfMembers(page))) })
 		time.Sleep(5 * time.Second)
-		if read > mostKnown {
-			t.Errorf("%s has read %d rows of members, want %d at most", anew.name, read, mostKnown)
+		if got := read.Load(); got > mostKnown {
+			t.Errorf("%s has read %d rows of members, want %d at most", anew.name, got, mostKnown)
 		}
 		if err := anew.Ready(); err != nil {
 			t.Error(err)
@@ -121,12 +123,15 @@
 	const slow = 600 * time.Millisecond // for each read
 	inCell(t, largeCell, func(c *cell) {
 		owner := c.owner()
+		var mu sync.Mutex
 		var early []string
-		c.listing = func(m *member) {
+		c.onListing(func(m *member) {
+			mu.Lock()
+			defer mu.Unlock()
 			if !m.ShardLoaded() {
 				early = append(early, m.name)
 			}
-		}
+		})
 		for _, m := range c.nodes {
 			m.caller.SetFault(func(write bool) memory.Fault {
 				if write {
@@ -142,6 +147,8 @@
 		if next == nil {
 			t.Fatal("nobody took the shard")
 		}
+		mu.Lock()
+		defer mu.Unlock()
 		if !slices.Contains(early, next.name) {
 			t.Error("the rows were read before the workers")
 		}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,7 +43,7 @@
 	owns    func(bool) // told by nodes that start from now on; nil: nobody is
 	wide    int        // how many of the nodes that are added have wide links and strong machines
 	// listing, if given, is called when a node begins to read the workers.
-	listing func(*member)
+	listing atomic.Pointer[func(*member)]
 	// evacuateWithin is for how long nodes that start from now on may start work in a data hall
 	// that is evacuated; 0: not bounded.
 	evacuateWithin time.Duration
@@ -111,8 +112,8 @@
 	platform := node.Platform{
 		Store: caller, Workers: c.fleet, Advisor: c.fleet,
 		FollowWorkers: func(ctx context.Context, changed func([]fleet.Worker)) {
-			if c.listing != nil {
-				c.listing(m)
+			if listing := c.listing.Load(); listing != nil {
+				(*listing)(m)
 			}
 			for ctx.Err() == nil {
 				changed(c.fleet.List())
@@ -146,6 +147,9 @@
 // hallOf returns the data hall of a worker.
 func hallOf(worker int) string { return fmt.Sprintf("hall-%d", worker%2) }
 
+// onListing has f called when a node begins to read the workers.
+func (c *cell) onListing(f func(*member)) { c.listing.Store(&f) }
+
 // evacuateRow begins the name of a row that evacuates the data hall after it.
 const evacuateRow = "evacuate/"
 
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,10 +47,11 @@
 // configuration comes to them from their relay.
 func TestRelaysSpareTheStore(t *testing.T) {
 	inRelayCell(t, func(c *cell, _, served []*member) {
-		calls, rows := map[*member]int{}, 0
+		calls := map[*member]int{}
+		var rows atomic.Int64
 		for _, m := range served {
 			calls[m] = m.caller.Calls()
-			m.caller.Observe(func(page rowstore.Page) { rows += len(page.Rows) })
+			m.caller.Observe(func(page rowstore.Page) { rows.Add(int64(len(page.Rows))) })
 		}
 		time.Sleep(10 * time.Second)
 		c.configure("a change", 40)
@@ -61,8 +63,8 @@
 				t.Errorf("%s asked the store %d times", m.name, asked)
 			}
 		}
-		if rows > 0 {
-			t.Errorf("%d rows came from the store to nodes with a relay", rows)
+		if got := rows.Load(); got > 0 {
+			t.Errorf("%d rows came from the store to nodes with a relay", got)
 		}
 	})
 }
