--- a/explain/evacuation.go
+++ b/explain/evacuation.go
@@ -10,8 +10,8 @@
 // Messages of lines on evacuated data halls.
 const (
 	hallsEvacuated = "evacuated data halls"
-	wordStale      = "nothing is placed: evacuations are unconfirmed"
-	wordFresh      = "evacuations are confirmed again"
+	viewStale      = "nothing is placed: evacuations are unconfirmed"
+	viewFresh      = "evacuations are confirmed again"
 	startHeldBack  = "start held back"
 )
 
--- a/explain/story.go
+++ b/explain/story.go
@@ -14,7 +14,7 @@
 var general = []string{
 	"shard taken", "shard loaded", "shard cannot be loaded yet", "handing the shard over", "term over",
 	"store does not answer", "store answers again", "slow transaction", "configuration in force",
-	hallsEvacuated, wordStale, wordFresh,
+	hallsEvacuated, viewStale, viewFresh,
 }
 
 // Story is what the logs say of a job.
--- a/node/evacuation.go
+++ b/node/evacuation.go
@@ -3,7 +3,7 @@
 import "chutereach/evacuation"
 
 // evacuationCalls is how many calls of the store's feed the time within which an evacuation must
-// be heeded has room for. The rows are as old as two calls, so that word is seldom too old.
+// be heeded has room for. The rows are as old as two calls, so that the view is seldom stale.
 const evacuationCalls = 3
 
 // takeEvacuations takes in which data halls are evacuated, as the store has it.
--- a/node/messages.go
+++ b/node/messages.go
@@ -73,7 +73,7 @@
 	TableVersion uint64        `cbor:"3,keyasint"`
 	Lag          time.Duration `cbor:"4,keyasint"`           // its mean lateness
 	Members      int           `cbor:"5,keyasint"`           // how many it knows, itself included
-	Relays       bool          `cbor:"6,keyasint,omitempty"` // it is a relay, and its word is young
+	Relays       bool          `cbor:"6,keyasint,omitempty"` // it is a relay, and its orders are fresh
 }
 
 // ordersCall asks a relay for the operator's orders that are newer than the caller's.
--- a/node/relay.go
+++ b/node/relay.go
@@ -18,7 +18,7 @@
 // feed. In a large data hall most nodes have them from a relay instead, a node of the same hall
 // that reads the feed for them: else each change would go from the store to each node, and every
 // node would hold a call of the feed open. The owner, who knows all nodes, names the relays in its
-// heartbeats. A node whose relay does not answer, or has old word, reads the store itself.
+// heartbeats. A node whose relay does not answer, or whose orders become stale, reads the store itself.
 
 const (
 	// relayHall is how many nodes a data hall has, at the least, for some to relay.
@@ -34,17 +34,17 @@
 	// answer is waited for.
 	relayWait  = time.Second
 	relaySlack = 300 * time.Millisecond
-	// relayFeed is how long a relay's own call of the feed stays open, so that its word is young,
+	// relayFeed is how long a relay's own call of the feed stays open, so that its orders are fresh,
 	// and relaying for how long it counts as a relay after the owner has said so. It is ready once
-	// its word is younger than relayReady.
+	// its orders are younger than relayReady.
 	relayFeed  = 500 * time.Millisecond
 	relaying   = 3 * farSlowest
 	relayReady = 1200 * time.Millisecond
 	// relayTerm is how long a new owner takes to hear which relays are ready.
 	relayTerm = 2 * farSlowest
-	// relayTrust is how old a node's word may be after a relay's answer; it becomes relayWait older
+	// maxOrdersAge is how old a node's orders may be after a relay's answer; they become relayWait older
 	// until the next one. The relay's own calls make it as old as twice relayFeed.
-	relayTrust = 1500 * time.Millisecond
+	maxOrdersAge = 1500 * time.Millisecond
 	// relayRest is for how long a relay is not asked after it has failed.
 	relayRest = 5 * time.Second
 )
@@ -89,7 +89,7 @@
 		}
 	}
 	for _, member := range ranked[:min(len(ranked), succession)] {
-		delete(plan.relays, member.Node) // its word must be young when it takes the shard
+		delete(plan.relays, member.Node) // its orders must be fresh when it takes the shard
 	}
 	return plan
 }
@@ -222,7 +222,7 @@
 }
 
 // relayNow returns the relay to be asked now. An owner reads the store itself: what it starts rests
-// on how young its word is. So does a node that has no table yet.
+// on how fresh its orders are. So does a node that has no table yet.
 func (n *Node) relayNow() string {
 	n.mu.Lock()
 	owns := n.own != nil
@@ -280,11 +280,11 @@
 	}
 }
 
-// OldWordError says that a node's word is older than is trusted in spite of its relay.
-type OldWordError struct{ Age time.Duration }
+// StaleOrdersError says that a node's orders have become too old in spite of its relay.
+type StaleOrdersError struct{ Age time.Duration }
 
-func (e *OldWordError) Error() string {
-	return "word of the store may be " + e.Age.Round(time.Millisecond).String() + " old"
+func (e *StaleOrdersError) Error() string {
+	return "the operator's orders may be " + e.Age.Round(time.Millisecond).String() + " old"
 }
 
 // askRelay asks a relay for news and takes them in.
@@ -303,8 +303,8 @@
 	if err := n.takeOrders(answer, now, answer.Age+max(0, now.Sub(sent)-answer.Held)); err != nil {
 		return err
 	}
-	if age, _ := n.evacuations.Current().Age(now); age > relayTrust {
-		return &OldWordError{age}
+	if age, _ := n.evacuations.Current().Age(now); age > maxOrdersAge {
+		return &StaleOrdersError{age}
 	}
 	n.metrics.relays.Add(relayAnswered, 1)
 	return nil
@@ -373,7 +373,7 @@
 	return answer, err
 }
 
-// relaysNow reports whether this node is chosen as a relay and its word is young enough.
+// relaysNow reports whether this node is chosen as a relay and its orders are fresh enough.
 func (n *Node) relaysNow() bool {
 	age, known := n.evacuations.Current().Age(clock.Now())
 	return known && age < relayReady && n.orders.feedWait(time.Now()) > 0
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -70,7 +70,7 @@
 	}
 	p.sortPools()
 	p.countGaps(s.demands)
-	if since := s.term.FailingSince(); !since.IsZero() && now.Sub(since) > holdGrants || !s.wordIsFresh() {
+	if since := s.term.FailingSince(); !since.IsZero() && now.Sub(since) > holdGrants || !s.viewIsFresh() {
 		s.keepAdvice(p, list)
 		return
 	}
--- a/scheduler/evacuated.go
+++ b/scheduler/evacuated.go
@@ -8,50 +8,50 @@
 	"chutereach/fleet"
 )
 
-// Evacuated data halls get nothing new. The word of the store is looked at twice: when a task is
-// placed, and each time before its start is sent, for the hall may have been evacuated since. An
-// owner that was cut off, stood still or has only just taken over has old word: with one that is
-// older than trust, nothing is placed and no start is sent anywhere.
+// Evacuated data halls get nothing new. The view of them is looked at twice: when a task is placed,
+// and each time before its start is sent, for the hall may have been evacuated since. The view of an
+// owner that was cut off, stood still or has only just taken over is stale: with one that is older
+// than maxAge, nothing is placed and no start is sent anywhere.
 
 // evacuationGate is what the owner knows of evacuations.
 type evacuationGate struct {
 	view func() evacuation.View
-	// trust is how old word may be; 0: of any age.
-	trust time.Duration
-	// stale is whether word was too old at the last look, and since when.
+	// maxAge is how old the view may be; 0: of any age.
+	maxAge time.Duration
+	// stale is whether the view was too old at the last look, and since when.
 	stale      bool
 	staleSince time.Time
 }
 
 const (
-	// trustShare is the share of the time after an evacuation, within which starts may still
-	// begin, for which word is trusted. In the rest a start that was sent reaches its worker.
-	trustShare = 0.9
+	// freshShare is how old the view may be, as a share of the time after an evacuation in which
+	// starts may still begin. In the rest a start that was sent reaches its worker.
+	freshShare = 0.9
 	// heldPause is after how long a start that is held back is looked at again.
 	heldPause = 10 * time.Millisecond
 )
 
 func newEvacuationGate(config Config) evacuationGate {
-	gate := evacuationGate{view: config.Evacuations, trust: time.Duration(trustShare * float64(config.EvacuateWithin))}
+	gate := evacuationGate{view: config.Evacuations, maxAge: time.Duration(freshShare * float64(config.EvacuateWithin))}
 	if gate.view == nil {
 		gate.view = func() evacuation.View { return evacuation.View{} }
-		gate.trust = 0
+		gate.maxAge = 0
 	}
 	return gate
 }
 
 // fresh reports whether a view is young enough to start work by.
 func (g *evacuationGate) fresh(view evacuation.View, now clock.Instant) bool {
-	if g.trust == 0 {
+	if g.maxAge == 0 {
 		return true
 	}
 	age, known := view.Age(now)
-	return known && age < g.trust
+	return known && age < g.maxAge
 }
 
-// wordIsFresh reports whether work may be placed by what is known of evacuations. It logs when
+// viewIsFresh reports whether work may be placed by what is known of evacuations. It logs when
 // that begins and ceases to be so. The lock is held.
-func (s *Scheduler) wordIsFresh() bool {
+func (s *Scheduler) viewIsFresh() bool {
 	view, now := s.gate.view(), clock.Now()
 	fresh := s.gate.fresh(view, now)
 	if fresh == !s.gate.stale {
@@ -64,9 +64,9 @@
 		return true
 	}
 	s.gate.staleSince = now.Time()
-	s.metrics.wordStale.Add(1)
+	s.metrics.viewStale.Add(1)
 	age, _ := view.Age(now)
-	s.log.Warn().Uint64("version", view.Version()).Dur("age", age).Dur("trusted", s.gate.trust).
+	s.log.Warn().Uint64("version", view.Version()).Dur("age", age).Dur("max_age", s.gate.maxAge).
 		Msg("nothing is placed: evacuations are unconfirmed")
 	return false
 }
--- a/scheduler/evacuated_test.go
+++ b/scheduler/evacuated_test.go
@@ -224,9 +224,9 @@
 	})
 }
 
-// An owner that does not hear from the store what is evacuated starts nothing by old word, though
+// An owner that does not hear from the store what is evacuated starts nothing by a stale view, though
 // its transactions go on, and goes on as soon as it hears.
-func TestOldWordOfEvacuationsStartsNothing(t *testing.T) {
+func TestAStaleViewStartsNothing(t *testing.T) {
 	inHalls(t, func(c *cell) {
 		o := c.rule()
 		time.Sleep(time.Second)
@@ -239,7 +239,7 @@
 		}
 		time.Sleep(4 * time.Second)
 		if c.fleet.Began("job") {
-			t.Error("the job began by word that was older than the bound")
+			t.Error("the job began by a view that was older than the bound")
 		}
 		o.caller.SetFault(nil)
 		c.wantRunsIn("job", soonPlaced, hallOf(1), hallOf(2))
@@ -356,7 +356,7 @@
 		o.kill()
 		time.Sleep(pause / 2)
 		return c.rule()
-	case ownerStands: // for less than the time that is left when word is trusted no more
+	case ownerStands: // for less than the time that is left when the view is stale
 		o.client.pause()
 		time.Sleep(min(pause/2, 400*time.Millisecond))
 		o.client.resume()
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -15,7 +15,7 @@
 	stops, grants, adviceFailed, late      *expvar.Int
 	preempted, crashed, gaveUp, suspected  *expvar.Int
 	held, quarantined, startedAgain        *expvar.Int
-	rowsUnread, wordStale                  *expvar.Int
+	rowsUnread, viewStale                  *expvar.Int
 	commitTimes, startTimes, adviceTimes   *histogram.Times
 	completedTimes, lookTimes              *histogram.Times
 	commitJobs                             *expvar.Int
@@ -28,7 +28,7 @@
 		stops: new(expvar.Int), grants: new(expvar.Int), adviceFailed: new(expvar.Int), late: new(expvar.Int),
 		commitTimes: histogram.New(), startTimes: histogram.New(), adviceTimes: histogram.New(),
 		completedTimes: histogram.New(), lookTimes: histogram.New(), commitJobs: new(expvar.Int), preempted: new(expvar.Int),
-		crashed: new(expvar.Int), gaveUp: new(expvar.Int), suspected: new(expvar.Int), held: new(expvar.Int), quarantined: new(expvar.Int), startedAgain: new(expvar.Int), rowsUnread: new(expvar.Int), wordStale: new(expvar.Int),
+		crashed: new(expvar.Int), gaveUp: new(expvar.Int), suspected: new(expvar.Int), held: new(expvar.Int), quarantined: new(expvar.Int), startedAgain: new(expvar.Int), rowsUnread: new(expvar.Int), viewStale: new(expvar.Int),
 	}
 }
 
@@ -49,7 +49,7 @@
 	all.Set("workers_quarantined", m.quarantined)
 	all.Set("workers_started_again", m.startedAgain)
 	all.Set("report_rows_unread", m.rowsUnread)
-	all.Set("evacuations_unconfirmed", m.wordStale)
+	all.Set("evacuations_unconfirmed", m.viewStale)
 	all.Set("grants", m.grants)
 	all.Set("advice_failed", m.adviceFailed)
 	all.Set("commit_ms", m.commitTimes)
