fit, fleet, platform: warm workers are not placed on first any more

The sheets at hand warm nobody up, so that nothing speaks for it; how slow a worker is shows in its progress.

--- a/fit/fit.go
+++ b/fit/fit.go
@@ -13,9 +13,6 @@
 	failedHerePenalty = 8.0 // the task itself has failed there
 	failurePenalty    = 6.0 // times the share of attempts that fail there
 	slowPenalty       = 6.0 // times how much slower it is than the fleet
-	// coldPenalty is for a worker that is slow from its start: it takes what finds no room on a
-	// warm one.
-	coldPenalty = 3.0
 	// slowFrom is the slowness below which a worker counts as sound: estimates are rough.
 	slowFrom = 0.4
 	// remoteWeight is for each time as long that a task takes away from its data: 4 where it
@@ -32,8 +29,6 @@
 	// Unsound is whether it has failed of late, and Failures the share of attempts that fail.
 	Unsound  bool
 	Failures float64
-	// Cold is whether the worker is slow for a while from its start on.
-	Cold bool
 	// Slowness is how much slower it is than the fleet; 1: it takes twice as long.
 	Slowness float64
 	// Remote is by how many times as long the task takes there than near its data; 0: it is
@@ -49,9 +44,6 @@
 	if p.Unsound {
 		score += unsoundPenalty
 	}
-	if p.Cold {
-		score += coldPenalty
-	}
 	if p.FailedHere {
 		score += failedHerePenalty
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,8 +38,6 @@
 	Labels   []string
 	Capacity resource.Amount
 	Draining bool
-	// Cold is whether it is slower than usual for a while, from its start on.
-	Cold bool
 	// Remaining is how long a draining worker stays, at least.
 	Remaining time.Duration
 }
@@ -48,7 +46,7 @@
 func (w Worker) Equal(other Worker) bool {
 	return w.Life == other.Life && w.Service == other.Service && w.Address == other.Address && w.Zone == other.Zone &&
 		w.Rack == other.Rack && slices.Equal(w.Labels, other.Labels) && w.Capacity == other.Capacity &&
-		w.Draining == other.Draining && w.Cold == other.Cold && w.Remaining == other.Remaining
+		w.Draining == other.Draining && w.Remaining == other.Remaining
 }
 
 // HasLabel reports whether the worker bears a label; every worker bears the
--- a/scheduler/lives.go
+++ b/scheduler/lives.go
@@ -191,7 +191,7 @@
 		return known
 	}
 	info := former.info
-	info.Life, info.Draining, info.Cold = life, false, false
+	info.Life, info.Draining = life, false
 	next := s.enter(info)
 	if !former.listed.Known() { // its entry is that of whichever life there is
 		next.listed, next.known, next.entered = former.listed, former.known, former.entered
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -72,7 +72,7 @@
 // placeOf returns a worker as its fitness for a task of a step depends on it.
 func (s *Scheduler) placeOf(st *step, w *worker, now time.Time) fit.Place {
 	place := fit.Place{
-		Capacity: w.info.Capacity, Left: w.free().Minus(st.need()), Unsound: w.standing != reliability.Sound, Cold: w.info.Cold,
+		Capacity: w.info.Capacity, Left: w.free().Minus(st.need()), Unsound: w.standing != reliability.Sound,
 		Failures: w.health.reliability.Share(now), Slowness: w.health.slowness(s.fleetSpeed, now),
 	}
 	if st.spec.NearRack != "" && st.spec.NearRack != w.info.Rack {
