node: nodes that are gone for good are forgotten

Cause: rows of nodes were never deleted. Each machine that is replaced stayed in the succession, for which every takeover waits 0.12 s, and in the list of lanes and members that an owner goes over. Change: an owner deletes the rows of nodes that have not answered for 3 min; told nodes take the succession as it is told instead of adding to it; a node that no owner has called for 30 s looks whether its row stands. Tests, failing before: TestNodesThatAreGoneAreForgotten, TestANodeThatWasForgottenRegistersAgain.

--- a/node/beat.go
+++ b/node/beat.go
@@ -161,9 +161,8 @@
 	table, _ := n.routes.Current()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, member := range message.Members {
-		n.addMember(member)
-	}
+	n.toldAt = time.Now()
+	n.followSuccession(message.Members)
 	return beatAnswer{
 		Owner: n.owner, StoreOK: n.reachesStore() && !n.stopping, TableVersion: table.Version, Lag: n.lag.Mean(),
 		Members: len(n.members), Relays: n.relaysNow() && !n.storeBad && !n.stopping,
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -47,3 +47,6 @@
 
 // OrdersRelayed reports whether the operator's orders come from a relay now.
 func (n *Node) OrdersRelayed() bool { return n.orders.relayed() }
+
+// Stopped reports whether the node's life is over.
+func (n *Node) Stopped() bool { return n.ctx.Err() != nil }
--- a/node/node.go
+++ b/node/node.go
@@ -63,6 +63,7 @@
 	// beatNext is how long after beatAt the owner should be heard again.
 	beatNext time.Duration
 	ownedAt  time.Time // when any owner was last heard
+	toldAt   time.Time // when the last heartbeat came
 	changed  chan struct{}
 	members  map[string]Member
 	peers    map[string]peerState
@@ -136,6 +137,7 @@
 	n.tasks.Go(func() { n.beatLoop(ctx) })
 	n.tasks.Go(func() { n.fitnessLoop(ctx) })
 	n.tasks.Go(func() { n.storeLoop(ctx) })
+	n.tasks.Go(func() { n.tidyLoop(ctx) })
 	n.tasks.Go(func() { n.lag.run(ctx, &n.speed) })
 	<-ctx.Done()
 	n.tasks.Close()
