--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -67,15 +67,19 @@
 	return n.held
 }
 
-// Offer takes a view unless a newer one is held, and returns the one that was held before and
-// whether the evacuated data halls have changed with it.
+// Offer takes a view unless one of a newer version is held, and returns the one that was held before
+// and whether the evacuated data halls have changed with it. What is newer than a view was true at no
+// earlier time than that, so that the view that is held never becomes older.
 func (n *Newest) Offer(view View) (former View, changed bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	former = n.held
-	if view.version < former.version || view.version == former.version && view.asOf.Sub(former.asOf) < 0 {
+	if view.version < former.version {
 		return former, false
 	}
+	if view.asOf.IsZero() || !former.asOf.IsZero() && view.asOf.Sub(former.asOf) < 0 {
+		view.asOf = former.asOf
+	}
 	n.held = view
 	return former, !view.SameHalls(former)
 }
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -50,6 +50,10 @@
 			}
 		}
 		newest.Offer(evacuation.NewView(nil, 9, early))
+		newest.Offer(evacuation.NewView(nil, 10, early))
+		if newest.Current().Version() != 10 {
+			t.Errorf("version %d is held, want 10", newest.Current().Version())
+		}
 		if age, _ := newest.Current().Age(clock.Now()); age != 0 {
 			t.Errorf("a late answer made the view %v older", age)
 		}
--- a/node/relay_internal_test.go
+++ b/node/relayplan_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"slices"
 	"testing"
+
+	"chutereach/clock"
+	"chutereach/evacuation"
 )
 
 // hallOfMembers returns members of one data hall, some with wide links.
@@ -62,6 +65,25 @@
 	}
 }
 
+// A relay answers at once only with what is newer than its caller's.
+func TestWhatIsNewsForANode(t *testing.T) {
+	view := evacuation.NewView([]string{"north"}, 7, clock.Now())
+	for _, test := range []struct {
+		name string
+		call ordersCall
+		want bool
+	}{
+		{"an older view of other halls", ordersCall{Evacuations: 5}, true},
+		{"an older view of the same halls", ordersCall{Evacuations: 5, Halls: []string{"north"}}, false},
+		{"the same view", ordersCall{Evacuations: 7, Halls: []string{"north"}}, false},
+		{"a later view of other halls", ordersCall{Evacuations: 9}, false},
+	} {
+		if got := test.call.lacks(view); got != test.want {
+			t.Errorf("%s: news %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
 // Relays serve nodes of their own data hall once they are ready, and stay as they are while nobody
 // comes or goes.
 func TestRelaysStayInTheirHall(t *testing.T) {
