--- a/node/forget_test.go
+++ b/node/forget_test.go
@@ -20,13 +20,7 @@
 // Nodes that are gone for good are forgotten by all, and known again if they come back.
 func TestNodesThatAreGoneAreForgotten(t *testing.T) {
 	inCell(t, 4, func(c *cell) {
-		owner := c.owner()
-		var gone *member
-		for _, m := range c.nodes {
-			if m != owner {
-				gone = m
-			}
-		}
+		gone := c.another(c.owner())
 		c.stop(gone)
 		time.Sleep(time.Minute)
 		c.wantMembers(4)
@@ -42,13 +36,7 @@
 // cut heals.
 func TestANodeThatWasForgottenRegistersAgain(t *testing.T) {
 	inCell(t, 4, func(c *cell) {
-		owner := c.owner()
-		var away *member
-		for _, m := range c.nodes {
-			if m != owner {
-				away = m
-			}
-		}
+		away := c.another(c.owner())
 		for _, m := range c.nodes {
 			c.network.Cut(m.name, away.name)
 			c.network.Cut(away.name, m.name)
--- a/node/members_test.go
+++ b/node/members_test.go
@@ -11,12 +11,7 @@
 // not serve it.
 func TestANodeThatBeginsAnewIsToldTheMembers(t *testing.T) {
 	inCell(t, 4, func(c *cell) {
-		var anew *member
-		for _, m := range c.nodes {
-			if m != c.owner() {
-				anew = m
-			}
-		}
+		anew := c.another(c.owner())
 		c.stop(anew)
 		time.Sleep(500 * time.Millisecond)
 		c.start(anew)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -203,6 +203,16 @@
 	return nil
 }
 
+// another returns a node other than one.
+func (c *cell) another(than *member) *member {
+	for _, m := range c.nodes {
+		if m != than {
+			return m
+		}
+	}
+	return nil
+}
+
 func TestEveryNodeServes(t *testing.T) {
 	inCell(t, 3, func(c *cell) {
 		for i, m := range c.nodes {
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -89,8 +89,8 @@
 	// maxFirstCalls bounds the first calls to workers that have their turn.
 	maxFirstCalls = 32
 	// firstCallTurn is for how long a first call has its turn. A worker that has not answered by
-	// then may be gone, and costs no more than the wait for it: with half of 6,000 workers gone,
-	// the others would otherwise wait for their turns for half a minute.
+	// then may be gone, and costs no more than the wait for it: where many are gone, the others
+	// would wait for all of them.
 	firstCallTurn = 25 * time.Millisecond
 )
 
