scheduler, node: log denials of jobs, answered cancellations and attempts that outlive their stop

New lines `job is unknown`, `cancellation answered` and `attempt is running after its stop`, and metrics `unknown_jobs` and `stops_overdue`.

--- a/node/serve.go
+++ b/node/serve.go
@@ -41,12 +41,19 @@
 
 // Cancel cancels a job and returns once that is in the store.
 func (n *Node) Cancel(ctx context.Context, caller routing.Caller, id string) error {
-	return n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
+	startedAt := time.Now()
+	err := n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
 		return own.Cancel(ctx, caller.Account, id)
 	}, func(ctx context.Context, address string, timeout time.Duration) error {
 		_, err := peer.Call[empty](ctx, n.client, address, cancelPath, jobRequest{id, timeout, caller})
 		return err
 	})
+	n.mu.Lock()
+	owner := n.owner
+	n.mu.Unlock()
+	n.log.Info().Str("job", id).Str("owner", owner.Node).Uint64("token", owner.Token).Dur("took", time.Since(startedAt)).Err(err).
+		Msg("cancellation answered")
+	return err
 }
 
 // State returns a job's state.
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -191,7 +191,7 @@
 	j := s.jobs[id]
 	if j == nil || !j.belongsTo(account) {
 		s.mu.Unlock()
-		return s.missingJobError(id)
+		return s.missingJobError(callCancel, id)
 	}
 	if !j.state.Final() {
 		s.finish(j, workload.Cancelled, "cancelled by its caller")
@@ -229,7 +229,7 @@
 	defer s.mu.Unlock()
 	switch {
 	case j == nil || j.saved == 0:
-		return "", s.missingJobError(id)
+		return "", s.missingJobError(callState, id)
 	case j.savedState.Final():
 		return j.savedState, nil
 	case j.started:
@@ -241,13 +241,25 @@
 // missingJobError returns the error for a call about a job that this owner does not have. After a time without
 // a commit, as after a freeze, another node may own the shard and have accepted the job, so the error
 // then does not say that the job is unknown.
-func (s *Scheduler) missingJobError(id string) error {
-	if age := s.term.SinceLastCommit(); age > maxCommitAge {
+func (s *Scheduler) missingJobError(call jobCall, id string) error {
+	age := s.term.SinceLastCommit()
+	confirmed := age <= maxCommitAge
+	s.metrics.unknownJob(call, confirmed)
+	s.log.Info().Str("job", id).Str("call", string(call)).Bool("confirmed", confirmed).Dur("commit_age", age).Msg("job is unknown")
+	if !confirmed {
 		return &UnconfirmedError{&StaleTermError{age}}
 	}
 	return &UnknownJobError{id}
 }
 
+// jobCall is a kind of call about a job, in log lines and metrics.
+type jobCall string
+
+const (
+	callCancel jobCall = "cancel"
+	callState  jobCall = "state"
+)
+
 // maxCommitAge is how long after its last commit an owner may assume that no other node has taken the
 // shard. An owner without changes commits every idleCommitInterval.
 const maxCommitAge = 2 * idleCommitInterval
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -61,6 +61,12 @@
 	return t.state == taskStopping || t.state == taskDone && t.hosted()
 }
 
+// stopOverdue reports whether an attempt that a report lists as running should have ended by its stop, given
+// when the report was requested.
+func (t *task) stopOverdue(sent time.Time, times WorkerTimes) bool {
+	return t.unwanted() && !t.stoppedAt.IsZero() && sent.Sub(t.stoppedAt) > times.Stop
+}
+
 // hosted reports whether the task occupies capacity on a worker.
 func (t *task) hosted() bool { return t.worker != nil }
 
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -12,8 +12,8 @@
 
 // Metrics holds the counters and latency histograms shared by all schedulers of a process.
 type Metrics struct {
-	admissions, outcomes, refusals, finals                       *expvar.Map
-	stops, grants, adviceFailed, late                            *expvar.Int
+	admissions, outcomes, refusals, finals, unknownJobs          *expvar.Map
+	stops, overdueStops, grants, adviceFailed, late              *expvar.Int
 	preempted, lostWithWorker, crashLimitReached, suspectedSteps *expvar.Int
 	quotaHeldSteps, quarantined, workersRestarted                *expvar.Int
 	unreadRows, staleViews                                       *expvar.Int
@@ -30,8 +30,8 @@
 // NewMetrics returns Metrics with all counters at zero.
 func NewMetrics() *Metrics {
 	return &Metrics{
-		admissions: new(expvar.Map), outcomes: new(expvar.Map), refusals: new(expvar.Map), finals: new(expvar.Map),
-		stops: new(expvar.Int), grants: new(expvar.Int), adviceFailed: new(expvar.Int), late: new(expvar.Int),
+		admissions: new(expvar.Map), outcomes: new(expvar.Map), refusals: new(expvar.Map), finals: new(expvar.Map), unknownJobs: new(expvar.Map),
+		stops: new(expvar.Int), overdueStops: new(expvar.Int), grants: new(expvar.Int), adviceFailed: new(expvar.Int), late: new(expvar.Int),
 		commitTimes: histogram.New(), startTimes: histogram.New(), adviceTimes: histogram.New(),
 		completedTimes: histogram.New(), dispatchTimes: histogram.New(), commitJobs: new(expvar.Int), preempted: new(expvar.Int),
 		gangsWaiting: new(expvar.Int), stepsWithheld: new(expvar.Int),
@@ -51,6 +51,8 @@
 	all.Set("final", m.finals)
 	all.Set("final_late", m.late)
 	all.Set("stops", m.stops)
+	all.Set("stops_overdue", m.overdueStops)
+	all.Set("unknown_jobs", m.unknownJobs)
 	all.Set("preempted", m.preempted)
 	all.Set("lost_with_worker", m.lostWithWorker)
 	all.Set("steps_suspected", m.suspectedSteps)
@@ -84,6 +86,16 @@
 
 func (m *Metrics) admission(outcome string) { m.admissions.Add(outcome, 1) }
 
+// unknownJob counts a call about a job that the owner does not have, and whether it could tell that no
+// other owner has it.
+func (m *Metrics) unknownJob(call jobCall, confirmed bool) {
+	name := string(call)
+	if !confirmed {
+		name += "_unconfirmed"
+	}
+	m.unknownJobs.Add(name, 1)
+}
+
 func (m *Metrics) commit(took time.Duration, jobs int) {
 	m.commitTimes.Record(took)
 	m.commitJobs.Add(int64(jobs))
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -40,7 +40,7 @@
 	w.foreignAttempts = 0
 	listed := make(map[string]bool, len(report.Running))
 	for _, run := range report.Running {
-		if s.handleRunning(w, run, now) {
+		if s.handleRunning(w, run, sent, now) {
 			listed[run.Task] = true
 		}
 	}
@@ -128,7 +128,7 @@
 
 // handleRunning processes a running attempt in a report and reports whether it is the task's
 // current attempt there.
-func (s *Scheduler) handleRunning(w *worker, run fleet.Attempt, now time.Time) bool {
+func (s *Scheduler) handleRunning(w *worker, run fleet.Attempt, sent, now time.Time) bool {
 	t := w.tasks[run.Task]
 	if t == nil || t.attempt != run.Number {
 		w.foreignAttempts++
@@ -141,6 +141,11 @@
 	if t.state == taskStarting || t.state == taskGranted {
 		s.markRunning(t, now)
 	}
+	if t.stopOverdue(sent, s.times) {
+		s.metrics.overdueStops.Add(1)
+		s.log.Warn().Str("job", t.step.job.id).Str("task", run.Task).Int("attempt", run.Number).Str("worker", w.info.ID).
+			Dur("since_stop", sent.Sub(t.stoppedAt)).Msg("attempt is running after its stop")
+	}
 	s.progressSeen = s.progressSeen || run.Percent > 0
 	s.sampleProgress(t, run.Percent, now)
 	switch {
