scheduler, node: tests that a denied job does not run (known red)

A replaced owner answers from its memory that there is no such job as its successor has accepted, and the job of an acknowledged cancellation keeps running.

--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -1,12 +1,14 @@
 package node_test
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
 	"time"
 
 	"chutereach/rowstore/memory"
+	"chutereach/scheduler"
 )
 
 // An owner without a suitable successor must not block transactions while it asks the candidates.
@@ -142,3 +144,51 @@
 		c.awaitCompleted(c.nodes[3], "job", 5*time.Second)
 	})
 }
+
+// A cancellation that reaches the former owner while the successor's answer to a handover is lost must not
+// be answered with an unknown job: the successor has accepted the job and goes on with it.
+func TestCancelDuringUnansweredHandover(t *testing.T) {
+	runInCell(t, 3, func(c *cell) {
+		former := c.owner()
+		for _, m := range c.nodes {
+			if m != former {
+				c.isolateOnceOwner(m)
+			}
+		}
+		go former.Stop(c.ctx)
+		successor := c.awaitOtherOwner(former, time.Second)
+		if successor == nil {
+			t.Fatal("no other node owns the shard after 1 s")
+		}
+		if err := c.submit(successor, "job"); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range c.nodes {
+			if m == successor {
+				continue
+			}
+			var unknown *scheduler.UnknownJobError
+			if err := m.Cancel(c.ctx, anonymousCaller, "job"); errors.As(err, &unknown) {
+				t.Errorf("%s: %v, want no such answer: %s has accepted the job", m.name, err, successor.name)
+			}
+		}
+		for _, m := range c.nodes {
+			c.network.Heal(successor.name, m.name)
+		}
+		if err := c.nodeOtherThan(successor).Cancel(c.ctx, anonymousCaller, "job"); err != nil {
+			t.Errorf("cancellation after the handover: %v", err)
+		}
+	})
+}
+
+// isolateOnceOwner blocks what a node sends to the others from the moment it takes the shard.
+func (c *cell) isolateOnceOwner(m *member) {
+	m.storeCaller.SetFault(func(write bool) memory.Fault {
+		if write {
+			for _, other := range c.nodes {
+				c.network.Partition(m.name, other.name)
+			}
+		}
+		return memory.Fault{}
+	})
+}
