scheduler: an owner denies a job only after a later transaction

Callers' jobs kept running after their cancellation was answered with 410. The former owner of the shard answered from its memory that there was no such job, while its successor had accepted it.

GET and DELETE of an unknown job now wait for a transaction that starts after the call. It is conditional on the owner's row, so it fails if another node has taken the shard; the caller then gets 504, or the answer of the new owner. Calls that arrive while an ended term winds down are passed on to the new owner as well.

--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -172,16 +172,34 @@
 				t.Errorf("%s: %v, want no such answer: %s has accepted the job", m.name, err, successor.name)
 			}
 		}
+		successor.storeCaller.SetFault(nil)
 		for _, m := range c.nodes {
 			c.network.Heal(successor.name, m.name)
 		}
-		if err := c.nodeOtherThan(successor).Cancel(c.ctx, anonymousCaller, "job"); err != nil {
-			t.Errorf("cancellation after the handover: %v", err)
+		for _, m := range c.nodes {
+			c.cancelWithRetry(m, "job", 3*time.Second)
 		}
 	})
 }
 
-// isolateOnceOwner blocks what a node sends to the others from the moment it takes the shard.
+// cancelWithRetry cancels a job as a caller does, again after each failure, and fails the test if that does not
+// succeed within a time or the job is denied.
+func (c *cell) cancelWithRetry(m *member, id string, within time.Duration) {
+	c.t.Helper()
+	var err error
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		var unknown *scheduler.UnknownJobError
+		if err = m.Cancel(c.ctx, anonymousCaller, id); err == nil || errors.As(err, &unknown) {
+			break
+		}
+	}
+	if err != nil {
+		c.t.Errorf("%s: cancellation of %s: %v", m.name, id, err)
+	}
+}
+
+// isolateOnceOwner blocks what a node sends to the others whenever it writes to the store, as it does from the
+// moment it takes the shard.
 func (c *cell) isolateOnceOwner(m *member) {
 	m.storeCaller.SetFault(func(write bool) memory.Fault {
 		if write {
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -31,12 +31,6 @@
 
 func (e *UnconfirmedError) Unwrap() error { return e.Cause }
 
-// StaleTermError reports that the last commit of the owner is so old that another node may have
-// taken the shard.
-type StaleTermError struct{ Age time.Duration }
-
-func (e *StaleTermError) Error() string { return fmt.Sprintf("no commit for %v", e.Age) }
-
 // storeDownAfter is how long the store may fail before new jobs are rejected and callers
 // stop waiting for it. Until then another node that the store does answer may take the
 // shard over.
@@ -108,8 +102,8 @@
 
 // admit returns an error if a new job must be rejected. The lock is held.
 func (s *Scheduler) admit(record workload.Record) error {
-	if s.deposed != nil {
-		return s.deposed
+	if err := s.termOver(); err != nil {
+		return err
 	}
 	if s.storeIsDown() {
 		return &RejectedError{(&StoreDownError{}).Error(), defaultRetryAfter}
@@ -144,6 +138,11 @@
 	}
 	done := make(chan struct{})
 	j.onSaved(func() { close(done) })
+	return s.awaitCommit(ctx, done, abort)
+}
+
+// awaitCommit waits until a transaction has closed done, or abort returns an error. It releases the lock.
+func (s *Scheduler) awaitCommit(ctx context.Context, done <-chan struct{}, abort func() error) error {
 	runCtx := s.ctx
 	s.mu.Unlock()
 	if runCtx == nil {
@@ -191,7 +190,7 @@
 	j := s.jobs[id]
 	if j == nil || !j.belongsTo(account) {
 		s.mu.Unlock()
-		return s.missingJobError(callCancel, id)
+		return s.denyCancellation(ctx, id)
 	}
 	if !j.state.Final() {
 		s.finish(j, workload.Cancelled, "cancelled by its caller")
@@ -203,6 +202,22 @@
 // or is final only in memory, State waits briefly for the final state to be stored, so that
 // callers need not poll again.
 func (s *Scheduler) State(ctx context.Context, account, id string) (workload.State, error) {
+	if state, known := s.storedState(ctx, account, id); known {
+		return state, nil
+	}
+	if err := s.confirmTerm(ctx); err != nil {
+		return "", err
+	}
+	if state, known := s.storedState(ctx, account, id); known {
+		return state, nil
+	}
+	s.recordUnknownJob(callState, id)
+	return "", &UnknownJobError{id}
+}
+
+// storedState returns the stored state of an account's job as this owner knows it, and whether it knows such
+// a job.
+func (s *Scheduler) storedState(ctx context.Context, account, id string) (state workload.State, known bool) {
 	s.mu.Lock()
 	j := s.jobs[id]
 	if j != nil && !j.belongsTo(account) {
@@ -229,41 +244,15 @@
 	defer s.mu.Unlock()
 	switch {
 	case j == nil || j.saved == 0:
-		return "", s.missingJobError(callState, id)
+		return "", false
 	case j.savedState.Final():
-		return j.savedState, nil
+		return j.savedState, true
 	case j.started:
-		return workload.Running, nil
-	}
-	return workload.Queued, nil
-}
-
-// missingJobError returns the error for a call about a job that this owner does not have. After a time without
-// a commit, as after a freeze, another node may own the shard and have accepted the job, so the error
-// then does not say that the job is unknown.
-func (s *Scheduler) missingJobError(call jobCall, id string) error {
-	age := s.term.SinceLastCommit()
-	confirmed := age <= maxCommitAge
-	s.metrics.unknownJob(call, confirmed)
-	s.log.Info().Str("job", id).Str("call", string(call)).Bool("confirmed", confirmed).Dur("commit_age", age).Msg("job is unknown")
-	if !confirmed {
-		return &UnconfirmedError{&StaleTermError{age}}
+		return workload.Running, true
 	}
-	return &UnknownJobError{id}
+	return workload.Queued, true
 }
 
-// jobCall is a kind of call about a job, in log lines and metrics.
-type jobCall string
-
-const (
-	callCancel jobCall = "cancel"
-	callState  jobCall = "state"
-)
-
-// maxCommitAge is how long after its last commit an owner may assume that no other node has taken the
-// shard. An owner without changes commits every idleCommitInterval.
-const maxCommitAge = 2 * idleCommitInterval
-
 // lastTasksWait is how long State waits for the end of a job whose unfinished tasks are all
 // running.
 const lastTasksWait = 60 * time.Millisecond
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -107,6 +107,7 @@
 
 // commitOnce writes one transaction and runs the callbacks that wait for it.
 func (s *Scheduler) commitOnce(ctx context.Context) error {
+	confirmations := s.takeConfirmations()
 	batch, puts, deletes := s.takeDirty()
 	started := time.Now()
 	if err := s.term.Commit(ctx, puts, deletes); err != nil {
@@ -123,6 +124,9 @@
 	for _, w := range batch {
 		s.markSaved(w)
 	}
+	for _, confirmed := range confirmations {
+		close(confirmed)
+	}
 	for _, w := range s.workers {
 		w.advancePersisted()
 	}
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -86,16 +86,6 @@
 
 func (m *Metrics) admission(outcome string) { m.admissions.Add(outcome, 1) }
 
-// unknownJob counts a call about a job that the owner does not have, and whether it could tell that no
-// other owner has it.
-func (m *Metrics) unknownJob(call jobCall, confirmed bool) {
-	name := string(call)
-	if !confirmed {
-		name += "_unconfirmed"
-	}
-	m.unknownJobs.Add(name, 1)
-}
-
 func (m *Metrics) commit(took time.Duration, jobs int) {
 	m.commitTimes.Record(took)
 	m.commitJobs.Add(int64(jobs))
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -131,7 +131,9 @@
 	// endedIncarnations holds ended incarnations that discovery still lists.
 	endedIncarnations map[fleet.Incarnation]bool
 	dirty             []*job // changed since they were last written
-	queues            map[string]workload.Queue
+	// confirmations are closed once a transaction that starts after their insertion is applied.
+	confirmations []chan struct{}
+	queues        map[string]workload.Queue
 	// directory lists the accounts of the current configuration; accounts holds the
 	// state of those with jobs in this shard.
 	directory account.Directory
