scheduler: a job cancelled before its submission does not run

A node retries a submission for up to 1.3 s. If its caller gave up and cancelled the job through another node meanwhile, the cancellation was answered with 410 and the job was accepted afterwards: it ran although its caller had been told that there is no such job.

The owner now stores the cancellation of a job that the account does not have, before it answers 410, and rejects a submission that arrives later. Its transaction also confirms the owner's term. Other accounts' jobs with the same ID are not affected.

It now requires that the submission is rejected and the job stays unknown, where it had accepted any answer to the submission and required the state `cancelled`: a job that was never accepted has no state. TestQuotasRandomOrder cancelled jobs that it submitted later; it now cancels only submitted ones, as the former have become rejections.

--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -42,7 +42,7 @@
 	s.mu.Lock()
 	j := s.jobs[id]
 	if j == nil {
-		if err := s.admit(record); err != nil {
+		if err := s.admit(id, record); err != nil {
 			s.mu.Unlock()
 			s.logRefused(id, record, err)
 			return err
@@ -101,13 +101,16 @@
 }
 
 // admit returns an error if a new job must be rejected. The lock is held.
-func (s *Scheduler) admit(record workload.Record) error {
+func (s *Scheduler) admit(id string, record workload.Record) error {
 	if err := s.termOver(); err != nil {
 		return err
 	}
 	if s.storeIsDown() {
 		return &RejectedError{(&StoreDownError{}).Error(), defaultRetryAfter}
 	}
+	if s.jobs[earlyCancellationID(id, record.Account.Name)] != nil {
+		return &RejectedError{"job " + id + " was cancelled before its submission", defaultRetryAfter}
+	}
 	a := s.accountOf(record.Account)
 	if err := checkQuota(record.Request, a.terms); err != nil {
 		a.rejectedJobs++
@@ -184,13 +187,13 @@
 	return !since.IsZero() && time.Since(since) > storeDownAfter
 }
 
-// Cancel cancels a job of an account and returns once the cancellation is in the store.
+// Cancel cancels a job of an account and returns once the cancellation is in the store. It returns
+// UnknownJobError if the account has no such job, in which case no later submission of that job is accepted.
 func (s *Scheduler) Cancel(ctx context.Context, account, id string) error {
 	s.mu.Lock()
 	j := s.jobs[id]
 	if j == nil || !j.belongsTo(account) {
-		s.mu.Unlock()
-		return s.denyCancellation(ctx, id)
+		return s.cancelEarly(ctx, account, id)
 	}
 	if !j.state.Final() {
 		s.finish(j, workload.Cancelled, "cancelled by its caller")
--- a/scheduler/quota_test.go
+++ b/scheduler/quota_test.go
@@ -205,7 +205,7 @@
 	time.Sleep(500 * time.Millisecond)
 	jobs := map[string]string{} // account by job
 	for i := range 14 {
-		c.applyRandomQuotaEvent(a, random, names)
+		c.applyRandomQuotaEvent(a, random, names, i)
 		name, id := names[random.IntN(len(names))], fmt.Sprintf("job-%d", i)
 		queue := c.queue
 		queue.Priority = random.IntN(3)
@@ -248,9 +248,9 @@
 	return request
 }
 
-// applyRandomQuotaEvent changes a quota or a worker, replaces the owner, cancels a job, or sets or
-// clears a fault.
-func (c *cell) applyRandomQuotaEvent(a *accountCell, random *rand.Rand, names []string) {
+// applyRandomQuotaEvent changes a quota or a worker, replaces the owner, cancels one of the submitted jobs, or
+// sets or clears a fault.
+func (c *cell) applyRandomQuotaEvent(a *accountCell, random *rand.Rand, names []string, submitted int) {
 	worker := fmt.Sprintf("w-%02d", random.IntN(6))
 	switch random.IntN(10) {
 	case 0, 1:
@@ -268,7 +268,10 @@
 	case 6:
 		c.fleet.SetFault(nil)
 	case 7:
-		id := fmt.Sprintf("job-%d", random.IntN(14))
+		if submitted == 0 {
+			return
+		}
+		id := fmt.Sprintf("job-%d", random.IntN(submitted))
 		for _, name := range names {
 			a.owner.Scheduler.Cancel(c.ctx, name, id) // no effect if the job is another account's or final
 		}
--- a/scheduler/unknown_job.go
+++ b/scheduler/unknown_job.go
@@ -1,20 +1,54 @@
 package scheduler
 
-import "context"
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"chutereach/account"
+	"chutereach/workload"
+)
 
 // An owner keeps all jobs of the shard in memory, but may have been replaced without noticing. It answers
 // that a job is unknown only after a transaction that started later than the call: the transaction fails if
 // another node has taken the shard, which may have accepted the job.
 
-// denyCancellation returns UnknownJobError once this owner's term is confirmed.
-func (s *Scheduler) denyCancellation(ctx context.Context, id string) error {
-	if err := s.confirmTerm(ctx); err != nil {
+// cancelEarly records the cancellation of a job that an account does not have, so that no submission of it that
+// arrives later is accepted, and returns UnknownJobError once that is in the store. It releases the lock.
+//
+// The cancellation is stored like a final job, under an ID that no job has.
+func (s *Scheduler) cancelEarly(ctx context.Context, accountName, id string) error {
+	if err := s.termOver(); err != nil {
+		s.mu.Unlock()
+		return err
+	}
+	name := earlyCancellationID(id, accountName)
+	j := s.jobs[name]
+	if j == nil {
+		terms := account.Terms{Name: accountName}
+		j = &job{
+			id: name, record: workload.Record{Account: terms}, account: s.accountOf(terms),
+			state: workload.Cancelled, finalAt: time.Now().UnixMilli(),
+		}
+		s.jobs[name] = j
+		s.markDirty(j)
+	}
+	if err := s.awaitSaved(ctx, j); err != nil {
 		return err
 	}
 	s.recordUnknownJob(callCancel, id)
 	return &UnknownJobError{id}
 }
 
+// earlyCancellationID returns the ID under which the cancellation of an unknown job is stored. The account is
+// hashed because the store limits the length of row names, but not that of accounts.
+func earlyCancellationID(id, accountName string) string {
+	hash := fnv.New64a()
+	hash.Write([]byte(accountName))
+	return fmt.Sprintf("%s/%016x", id, hash.Sum64())
+}
+
 // confirmTerm waits for a transaction that starts after the call. Its success proves that this node owned the
 // shard at the time of the call.
 func (s *Scheduler) confirmTerm(ctx context.Context) error {
--- a/scheduler/unknown_job_test.go
+++ b/scheduler/unknown_job_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"chutereach/account"
 	"chutereach/rowstore/memory"
 	"chutereach/scheduler"
 	"chutereach/workload"
@@ -78,15 +79,29 @@
 				_, err := o.State(c.ctx, "job")
 				wantError[*scheduler.UnknownJobError](t, "state before the submission", err)
 				o = next(c, o)
-				c.submit(o, "job", newRequest(1, 1000), succeedAfter(time.Second)) // may be accepted, as the job is final
+				err = c.submit(o, "job", newRequest(1, 1000), succeedAfter(time.Second))
+				wantError[*scheduler.RejectedError](t, "submission after the cancellation", err)
 				time.Sleep(3 * time.Second)
 				if c.fleet.JobStarted("job") {
 					t.Error("a task of the cancelled job has started")
 				}
-				if state, err := o.State(c.ctx, "job"); state != workload.Cancelled {
-					t.Errorf("state %q (%v), want %q", state, err, workload.Cancelled)
-				}
+				_, err = o.State(c.ctx, "job")
+				wantError[*scheduler.UnknownJobError](t, "state after the submission", err)
 			})
 		})
 	}
 }
+
+// A cancellation that arrives before the submission of its job must not affect another account's job with
+// the same ID.
+func TestCancelBeforeSubmissionOfAnotherAccount(t *testing.T) {
+	withCell(t, 2, func(c *cell) {
+		a := c.withAccounts(account.Terms{Name: "a", Weight: 1}, account.Terms{Name: "b", Weight: 1})
+		time.Sleep(time.Second)
+		wantError[*scheduler.UnknownJobError](t, "cancellation by account b", a.owner.Scheduler.Cancel(c.ctx, "b", "job"))
+		a.replaceOwner()
+		a.mustSubmit("a", "job", c.queue, newRequest(1, 1000), time.Second)
+		wantError[*scheduler.UnknownJobError](t, "second cancellation by account b", a.owner.Scheduler.Cancel(c.ctx, "b", "job"))
+		a.awaitState("a", "job", workload.Completed, 5*time.Second)
+	})
+}
