scheduler: a replaced owner does not count pending jobs from its memory

GET PREFIX promises a count that is at most 2 s old. An owner that was replaced without noticing, for example while the store did not answer it, counted the jobs in its memory for as long as nodes asked it, without those that its successor had accepted.

If its last transaction is older than 1.5 s, the owner now confirms its term by another one first, and otherwise fails the call. TestReplacedOwnerDoesNotCountPendingJobs fails without that (0 pending, no error).

--- a/node/serve.go
+++ b/node/serve.go
@@ -70,9 +70,9 @@
 
 // Pending returns the number of a queue's jobs of which no task has started.
 func (n *Node) Pending(ctx context.Context, caller routing.Caller, queue string) (count int, err error) {
-	err = n.serve(ctx, queue, func(_ context.Context, own *scheduler.Scheduler) error {
-		count = own.Pending(queue)
-		return nil
+	err = n.serve(ctx, queue, func(ctx context.Context, own *scheduler.Scheduler) error {
+		count, err = own.Pending(ctx, queue)
+		return err
 	}, func(ctx context.Context, address string, _ time.Duration) error {
 		count, err = peer.Call[int](ctx, n.client, address, pendingPath, pendingRequest{queue, caller})
 		return err
@@ -223,9 +223,9 @@
 }
 
 func (n *Node) answerPending(ctx context.Context, call pendingRequest) (count int, err error) {
-	err = n.serveAsOwner(ctx, call.Caller, 0, func(_ context.Context, own *scheduler.Scheduler) error {
-		count = own.Pending(call.Queue)
-		return nil
+	err = n.serveAsOwner(ctx, call.Caller, 0, func(ctx context.Context, own *scheduler.Scheduler) error {
+		count, err = own.Pending(ctx, call.Queue)
+		return err
 	})
 	return count, err
 }
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -265,7 +265,12 @@
 
 // Pending returns the number of a queue's stored jobs of which no task has started. Jobs with
 // due times of their own are not counted.
-func (s *Scheduler) Pending(queue string) int {
+func (s *Scheduler) Pending(ctx context.Context, queue string) (int, error) {
+	if s.term.SinceLastCommit() > maxPendingAge {
+		if err := s.confirmTerm(ctx); err != nil {
+			return 0, err
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	count := 0
@@ -274,5 +279,9 @@
 			count++
 		}
 	}
-	return count
+	return count, nil
 }
+
+// maxPendingAge is how long after its last transaction an owner counts pending jobs without confirming its
+// term. Callers are promised a count that is at most 2 s old.
+const maxPendingAge = 1500 * time.Millisecond
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -188,11 +188,11 @@
 			}
 		}
 		time.Sleep(500 * time.Millisecond)
-		if got := o.Pending("diagnostics"); got != 2 {
-			t.Errorf("%d pending, want 2", got)
+		if got, err := o.Pending(c.ctx, "diagnostics"); got != 2 || err != nil {
+			t.Errorf("%d pending, %v; want 2, nil", got, err)
 		}
-		if got := o.Pending("others"); got != 0 {
-			t.Errorf("%d pending in another queue, want 0", got)
+		if got, err := o.Pending(c.ctx, "others"); got != 0 || err != nil {
+			t.Errorf("%d pending in another queue, %v; want 0, nil", got, err)
 		}
 	})
 }
--- a/scheduler/unknown_job_test.go
+++ b/scheduler/unknown_job_test.go
@@ -105,3 +105,26 @@
 		a.awaitState("a", "job", workload.Completed, 5*time.Second)
 	})
 }
+
+// A replaced owner must not go on counting pending jobs from its memory: it lacks those that its successor
+// has accepted.
+func TestReplacedOwnerDoesNotCountPendingJobs(t *testing.T) {
+	withCell(t, 1, func(c *cell) {
+		former := c.startOwner()
+		time.Sleep(time.Second)
+		former.caller.SetFault(func(bool) memory.Fault { return memory.Fault{DropRequest: true} })
+		successor := c.startOwner()
+		for _, id := range []string{"running", "waiting"} {
+			if err := c.submit(successor, id, newRequest(1, 16_000), succeedAfter(time.Minute)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		if got, err := former.Pending(c.ctx, c.queue.Name); err == nil {
+			t.Errorf("former owner: %d pending, want an error: the count is over 2 s old", got)
+		}
+		if got, err := successor.Pending(c.ctx, c.queue.Name); got != 1 || err != nil {
+			t.Errorf("successor: %d pending, %v; want 1, nil", got, err)
+		}
+	})
+}
