--- /dev/null
+++ b/hall/stop_test.go
@@ -0,0 +1,81 @@
+package hall
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chutereach/job"
+	"chutereach/standin"
+)
+
+// A stop that is answered with JobNotFoundError must not be followed by a start: its caller takes the job as gone.
+func TestStopIsNotDeniedWhileJobIsStored(t *testing.T) {
+	t.Run("job is in the inbox", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestBench(t, 1)
+			defer b.close()
+			u := b.startOwner()
+			time.Sleep(3500 * time.Millisecond)
+			checkStopNotDenied(t, b, u, b.submit("again", 2))
+		})
+	})
+	t.Run("unit is loading", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestBench(t, 1)
+			defer b.close()
+			first := b.startOwner()
+			time.Sleep(3 * time.Second)
+			id := b.submit("again", 6) // of which four fit the worker at once
+			time.Sleep(3 * time.Second)
+			b.crash(first)
+			b.table.Faults.Always(standin.Fault{Delay: 100 * time.Millisecond})
+			next := b.newOwner()
+			b.table.Faults.Clear()
+			go next.Run()
+			checkStopNotDenied(t, b, next, id)
+		})
+	})
+}
+
+// checkStopNotDenied stops a job and fails the test if the job is denied but its tasks run.
+func checkStopNotDenied(t *testing.T, b *testBench, u *Unit, id job.ID) {
+	t.Helper()
+	err := u.StopJob(id)
+	time.Sleep(5 * time.Second)
+	if running := b.fleet.Witness.Running(); errors.As(err, new(*JobNotFoundError)) && running > 0 {
+		t.Errorf("StopJob: %v, but %d tasks are running 5 s later", err, running)
+	}
+}
+
+// A stop that is answered without an error must be stored: the next owner must not go on with the job.
+func TestAnsweredStopSurvivesOwner(t *testing.T) {
+	losses := map[string]func(*testBench, *Unit){
+		"owner replaced before the stop":        func(b *testBench, _ *Unit) { b.newOwner() },
+		"owner ends before the stop is written": func(*testBench, *Unit) {},
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestBench(t, 1)
+				defer func() { b.fleet.Close() }()
+				u := b.startOwner()
+				time.Sleep(3 * time.Second)
+				id := b.submit("again", 6)
+				time.Sleep(3 * time.Second)
+				lose(b, u)
+				err := u.StopJob(id)
+				b.crash(u)
+				time.Sleep(testOwnershipTTL)
+				next := b.startOwner()
+				time.Sleep(5 * time.Second)
+				if s, _ := next.Job(id); err == nil && !s.Job.Stopped {
+					t.Errorf("the stop was answered without an error, but the next owner goes on with the job: %s", b.taskCounts(next, id))
+				}
+				u.Stop()
+				next.Stop()
+			})
+		})
+	}
+}
--- /dev/null
+++ b/scheduler/replaced_owner_test.go
@@ -0,0 +1,68 @@
+package scheduler_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"chutereach/account"
+	"chutereach/rowstore/memory"
+	"chutereach/scheduler"
+)
+
+// Guards against a false rejection: a submission that is answered with a RejectedError or a QuotaError must not run,
+// but the successor of the owner that rejects it may have accepted the job from an earlier try of its caller.
+func TestReplacedOwnerDoesNotRejectAcceptedJobs(t *testing.T) {
+	t.Run("store refuses calls", func(t *testing.T) {
+		withCell(t, 2, func(c *cell) {
+			former := c.startOwner()
+			time.Sleep(time.Second)
+			former.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Reject: true} })
+			time.Sleep(1500 * time.Millisecond)
+			successor := c.startOwner()
+			request := newRequest(1, 1000)
+			if err := c.submit(successor, "job", request, succeedAfter(time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			wantNoRejection(t, c.submit(former, "job", request, succeedAfter(time.Second)))
+		})
+	})
+	t.Run("quota raised", func(t *testing.T) {
+		withCell(t, 2, func(c *cell) {
+			a := c.withAccounts(account.Terms{Name: "a", Weight: 1, Quota: cpuQuota(1000)})
+			former := a.owner
+			time.Sleep(time.Second)
+			a.owner = c.startOwner()
+			a.setTerms(account.Terms{Name: "a", Weight: 1, Quota: cpuQuota(8000)})
+			request := newGangRequest(2, 1000)
+			a.mustSubmit("a", "job", c.queue, request, time.Second)
+			a.owner = former
+			wantNoRejection(t, a.submit("a", "job", c.queue, request, time.Second))
+		})
+	})
+	t.Run("cancellation not stored", func(t *testing.T) {
+		withCell(t, 2, func(c *cell) {
+			former := c.startOwner()
+			time.Sleep(time.Second)
+			holdCommits(c, former)
+			successor := c.startOwner()
+			request := newRequest(1, 1000)
+			if err := c.submit(successor, "job", request, succeedAfter(time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			go former.Cancel(c.ctx, "job")
+			time.Sleep(50 * time.Millisecond)
+			wantNoRejection(t, c.submit(former, "job", request, succeedAfter(time.Second)))
+		})
+	})
+}
+
+// wantNoRejection fails the test if a submission is answered as one that will not run.
+func wantNoRejection(t *testing.T, err error) {
+	t.Helper()
+	var rejected *scheduler.RejectedError
+	var overQuota *scheduler.QuotaError
+	if errors.As(err, &rejected) || errors.As(err, &overQuota) {
+		t.Errorf("former owner: %v, want no rejection: its successor has accepted the job", err)
+	}
+}
