node: an owner that the store no longer names ends its term

An owner that the store turned away handed the shard over, and the successor failed after it had written the owner's row and before any node heard of it. The former owner went on saying that it was the owner, so no node looked at the row; its further handovers were refused, as the row named another node. No job was accepted for 60 s.

A successor that refuses a handover because the store names another owner proves that this owner was replaced, so it now ends its term.

--- a/node/handover.go
+++ b/node/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sort"
 	"time"
 
@@ -88,7 +89,8 @@
 }
 
 // transferTo holds the owner's transactions while a successor takes the shard. It reports
-// whether this node no longer owns it.
+// whether this node no longer owns it. It ends the term as well if the successor finds that the store names
+// another owner: the answer to an earlier handover was lost, and that owner may be gone by now.
 func (n *Node) transferTo(ctx context.Context, own *scheduler.Scheduler, successor Member, h handover) bool {
 	holdLimit := holdTimeout
 	if !own.Term().FailingSince().IsZero() {
@@ -105,10 +107,17 @@
 		Bool("machine_slow", n.speed.slow()).Err(err).Msg("handing the shard over")
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if err == nil && n.scheduler == own && n.cancelTerm != nil {
+	replaced := err == nil || isNotOwner(err)
+	if replaced && n.scheduler == own && n.cancelTerm != nil {
 		n.cancelTerm()
 	}
-	return err == nil || n.scheduler != own
+	return replaced || n.scheduler != own
+}
+
+// isNotOwner reports whether a peer has answered with NotOwnerError.
+func isNotOwner(err error) bool {
+	var failure *peer.Failure
+	return errors.As(err, &failure) && failure.Code == codeNotOwner
 }
 
 // answerTakeover takes the shard from its owner, or for a probe reports whether it could. It
