rowstore: a response that the history is lost does not confirm the rows

When the store had forgotten its history, its answer counted as a confirmation that the table of routes in force was the newest, for 2.5 s, although all rows had to be read again. Calls of new routes and keys were answered with 404 and 401 meanwhile. Follow no longer reports such a response to OnResponse.

--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -38,7 +38,8 @@
 
 // FollowOptions holds the callbacks and options of Follow. All fields are optional.
 type FollowOptions struct {
-	// OnResponse is called after each complete response has been processed.
+	// OnResponse is called after each complete response has been processed, unless it says that the history is
+	// lost.
 	OnResponse func()
 	// OnError is called after each failed call.
 	OnError func(*FollowError)
@@ -135,10 +136,10 @@
 		if updated {
 			changed(f.rows)
 		}
-		if f.rows != nil {
+		if f.rows != nil { // else the history is lost, and all rows are read next
 			options.notifySynced(f.version, asOf)
+			options.notifyResponse(table, received)
 		}
-		options.notifyResponse(table, received)
 		if updated {
 			wait.For(ctx, minUpdateInterval-time.Since(start))
 		}
