scheduler: a repeated cancellation of an unknown job is kept as long as the first

A cancellation that arrived before its job's submission was stored once. If it was repeated shortly before that row expired, it was answered from the row, and a submission was accepted seconds later. Each cancellation now renews the row, and is answered once that is in the store.

--- a/scheduler/unknown_job.go
+++ b/scheduler/unknown_job.go
@@ -27,14 +27,14 @@
 	j := s.jobs[name]
 	if j == nil {
 		terms := account.Terms{Name: accountName}
-		j = &job{
-			id: name, record: workload.Record{Account: terms}, account: s.accountOf(terms),
-			state: workload.Cancelled, finalAt: time.Now().UnixMilli(),
-		}
+		j = &job{id: name, record: workload.Record{Account: terms}, account: s.accountOf(terms), state: workload.Cancelled}
 		s.jobs[name] = j
-		s.markDirty(j)
 	}
-	if err := s.awaitSaved(ctx, j); err != nil {
+	j.finalAt, j.expired = time.Now().UnixMilli(), false // a repeated cancellation is kept as long as the first one
+	s.markDirty(j)
+	saved := make(chan struct{})
+	j.onSaved(func() { close(saved) })
+	if err := s.awaitCommit(ctx, saved, func() error { return nil }); err != nil {
 		return err
 	}
 	s.recordUnknownJob(callCancel, id)
