scheduler: a replaced owner does not reject jobs that its successor has accepted

A submission is answered with 503 or 429 only if the job will not run. A replaced owner answered so from its memory, by an old quota or by an early cancellation that was never stored, to the repeated submission of a job that its successor had accepted. Such a rejection now waits for a transaction that starts later, like the denial of a job.

TestReplacedOwnerDoesNotRejectAcceptedJobs failed in three cases; two pass.

--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -44,8 +44,7 @@
 	if j == nil {
 		if err := s.admit(id, record); err != nil {
 			s.mu.Unlock()
-			s.logRefused(id, record, err)
-			return err
+			return s.confirmRejection(ctx, id, record, err)
 		}
 		j = newJob(id, record, s.accountOf(record.Account), time.Now())
 		j.countAgainstWeight()
