scheduler: a cancellation with a key covers a submission without one

A job that was submitted without an account may be cancelled by callers of any account. A cancellation with a key that arrived before such a submission did not keep the job from running, because early cancellations are stored by account. A submission without an account is now rejected after an early cancellation by any account.

--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -107,7 +107,7 @@
 	if s.storeIsDown() {
 		return &RejectedError{(&StoreDownError{}).Error(), defaultRetryAfter}
 	}
-	if s.jobs[earlyCancellationID(id, record.Account.Name)] != nil {
+	if s.cancelledEarly(id, record.Account.Name) {
 		return &RejectedError{"job " + id + " was cancelled before its submission", defaultRetryAfter}
 	}
 	a := s.accountOf(record.Account)
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -108,10 +108,10 @@
 	if j == nil {
 		if p.State.Final() {
 			terms := account.Terms{Name: p.Account}
-			s.jobs[id] = &job{
+			s.addFinal(&job{
 				id: id, record: workload.Record{Account: terms}, account: s.accountOf(terms), state: p.State, savedState: p.State, started: p.Started, finalAt: p.FinalAt,
 				generation: max(1, p.Generation), saved: max(1, p.Generation),
-			}
+			})
 		}
 		return
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -122,10 +122,12 @@
 	log          zerolog.Logger
 	metrics      *Metrics
 
-	mu      sync.Mutex
-	jobs    map[string]*job // all jobs whose state is retained, by ID
-	active  map[string]*job // jobs that are not final, by ID
-	workers map[fleet.Incarnation]*worker
+	mu   sync.Mutex
+	jobs map[string]*job // all jobs whose state is retained, by ID
+	// earlyCancellations counts the early cancellations of each job, which are in jobs as well.
+	earlyCancellations map[string]int
+	active      map[string]*job // jobs that are not final, by ID
+	workers     map[fleet.Incarnation]*worker
 	// identities tracks the successive incarnations of each worker ID.
 	identities map[string]*identity
 	// endedIncarnations holds ended incarnations that discovery still lists.
@@ -175,7 +177,7 @@
 		shard: config.Shard, load: config.Load, lateness: config.lateness, gate: newEvacuationGate(config), lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, term: term, log: log.With().Uint64("token", term.Token()).Logger(), metrics: metrics,
 		commitInterval: commitIntervalFor(config.PartitionWrites), times: config.workerTimes(), remoteFactor: config.remoteFactor(),
-		jobs: map[string]*job{}, active: map[string]*job{}, workers: map[fleet.Incarnation]*worker{},
+		jobs: map[string]*job{}, earlyCancellations: map[string]int{}, active: map[string]*job{}, workers: map[fleet.Incarnation]*worker{},
 		identities: map[string]*identity{}, endedIncarnations: map[fleet.Incarnation]bool{}, maxLease: max(config.Lease, config.LongestLease),
 		queues: map[string]workload.Queue{}, accounts: map[string]*accountState{}, demands: map[string]headroom.Demand{},
 		stoppingStrays: map[string]bool{}, bundles: map[string]*bundle{}, eligibleShares: map[string]float64{}, sizeOrder: newSizeOrder(), fleetSpeed: 1,
@@ -320,7 +322,7 @@
 	s.expireIdentities(now)
 	for id, j := range s.jobs {
 		if j.expired && j.saved >= j.generation {
-			delete(s.jobs, id)
+			s.removeFinal(id)
 			continue
 		}
 		if j.state.Final() && j.saved >= j.generation {
--- a/scheduler/unknown_job.go
+++ b/scheduler/unknown_job.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"strings"
 	"time"
 
 	"chutereach/account"
@@ -29,7 +30,7 @@
 	if j == nil {
 		terms := account.Terms{Name: accountName}
 		j = &job{id: name, record: workload.Record{Account: terms}, account: s.accountOf(terms), state: workload.Cancelled}
-		s.jobs[name] = j
+		s.addFinal(j)
 	}
 	j.finalAt, j.expired = time.Now().UnixMilli(), false // a repeated cancellation is kept as long as the first one
 	s.markDirty(j)
@@ -42,12 +43,45 @@
 	return &UnknownJobError{id}
 }
 
+// earlyCancellationSeparator separates the ID of a job from the account in the ID of an early cancellation. No
+// job ID contains it.
+const earlyCancellationSeparator = "/"
+
 // earlyCancellationID returns the ID under which the cancellation of an unknown job is stored. The account is
 // hashed because the store limits the length of row names, but not that of accounts.
 func earlyCancellationID(id, accountName string) string {
 	hash := fnv.New64a()
 	hash.Write([]byte(accountName))
-	return fmt.Sprintf("%s/%016x", id, hash.Sum64())
+	return fmt.Sprintf("%s%s%016x", id, earlyCancellationSeparator, hash.Sum64())
+}
+
+// cancelledEarly reports whether a caller that may cancel the job has done so before its submission. A job
+// without an account may be cancelled by callers of all accounts. The lock is held.
+func (s *Scheduler) cancelledEarly(id, accountName string) bool {
+	if accountName == "" {
+		return s.earlyCancellations[id] > 0
+	}
+	return s.jobs[earlyCancellationID(id, accountName)] != nil
+}
+
+// addFinal adds a final job without tasks, or an early cancellation. The lock is held.
+func (s *Scheduler) addFinal(j *job) {
+	s.jobs[j.id] = j
+	if id, _, early := strings.Cut(j.id, earlyCancellationSeparator); early {
+		s.earlyCancellations[id]++
+	}
+}
+
+// removeFinal removes an expired job or early cancellation. The lock is held.
+func (s *Scheduler) removeFinal(name string) {
+	delete(s.jobs, name)
+	id, _, early := strings.Cut(name, earlyCancellationSeparator)
+	if !early {
+		return
+	}
+	if s.earlyCancellations[id]--; s.earlyCancellations[id] <= 0 {
+		delete(s.earlyCancellations, id)
+	}
 }
 
 // confirmTerm waits for a transaction that starts after the call. Its success proves that this node owned the
