scheduler: a job whose rows cannot be decoded is not denied, accepted or run again

An owner that could not decode a job's record, as one of a later version, left the job out and answered that there is no such job, or accepted it anew. With an undecodable progress row it ran the job from its start, or revived a cancelled one.

TestUndecodableJobIsNotDenied failed for the record; it now also covers the progress row and a repeated submission, and passes.

--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -104,6 +104,9 @@
 	if err := s.termOver(); err != nil {
 		return err
 	}
+	if err := s.undecodable[id]; err != nil {
+		return &UnconfirmedError{err}
+	}
 	if s.storeIsDown() {
 		return &RejectedError{(&StoreDownError{}).Error(), defaultRetryAfter}
 	}
@@ -213,6 +216,9 @@
 	if state, known := s.storedState(ctx, account, id); known {
 		return state, nil
 	}
+	if err := s.undecodable[id]; err != nil { // written by Load only
+		return "", &UnconfirmedError{err}
+	}
 	s.recordUnknownJob(callState, id)
 	return "", &UnknownJobError{id}
 }
--- a/scheduler/early_cancellation_test.go
+++ b/scheduler/early_cancellation_test.go
@@ -1,7 +1,6 @@
 package scheduler_test
 
 import (
-	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -44,22 +43,35 @@
 	})
 }
 
-// Guards against the denial of a job whose stored record this owner cannot decode, as that of a later version: it may
-// be running, and a later owner may read the record.
+// Guards against the denial of a job with a stored row that this owner cannot decode, as one of a later version: it
+// may be running, and a later owner may read the row. Nor may it run from its start again.
 func TestUndecodableJobIsNotDenied(t *testing.T) {
-	withCell(t, 2, func(c *cell) {
-		key := rowstore.Key{Table: "jobs", Partition: testShard, Name: "job"}
-		if _, err := c.store.Commit(c.ctx, rowstore.Transaction{Puts: []rowstore.Put{{Key: key, Value: []byte("x")}}}); err != nil {
-			t.Fatal(err)
-		}
-		o := c.startOwner()
-		time.Sleep(time.Second)
-		for _, err := range []error{o.Cancel(c.ctx, "job"), stateError(c, o)} {
-			if isUnknownJob(err) {
-				t.Errorf("%v, want no such answer: the store has a record of the job", err)
-			}
-		}
-	})
+	for _, table := range []string{"jobs", "progress"} {
+		t.Run(table, func(t *testing.T) {
+			withCell(t, 2, func(c *cell) {
+				o := c.startOwner()
+				time.Sleep(time.Second)
+				if err := c.submit(o, "job", newRequest(1, 1000), succeedAfter(200*time.Millisecond)); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				o.kill()
+				key := rowstore.Key{Table: table, Partition: testShard, Name: "job"}
+				if _, err := c.store.Commit(c.ctx, rowstore.Transaction{Puts: []rowstore.Put{{Key: key, Value: []byte("x")}}}); err != nil {
+					t.Fatal(err)
+				}
+				o = c.startOwner()
+				time.Sleep(time.Second)
+				submitted := c.submit(o, "job", newRequest(1, 1000), succeedAfter(time.Second))
+				for _, err := range []error{o.Cancel(c.ctx, "job"), stateError(c, o), submitted} {
+					wantError[*scheduler.UnconfirmedError](t, "call about a job that cannot be decoded", err)
+				}
+				if got := c.fleet.Starts(); got != 1 {
+					t.Errorf("%d attempts started, want 1", got)
+				}
+			})
+		})
+	}
 }
 
 func stateError(c *cell, o *owner) error {
@@ -67,11 +79,6 @@
 	return err
 }
 
-func isUnknownJob(err error) bool {
-	var unknown *scheduler.UnknownJobError
-	return errors.As(err, &unknown)
-}
-
 // Guards against early cancellations that are lost when so many are stored at once that they are written in bundles.
 func TestCancelsBeforeSubmissionsInBundles(t *testing.T) {
 	withCell(t, 2, func(c *cell) {
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -45,30 +45,34 @@
 	for _, row := range records {
 		record, err := workload.DecodeRecord(row.Name, row.Value)
 		if err != nil {
-			s.log.Error().Str("job", row.Name).Err(err).Msg("cannot decode job record; skipping job")
+			s.skipUndecodable(row.Name, err)
 			continue
 		}
 		s.restoreRecord(row.Name, record, now).inserted = true
 	}
 	for id, entry := range latest {
-		if entry.Record != nil && s.jobs[id] == nil {
+		if entry.Record != nil && s.jobs[id] == nil && s.undecodable[id] == nil {
 			s.restoreRecord(id, *entry.Record, now)
 		}
 	}
 	for _, row := range progress {
 		p, err := workload.DecodeProgress(row.Name, row.Value)
 		if err != nil {
-			s.log.Error().Str("job", row.Name).Err(err).Msg("cannot decode job progress; skipping row")
+			s.skipUndecodable(row.Name, err)
 			continue
 		}
 		if entry, ok := latest[row.Name]; ok && entry.Progress.Generation > p.Generation {
 			continue
 		}
 		delete(latest, row.Name)
-		s.restoreProgress(row.Name, p)
+		if s.undecodable[row.Name] == nil {
+			s.restoreProgress(row.Name, p)
+		}
 	}
 	for id, entry := range latest {
-		s.restoreProgress(id, entry.Progress)
+		if s.undecodable[id] == nil {
+			s.restoreProgress(id, entry.Progress)
+		}
 	}
 	s.restoreBundles(latest, bundles)
 	s.countArrivals()
@@ -77,6 +81,15 @@
 	return nil
 }
 
+// skipUndecodable leaves out a job with a row that cannot be decoded, as one of a later version. The job is
+// neither run, which could repeat tasks that are done, nor denied.
+func (s *Scheduler) skipUndecodable(id string, err error) {
+	s.log.Error().Str("job", id).Err(err).Msg("cannot decode a row of the job; skipping job")
+	s.undecodable[id] = err
+	delete(s.jobs, id)
+	delete(s.active, id)
+}
+
 func (s *Scheduler) restoreRecord(id string, record workload.Record, now time.Time) *job {
 	j := newJob(id, record, s.accountOf(record.Account), now)
 	j.generation, j.saved = 1, 1
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -126,8 +126,9 @@
 	jobs map[string]*job // all jobs whose state is retained, by ID
 	// earlyCancellations counts the early cancellations of each job, which are in jobs as well.
 	earlyCancellations map[string]int
-	active      map[string]*job // jobs that are not final, by ID
-	workers     map[fleet.Incarnation]*worker
+	undecodable        map[string]error // why the stored rows of some jobs cannot be decoded, by ID
+	active             map[string]*job  // jobs that are not final, by ID
+	workers            map[fleet.Incarnation]*worker
 	// identities tracks the successive incarnations of each worker ID.
 	identities map[string]*identity
 	// endedIncarnations holds ended incarnations that discovery still lists.
@@ -177,7 +178,7 @@
 		shard: config.Shard, load: config.Load, lateness: config.lateness, gate: newEvacuationGate(config), lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, term: term, log: log.With().Uint64("token", term.Token()).Logger(), metrics: metrics,
 		commitInterval: commitIntervalFor(config.PartitionWrites), times: config.workerTimes(), remoteFactor: config.remoteFactor(),
-		jobs: map[string]*job{}, earlyCancellations: map[string]int{}, active: map[string]*job{}, workers: map[fleet.Incarnation]*worker{},
+		jobs: map[string]*job{}, earlyCancellations: map[string]int{}, undecodable: map[string]error{}, active: map[string]*job{}, workers: map[fleet.Incarnation]*worker{},
 		identities: map[string]*identity{}, endedIncarnations: map[fleet.Incarnation]bool{}, maxLease: max(config.Lease, config.LongestLease),
 		queues: map[string]workload.Queue{}, accounts: map[string]*accountState{}, demands: map[string]headroom.Demand{},
 		stoppingStrays: map[string]bool{}, bundles: map[string]*bundle{}, eligibleShares: map[string]float64{}, sizeOrder: newSizeOrder(), fleetSpeed: 1,
--- a/scheduler/unknown_job.go
+++ b/scheduler/unknown_job.go
@@ -25,6 +25,10 @@
 		s.mu.Unlock()
 		return err
 	}
+	if err := s.undecodable[id]; err != nil {
+		s.mu.Unlock()
+		return &UnconfirmedError{err}
+	}
 	name := earlyCancellationID(id, accountName)
 	j := s.jobs[name]
 	if j == nil {
@@ -102,8 +106,11 @@
 // confirmed, as another owner may have accepted the job from an earlier try of its caller. While the store is
 // down no owner can confirm its term; submissions are then rejected at once.
 func (s *Scheduler) confirmRejection(ctx context.Context, id string, record workload.Record, rejection error) error {
-	var deposed *DeposedError
-	if errors.As(rejection, &deposed) {
+	var (
+		deposed     *DeposedError
+		unconfirmed *UnconfirmedError
+	)
+	if errors.As(rejection, &deposed) || errors.As(rejection, &unconfirmed) {
 		return rejection
 	}
 	if !s.storeIsDown() {
