--- a/scheduler/quota_test.go
+++ b/scheduler/quota_test.go
@@ -204,16 +204,20 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	jobs := map[string]string{} // account by job
+	early := map[earlyCancel]bool{}
 	for i := range 14 {
-		c.applyRandomQuotaEvent(a, random, names, i)
+		c.applyRandomQuotaEvent(a, random, names, i, early)
 		name, id := names[random.IntN(len(names))], fmt.Sprintf("job-%d", i)
 		queue := c.queue
 		queue.Priority = random.IntN(3)
 		err := a.submit(name, id, queue, randomRequest(random), time.Duration(200+random.IntN(1500))*time.Millisecond)
 		var over *scheduler.QuotaError
-		if err == nil {
+		switch {
+		case early[earlyCancel{name, id}]:
+			wantError[*scheduler.RejectedError](c.t, "submission of "+id+" after its cancellation", err)
+		case err == nil:
 			jobs[id] = name
-		} else if !errors.As(err, &over) {
+		case !errors.As(err, &over):
 			c.t.Errorf("job %s: %v", id, err)
 		}
 		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
@@ -248,9 +252,21 @@
 	return request
 }
 
-// applyRandomQuotaEvent changes a quota or a worker, replaces the owner, cancels one of the submitted jobs, or
-// sets or clears a fault.
-func (c *cell) applyRandomQuotaEvent(a *accountCell, random *rand.Rand, names []string, submitted int) {
+// earlyCancel is the cancellation of a job by an account before the submission of the job.
+type earlyCancel struct{ account, job string }
+
+// cancelEarly cancels a job that is not submitted yet, and records in early that this was answered.
+func (c *cell) cancelEarly(a *accountCell, name, id string, early map[earlyCancel]bool) {
+	var unknown *scheduler.UnknownJobError
+	if err := a.owner.Scheduler.Cancel(c.ctx, name, id); !errors.As(err, &unknown) {
+		c.t.Errorf("cancellation of %s before its submission: %v", id, err)
+	}
+	early[earlyCancel{name, id}] = true
+}
+
+// applyRandomQuotaEvent changes a quota or a worker, replaces the owner, cancels a job, or sets or clears a
+// fault. Jobs from the number submitted on are not submitted yet.
+func (c *cell) applyRandomQuotaEvent(a *accountCell, random *rand.Rand, names []string, submitted int, early map[earlyCancel]bool) {
 	worker := fmt.Sprintf("w-%02d", random.IntN(6))
 	switch random.IntN(10) {
 	case 0, 1:
@@ -268,12 +284,13 @@
 	case 6:
 		c.fleet.SetFault(nil)
 	case 7:
-		if submitted == 0 {
+		number := random.IntN(14)
+		if number >= submitted {
+			c.cancelEarly(a, names[random.IntN(len(names))], fmt.Sprintf("job-%d", number), early)
 			return
 		}
-		id := fmt.Sprintf("job-%d", random.IntN(submitted))
 		for _, name := range names {
-			a.owner.Scheduler.Cancel(c.ctx, name, id) // no effect if the job is another account's or final
+			a.owner.Scheduler.Cancel(c.ctx, name, fmt.Sprintf("job-%d", number)) // no effect if the job is another account's or final
 		}
 	case 8:
 		a.owner.caller.SetFault(func(bool) memory.Fault { return memory.Fault{Delay: 200 * time.Millisecond} })
