scheduler: no count of pending jobs after the term

Between the end of a term and the end of its last goroutine, an owner still counted the pending jobs in its memory, as it did for jobs before.

--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -278,6 +278,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.termOver(); err != nil {
+		return 0, err
+	}
 	count := 0
 	for _, j := range s.active {
 		if j.record.Queue.Name == queue && !j.started && !j.record.Request.Scheduled() && j.saved > 0 {
--- a/scheduler/unknown_job_test.go
+++ b/scheduler/unknown_job_test.go
@@ -126,5 +126,9 @@
 		if got, err := successor.Pending(c.ctx, c.queue.Name); got != 1 || err != nil {
 			t.Errorf("successor: %d pending, %v; want 1, nil", got, err)
 		}
+		successor.kill()
+		if got, err := successor.Pending(c.ctx, c.queue.Name); err == nil {
+			t.Errorf("successor after its term: %d pending, want an error", got)
+		}
 	})
 }
