--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -120,6 +120,7 @@
 	client       fleet.Client
 	term         *leadership.Term
 	log          zerolog.Logger
+	sampledLog   zerolog.Logger // for calls about unknown jobs
 	metrics      *Metrics
 
 	mu   sync.Mutex
@@ -174,9 +175,10 @@
 
 // New returns a Scheduler for a term. The caller must call Load and then Run.
 func New(config Config, store rowstore.Store, client fleet.Client, term *leadership.Term, metrics *Metrics, log zerolog.Logger) *Scheduler {
+	log = log.With().Uint64("token", term.Token()).Logger()
 	return &Scheduler{
 		shard: config.Shard, load: config.Load, lateness: config.lateness, gate: newEvacuationGate(config), lease: config.Lease, keepFinal: config.KeepFinal,
-		store: store, client: client, term: term, log: log.With().Uint64("token", term.Token()).Logger(), metrics: metrics,
+		store: store, client: client, term: term, log: log, sampledLog: log.Sample(&zerolog.BurstSampler{Burst: unknownJobLogBurst, Period: time.Second}), metrics: metrics,
 		commitInterval: commitIntervalFor(config.PartitionWrites), times: config.workerTimes(), remoteFactor: config.remoteFactor(),
 		jobs: map[string]*job{}, earlyCancellations: map[string]int{}, undecodable: map[string]error{}, active: map[string]*job{}, workers: map[fleet.Incarnation]*worker{},
 		identities: map[string]*identity{}, endedIncarnations: map[fleet.Incarnation]bool{}, maxLease: max(config.Lease, config.LongestLease),
--- a/scheduler/unknown_job.go
+++ b/scheduler/unknown_job.go
@@ -162,8 +162,12 @@
 	callState  jobCall = "state"
 )
 
+// unknownJobLogBurst is the maximum number of log lines per second for unknown jobs, as a caller may repeat such
+// calls indefinitely.
+const unknownJobLogBurst = 50
+
 // recordUnknownJob logs and counts a call that is answered with UnknownJobError.
 func (s *Scheduler) recordUnknownJob(call jobCall, id string) {
 	s.metrics.unknownJobs.Add(string(call), 1)
-	s.log.Info().Str("job", id).Str("call", string(call)).Msg("job is unknown")
+	s.sampledLog.Info().Str("job", id).Str("call", string(call)).Msg("job is unknown")
 }
