hall, cell: a job accepted between two reads of the table is found

A GET of a job whose owner does not answer, and a DELETE, which starts with the same read, could get 404 for a stored job. The job's row was read before the inbox row: a job that its unit accepted between the two reads was in neither result, although it was stored all the time.

The inbox is now read first. Jobs move only from the inbox to the unit, in one transaction, so the second read finds a job that moved in between. The accepted row still takes precedence over an inbox row, which may be the duplicate of a retried submission.

--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -53,16 +53,10 @@
 // tasks are running, so they are reported as waiting.
 func (c *Cell) jobFromTable(ctx context.Context, id job.ID) (hall.JobStatus, error) {
 	table := c.Sender.Table()
-	row, err := table.Get(ctx, job.Key(id))
-	if err == nil && !row.Exists() {
-		row, err = table.Get(ctx, job.InboxKey(id))
-	}
+	row, err := hall.ReadJobRow(ctx, table, id)
 	if err != nil {
 		return hall.JobStatus{}, err
 	}
-	if !row.Exists() {
-		return hall.JobStatus{}, &hall.JobNotFoundError{ID: id}
-	}
 	j, err := job.Decode(row.Value)
 	if err != nil {
 		return hall.JobStatus{}, err
--- a/hall/inbox.go
+++ b/hall/inbox.go
@@ -1,6 +1,7 @@
 package hall
 
 import (
+	"context"
 	"time"
 
 	"chutereach/job"
@@ -95,6 +96,28 @@
 	u.writeRows(change{writes: []rowWrite{{key: row.Key, version: row.Version, remove: true}}})
 }
 
+// ReadJobRow reads the row of a job from the table: that of the accepted job, or else
+// that in the inbox. It returns a JobNotFoundError if there is neither.
+//
+// The inbox is read first. Jobs move only from the inbox to the unit, so a job that
+// moves between the two reads is found by the second one.
+func ReadJobRow(ctx context.Context, table provider.Table, id job.ID) (provider.Row, error) {
+	submitted, err := table.Get(ctx, job.InboxKey(id))
+	if err != nil {
+		return provider.Row{}, err
+	}
+	accepted, err := table.Get(ctx, job.Key(id))
+	switch {
+	case err != nil:
+		return provider.Row{}, err
+	case accepted.Exists():
+		return accepted, nil
+	case submitted.Exists():
+		return submitted, nil
+	}
+	return provider.Row{}, &JobNotFoundError{id}
+}
+
 // maxPurgedRows is the number of rows after which purge leaves the rest to its next
 // run.
 const maxPurgedRows = 200
