hall, cell, api: stops and settlements are answered once they are stored

Callers saw a DELETE of a job answered with 200 although the job ran on: the owner answered as soon as the commit of the stop was scheduled. If it had been replaced, or ended before the commit, the stop was lost and the next owner went on with the job. Settlements had the same fault.

StopJob and Settle now wait for their commit, which requires the owner's row of the unit, and take the context of the call. If the call or the unit ends first, they return UnconfirmedError, which callers get as 502 "unknown": the change may be stored, and may be repeated. A job counts as stopped only after the commit, so that a status shows no stop that may still be lost; until then it gets no grants.

TestAnsweredSettlementSurvivesOwner is new: on the code before, both cases fail ("to the next owner the tasks are unknown:1").

Tests pass a context to both calls. TestRandomOperations settles in goroutines, since a settlement now blocks while the table is down.

--- a/api/errors.go
+++ b/api/errors.go
@@ -96,6 +96,7 @@
 	{isType[*route.NotRunError], http.StatusServiceUnavailable, CodeNotRun},
 	{isType[*route.UnknownError], http.StatusBadGateway, CodeUnknown},
 	{isType[*commit.NotAppliedError], http.StatusServiceUnavailable, CodeNotRun},
+	{isType[*hall.UnconfirmedError], http.StatusBadGateway, CodeUnknown},
 	{isType[*commit.UnknownOutcomeError], http.StatusBadGateway, CodeUnknown},
 	{isType[*cell.NoOwnerError], http.StatusServiceUnavailable, CodeUnavailable},
 	{isType[*peer.UnreachableError], http.StatusServiceUnavailable, CodeUnavailable},
@@ -104,6 +105,12 @@
 	{provider.NotApplied, http.StatusServiceUnavailable, CodeUnavailable},
 }
 
+// failureMappings maps the codes of failures of other boxes.
+var failureMappings = map[peer.Code]errorMapping{
+	cell.CodeNoJob:       {status: http.StatusNotFound, code: CodeNotFound},
+	cell.CodeUnconfirmed: {status: http.StatusBadGateway, code: CodeUnknown},
+}
+
 func mappingOf(err error) errorMapping {
 	for _, k := range errorMappings {
 		if k.matches(err) {
@@ -111,8 +118,10 @@
 		}
 	}
 	var f *peer.Failure
-	if errors.As(err, &f) && f.Code == cell.CodeNoJob {
-		return errorMapping{status: http.StatusNotFound, code: CodeNotFound}
+	if errors.As(err, &f) {
+		if k, known := failureMappings[f.Code]; known {
+			return k
+		}
 	}
 	return errorMapping{status: http.StatusInternalServerError, code: CodeInternal}
 }
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -122,11 +122,28 @@
 // Unwrap lets errors.As find the hall.JobNotFoundError in results of local calls.
 func (e codedNotFoundError) Unwrap() error { return e.JobNotFoundError }
 
-// withCode adds the wire code to a hall.JobNotFoundError and returns other errors unchanged.
+// CodeUnconfirmed is the wire code of a hall.UnconfirmedError in calls between boxes.
+const CodeUnconfirmed peer.Code = "unconfirmed"
+
+// codedUnconfirmedError is a hall.UnconfirmedError with a wire code.
+type codedUnconfirmedError struct{ *hall.UnconfirmedError }
+
+func (codedUnconfirmedError) Code() peer.Code { return CodeUnconfirmed }
+
+// Unwrap lets errors.As find the hall.UnconfirmedError in results of local calls.
+func (e codedUnconfirmedError) Unwrap() error { return e.UnconfirmedError }
+
+// withCode adds the wire code to an error of a hall.Unit that has one, and returns other errors unchanged.
 func withCode(err error) error {
-	var notFound *hall.JobNotFoundError
-	if errors.As(err, &notFound) {
+	var (
+		notFound    *hall.JobNotFoundError
+		unconfirmed *hall.UnconfirmedError
+	)
+	switch {
+	case errors.As(err, &notFound):
 		return codedNotFoundError{notFound}
+	case errors.As(err, &unconfirmed):
+		return codedUnconfirmedError{unconfirmed}
 	}
 	return err
 }
--- a/cell/jobs.go
+++ b/cell/jobs.go
@@ -119,18 +119,18 @@
 	return all, nil
 }
 
-// Stop stops all tasks of a job.
+// Stop stops all tasks of a job. It returns nil once the stop is stored.
 func (c *Cell) Stop(ctx context.Context, id job.ID) error {
 	_, err := callOwner(ctx, c, id.Unit(), pathStop, id, c.localStop)
 	return err
 }
 
-func (c *Cell) localStop(_ context.Context, id job.ID) (empty, error) {
+func (c *Cell) localStop(ctx context.Context, id job.ID) (empty, error) {
 	u := c.Units.Unit(id.Unit())
 	if u == nil {
 		return empty{}, &NoOwnerError{id.Unit()}
 	}
-	return empty{}, withCode(u.StopJob(id))
+	return empty{}, withCode(u.StopJob(ctx, id))
 }
 
 // Settlement is an operator's decision on the state of a task whose state is unknown.
@@ -140,18 +140,19 @@
 	State job.State `json:"state" cbor:"3,keyasint"`
 }
 
-// Settle sets the state of a task whose state is unknown, as decided by an operator.
+// Settle sets the state of a task whose state is unknown, as decided by an operator. It
+// returns nil once the state is stored.
 func (c *Cell) Settle(ctx context.Context, s Settlement) error {
 	_, err := callOwner(ctx, c, s.Job.Unit(), pathSettle, s, c.localSettle)
 	return err
 }
 
-func (c *Cell) localSettle(_ context.Context, s Settlement) (empty, error) {
+func (c *Cell) localSettle(ctx context.Context, s Settlement) (empty, error) {
 	u := c.Units.Unit(s.Job.Unit())
 	if u == nil {
 		return empty{}, &NoOwnerError{s.Job.Unit()}
 	}
-	return empty{}, withCode(u.Settle(s.Job, s.Task, s.State))
+	return empty{}, withCode(u.Settle(ctx, s.Job, s.Task, s.State))
 }
 
 // Workers returns all workers, sorted by name, and the names of the boxes that did not
--- a/hall/decide.go
+++ b/hall/decide.go
@@ -61,6 +61,9 @@
 
 // placeNext tries to place the next waiting task of a job. The caller holds u.mu.
 func (u *Unit) placeNext(j *jobState, unplaceable map[placementKey]bool) queue.Outcome {
+	if j.stopStored != nil {
+		return queue.Skipped // the commit of its stop is pending
+	}
 	u.Stats.Decisions++
 	key := placementKey{j.job.Template.Name, j.job.Revision, j.job.Template.Need}
 	if unplaceable[key] || u.overQuota(j) {
--- a/hall/load.go
+++ b/hall/load.go
@@ -136,6 +136,10 @@
 		all[i] = taskState{job: s, task: job.NewTask(j, i), waitingSince: j.Created}
 		s.tasks[i] = &all[i]
 	}
+	if j.Stopped {
+		s.stopStored = make(chan struct{})
+		close(s.stopStored)
+	}
 	u.jobs[j.ID] = s
 	return s
 }
--- a/hall/operate.go
+++ b/hall/operate.go
@@ -1,6 +1,8 @@
 package hall
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -13,29 +15,87 @@
 
 func (e *JobNotFoundError) Error() string { return fmt.Sprintf("there is no job %q", string(e.ID)) }
 
-// StopJob stops a job: its waiting tasks are not started and its running tasks are
-// stopped. It returns as soon as the commit of the request is scheduled, and does
-// nothing if the job has been stopped before.
-func (u *Unit) StopJob(id job.ID) error {
+// UnconfirmedError reports a change of a job that may or may not be stored, because the
+// unit or the call ended before the outcome of its commit was known.
+type UnconfirmedError struct {
+	Job   job.ID
+	Cause error
+}
+
+func (e *UnconfirmedError) Error() string {
+	return fmt.Sprintf("it is unknown whether the change of job %q has been stored: %v", string(e.Job), e.Cause)
+}
+
+func (e *UnconfirmedError) Unwrap() error { return e.Cause }
+
+// errUnitEnded is the cause of an UnconfirmedError if the unit ended first.
+var errUnitEnded = errors.New("this box no longer runs the unit")
+
+// await waits until c is closed. It returns an error if ctx or the unit ends first.
+func (u *Unit) await(ctx context.Context, c <-chan struct{}) error {
+	select {
+	case <-c:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-u.done:
+		return errUnitEnded
+	}
+}
+
+// changeJob calls change with a job, and waits until the commit that it schedules has
+// closed the channel that it returns. Until then the change is lost if another box has
+// taken over the unit, so no caller may be told that it was made. change is called with
+// u.mu held.
+func (u *Unit) changeJob(ctx context.Context, id job.ID, change func(*jobState) (stored <-chan struct{}, err error)) error {
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	j := u.jobs[id]
 	if j == nil || j.version == 0 {
+		u.mu.Unlock()
 		return &JobNotFoundError{id}
 	}
-	if j.job.Stopped {
-		return nil
+	stored, err := change(j)
+	u.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := u.await(ctx, stored); err != nil {
+		return &UnconfirmedError{id, err}
+	}
+	return nil
+}
+
+// StopJob stops a job: its waiting tasks are not started and its running tasks are
+// stopped. It returns nil once the stop is stored, at once if it was stored before.
+func (u *Unit) StopJob(ctx context.Context, id job.ID) error {
+	return u.changeJob(ctx, id, func(j *jobState) (<-chan struct{}, error) {
+		return u.requestStop(j), nil
+	})
+}
+
+// requestStop schedules the commit of a job's stop, unless that has been done, and
+// returns a channel that is closed after the commit. The caller holds u.mu.
+func (u *Unit) requestStop(j *jobState) (stored <-chan struct{}) {
+	if j.stopStored == nil {
+		j.stopStored = make(chan struct{})
+		u.writeStop(j)
 	}
-	j.job = j.job.WithStopped()
+	return j.stopStored
+}
+
+// writeStop schedules the commit of a job's stop. The job counts as stopped only after
+// the commit, so that nothing shows a stop that may still be lost. The caller holds u.mu.
+func (u *Unit) writeStop(j *jobState) {
+	next := j.job.WithStopped()
 	u.writeRows(change{
-		writes: []rowWrite{{key: j.job.Key(), version: j.version, value: j.job.Encode()}},
+		writes: []rowWrite{{key: next.Key(), version: j.version, value: next.Encode()}},
 		onCommit: func(version uint64) {
-			j.version = version
+			j.job, j.version = next, version
 			u.stopJobTasks(j)
-			u.recordEvent(timeline.Event{Kind: timeline.JobStopped, Job: string(id), Account: j.job.Account})
+			u.recordEvent(timeline.Event{Kind: timeline.JobStopped, Job: string(next.ID), Account: next.Account})
+			close(j.stopStored)
 		},
 	})
-	return nil
 }
 
 // stopJobTasks makes the waiting tasks of a stopped job final and schedules the
@@ -54,26 +114,32 @@
 }
 
 // Settle sets the outcome of a task in state unknown, as determined by an operator.
-// It returns as soon as the commit is scheduled.
-func (u *Unit) Settle(id job.ID, task int, s job.State) error {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	j := u.jobs[id]
-	if j == nil || task < 0 || task >= len(j.tasks) {
-		return &JobNotFoundError{id}
-	}
-	t := j.tasks[task]
+// It returns nil once the outcome is stored.
+func (u *Unit) Settle(ctx context.Context, id job.ID, task int, s job.State) error {
+	return u.changeJob(ctx, id, func(j *jobState) (<-chan struct{}, error) {
+		if task < 0 || task >= len(j.tasks) {
+			return nil, &JobNotFoundError{id}
+		}
+		return u.settleTask(j.tasks[task], s)
+	})
+}
+
+// settleTask schedules the commit of a task's outcome and returns a channel that is
+// closed after the commit. The caller holds u.mu.
+func (u *Unit) settleTask(t *taskState, s job.State) (stored <-chan struct{}, err error) {
 	next, err := t.task.WithSettled(s, time.Now())
 	if err != nil {
-		return err
+		return nil, err
 	}
+	committed := make(chan struct{})
 	u.writeRows(change{
 		writes: []rowWrite{{key: next.Key(), version: t.version, value: next.Encode()}},
 		onCommit: func(version uint64) {
 			t.version = version
-			u.recordEvent(timeline.Event{Kind: timeline.TaskSettled, Job: string(id), Detail: string(s)})
+			u.recordEvent(timeline.Event{Kind: timeline.TaskSettled, Job: string(next.Job), Detail: string(s)})
 			u.releaseCommitted(t, next)
+			close(committed)
 		},
 	})
-	return nil
+	return committed, nil
 }
--- a/hall/planned.go
+++ b/hall/planned.go
@@ -29,7 +29,7 @@
 func (u *Unit) updateTemplate(j *jobState) {
 	rev := u.deps.Config()
 	t, known := rev.Set.Templates[j.job.Template.Name]
-	if j.job.Template.Form != config.FormService || !known || j.version == 0 || j.job.Stopped || sameReplicaSpec(t, j.job.Template) {
+	if j.job.Template.Form != config.FormService || !known || j.version == 0 || j.stopStored != nil || sameReplicaSpec(t, j.job.Template) {
 		return
 	}
 	next, err := j.job.WithTemplate(t, rev.Set.Policies[t.Policy].Scoring, rev.Set.Accounts[j.job.Account], rev.Number)
--- a/hall/planned_test.go
+++ b/hall/planned_test.go
@@ -152,14 +152,14 @@
 				if got := b.taskCounts(u, id); got != "unknown:1" {
 					t.Fatalf("tasks by state after the reboot: %s, want unknown:1", got)
 				}
-				if err := u.Settle(id, 0, tc.state); err != nil {
+				if err := u.Settle(t.Context(), id, 0, tc.state); err != nil {
 					t.Fatal(err)
 				}
 				time.Sleep(time.Minute)
 				if got := b.taskCounts(u, id); got != tc.want {
 					t.Errorf("tasks by state: %s, want %s", got, tc.want)
 				}
-				if err := u.Settle(id, 0, tc.state); err == nil {
+				if err := u.Settle(t.Context(), id, 0, tc.state); err == nil {
 					t.Error("settling a settled task succeeded, want an error")
 				}
 			})
@@ -175,7 +175,7 @@
 		u := b.startOwner()
 		id := b.submit("again", 10) // of which four fit the worker at once
 		time.Sleep(3 * time.Second)
-		if err := u.StopJob(id); err != nil {
+		if err := u.StopJob(t.Context(), id); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(10 * time.Second)
--- a/hall/step_test.go
+++ b/hall/step_test.go
@@ -199,7 +199,7 @@
 	{"table recovers", func(b *testBench, _ map[job.ID]string) { b.table.Faults.Clear() }},
 	{"operator settles tasks", func(b *testBench, ids map[job.ID]string) {
 		for id := range ids {
-			b.lastOwner().Settle(id, 0, job.Done)
+			go b.lastOwner().Settle(b.t.Context(), id, 0, job.Done) // returns only once the table can be written
 		}
 	}},
 	{"worker is drained", func(b *testBench, _ map[job.ID]string) {
--- a/hall/stop_test.go
+++ b/hall/stop_test.go
@@ -42,7 +42,7 @@
 // checkStopNotDenied stops a job and fails the test if the job is denied but its tasks run.
 func checkStopNotDenied(t *testing.T, b *testBench, u *Unit, id job.ID) {
 	t.Helper()
-	err := u.StopJob(id)
+	err := u.StopJob(t.Context(), id)
 	time.Sleep(5 * time.Second)
 	if running := b.fleet.Witness.Running(); errors.As(err, new(*JobNotFoundError)) && running > 0 {
 		t.Errorf("StopJob: %v, but %d tasks are running 5 s later", err, running)
@@ -65,7 +65,7 @@
 				id := b.submit("again", 6)
 				time.Sleep(3 * time.Second)
 				lose(b, u)
-				err := u.StopJob(id)
+				err := u.StopJob(t.Context(), id)
 				b.crash(u)
 				time.Sleep(testOwnershipTTL)
 				next := b.startOwner()
@@ -79,3 +79,36 @@
 		})
 	}
 }
+
+// A settlement that is answered without an error must be stored: to the next owner, the task must not be unknown.
+func TestAnsweredSettlementSurvivesOwner(t *testing.T) {
+	losses := map[string]func(*testBench, *Unit){
+		"owner replaced before the settlement":        func(b *testBench, _ *Unit) { b.newOwner() },
+		"owner ends before the settlement is written": func(*testBench, *Unit) {},
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestBench(t, 1)
+				defer func() { b.fleet.Close() }()
+				u := b.startOwner()
+				time.Sleep(3 * time.Second)
+				id := b.submit("once", 1)
+				time.Sleep(3 * time.Second)
+				b.fleet.Reboot("w00")
+				time.Sleep(time.Minute)
+				lose(b, u)
+				err := u.Settle(t.Context(), id, 0, job.Done)
+				b.crash(u)
+				time.Sleep(testOwnershipTTL)
+				next := b.startOwner()
+				time.Sleep(5 * time.Second)
+				if got := b.taskCounts(next, id); err == nil && got != "done:1" {
+					t.Errorf("the settlement was answered without an error, but to the next owner the tasks are %s", got)
+				}
+				u.Stop()
+				next.Stop()
+			})
+		})
+	}
+}
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -110,8 +110,9 @@
 	tasks            []*taskState
 	waiting          []int // indexes of the tasks to place, in order
 	queued           bool
-	templateUpdating bool // the commit of a template update is pending
-	finalTasks       int  // number of final tasks
+	templateUpdating bool          // the commit of a template update is pending
+	stopStored       chan struct{} // closed once the stop is stored; nil if none was requested
+	finalTasks       int           // number of final tasks
 	endedAt          time.Time
 	replicaCounts    map[string]int // granted replicas of a service by worker and by rack
 }
