hall: a stop is not lost to an uncommitted template update

The DELETE of a service was answered as done while the commit of a new template for it was pending, and its replicas ran on. Both changes were written with the same version of the job's row: in one transaction, the callback of the update replaced the stopped job in memory by one that is not; in two, the second conflicted and ended the unit.

A job's row now has one pending commit at a time. A stop that is requested meanwhile is written after that commit, with the version that it wrote and the job as it is then.

TestStopDuringTemplateUpdate is new. It passes now.

--- a/hall/inbox.go
+++ b/hall/inbox.go
@@ -70,14 +70,14 @@
 		return false
 	}
 	s := u.addJob(j, 0)
-	s.inboxVersion = row.Version
+	s.inboxVersion, s.rowPending = row.Version, true
 	u.writeRows(change{
 		writes: []rowWrite{
 			{key: j.Key(), value: row.Value},
 			{key: row.Key, version: row.Version, remove: true},
 		},
 		onCommit: func(version uint64) {
-			s.version = version
+			u.jobRowCommitted(s, version)
 			u.recordEvent(timeline.Event{Kind: timeline.JobAccepted, Job: string(j.ID), Account: j.Account})
 			u.enqueueWaitingTasks(s)
 		},
@@ -132,7 +132,7 @@
 		if n >= maxPurgedRows {
 			return
 		}
-		if j.finalTasks < len(j.tasks) || now.Sub(j.endedAt) < u.settings.JobRetention || j.version == 0 {
+		if j.finalTasks < len(j.tasks) || now.Sub(j.endedAt) < u.settings.JobRetention || j.rowPending {
 			continue
 		}
 		n += u.deleteJob(j)
--- a/hall/operate.go
+++ b/hall/operate.go
@@ -78,19 +78,34 @@
 func (u *Unit) requestStop(j *jobState) (stored <-chan struct{}) {
 	if j.stopStored == nil {
 		j.stopStored = make(chan struct{})
-		u.writeStop(j)
+		if !j.rowPending {
+			u.writeStop(j)
+		}
 	}
 	return j.stopStored
 }
 
+// jobRowCommitted stores the version of a job's row after its commit, and schedules the
+// commit of a stop that was requested meanwhile: the row has one pending commit at a
+// time, because each requires the version that the previous one wrote. The caller holds
+// u.mu.
+func (u *Unit) jobRowCommitted(j *jobState, version uint64) {
+	j.version, j.rowPending = version, false
+	if j.stopStored != nil && !j.job.Stopped {
+		u.writeStop(j)
+	}
+}
+
 // writeStop schedules the commit of a job's stop. The job counts as stopped only after
 // the commit, so that nothing shows a stop that may still be lost. The caller holds u.mu.
 func (u *Unit) writeStop(j *jobState) {
 	next := j.job.WithStopped()
+	j.rowPending = true
 	u.writeRows(change{
 		writes: []rowWrite{{key: next.Key(), version: j.version, value: next.Encode()}},
 		onCommit: func(version uint64) {
-			j.job, j.version = next, version
+			j.job = next
+			u.jobRowCommitted(j, version)
 			u.stopJobTasks(j)
 			u.recordEvent(timeline.Event{Kind: timeline.JobStopped, Job: string(next.ID), Account: next.Account})
 			close(j.stopStored)
--- a/hall/planned.go
+++ b/hall/planned.go
@@ -29,19 +29,19 @@
 func (u *Unit) updateTemplate(j *jobState) {
 	rev := u.deps.Config()
 	t, known := rev.Set.Templates[j.job.Template.Name]
-	if j.job.Template.Form != config.FormService || !known || j.version == 0 || j.stopStored != nil || sameReplicaSpec(t, j.job.Template) {
+	if j.job.Template.Form != config.FormService || !known || j.rowPending || j.stopStored != nil || sameReplicaSpec(t, j.job.Template) {
 		return
 	}
 	next, err := j.job.WithTemplate(t, rev.Set.Policies[t.Policy].Scoring, rev.Set.Accounts[j.job.Account], rev.Number)
-	if err != nil || j.templateUpdating {
-		// The account lacks a parameter of the new template, or an update is pending.
-		return
+	if err != nil {
+		return // the account lacks a parameter of the new template
 	}
-	j.templateUpdating = true
+	j.rowPending = true
 	u.writeRows(change{
 		writes: []rowWrite{{key: next.Key(), version: j.version, value: next.Encode()}},
 		onCommit: func(version uint64) {
-			j.job, j.version, j.templateUpdating = next, version, false
+			j.job = next
+			u.jobRowCommitted(j, version)
 			u.recordEvent(timeline.Event{Kind: timeline.JobChanged, Job: string(next.ID), Account: next.Account})
 			u.updateTemplate(j) // the template may have changed again meanwhile
 		},
--- a/hall/stop_test.go
+++ b/hall/stop_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"chutereach/config"
 	"chutereach/job"
 	"chutereach/standin"
 )
@@ -112,3 +114,32 @@
 		})
 	}
 }
+
+// A stop must not be lost to a template update whose commit is pending, nor end the unit by a conflict with it.
+func TestStopDuringTemplateUpdate(t *testing.T) {
+	for _, rows := range []int{DefaultSettings.BatchRows, 1} { // both changes in one transaction, or in two
+		t.Run(fmt.Sprintf("%d rows per transaction", rows), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestBench(t, 1)
+				defer b.close()
+				u := b.newOwner()
+				u.settings.BatchRows = rows
+				go u.Run()
+				id := b.submit("replica", 3)
+				time.Sleep(10 * time.Second)
+				b.table.Faults.Always(standin.Fault{Delay: 100 * time.Millisecond})
+				b.updateConfig(u, func(s *config.Set) { changeCommand(b, s) })
+				if err := u.StopJob(t.Context(), id); err != nil {
+					t.Errorf("StopJob: %v", err)
+				}
+				time.Sleep(time.Minute)
+				if got := b.taskCounts(u, id); got != "stopped:3" {
+					t.Errorf("tasks by state: %s, want stopped:3", got)
+				}
+				if n := b.fleet.Witness.Running(); n != 0 {
+					t.Errorf("%d tasks are running a minute after the job was stopped, want 0", n)
+				}
+			})
+		})
+	}
+}
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -104,17 +104,17 @@
 
 // jobState is a job with the state of its tasks.
 type jobState struct {
-	job              job.Job
-	version          uint64 // of the job's row
-	inboxVersion     uint64 // version of the last inbox row whose removal was scheduled
-	tasks            []*taskState
-	waiting          []int // indexes of the tasks to place, in order
-	queued           bool
-	templateUpdating bool          // the commit of a template update is pending
-	stopStored       chan struct{} // closed once the stop is stored; nil if none was requested
-	finalTasks       int           // number of final tasks
-	endedAt          time.Time
-	replicaCounts    map[string]int // granted replicas of a service by worker and by rack
+	job           job.Job
+	version       uint64 // of the job's row
+	inboxVersion  uint64 // version of the last inbox row whose removal was scheduled
+	tasks         []*taskState
+	waiting       []int // indexes of the tasks to place, in order
+	queued        bool
+	rowPending    bool          // a commit of the job's row is pending
+	stopStored    chan struct{} // closed once the stop is stored; nil if none was requested
+	finalTasks    int           // number of final tasks
+	endedAt       time.Time
+	replicaCounts map[string]int // granted replicas of a service by worker and by rack
 }
 
 // Class implements queue.Item.
