hall: a task that is settled twice at once is settled once

Two settlements of a task before the first one's commit were both answered as done, whatever states they named. Both wrote the task's row with the same version: in one transaction, the task was counted as final twice, so that a job with a task still unknown counted as ended; in two, the second conflicted and ended the unit.

A settlement now waits for one that is pending and judges the state that it leaves, as one that arrives later does.

TestSettleTwiceAtOnce is new. Before: "second answer: <nil>, want a SettleError", "done:1 unknown:1, job is final: true". It passes now.

--- a/hall/operate.go
+++ b/hall/operate.go
@@ -129,14 +129,25 @@
 }
 
 // Settle sets the outcome of a task in state unknown, as determined by an operator.
-// It returns nil once the outcome is stored.
+// It returns nil once the outcome is stored. If another settlement of the task is
+// pending, it waits for that one and judges the state that it leaves.
 func (u *Unit) Settle(ctx context.Context, id job.ID, task int, s job.State) error {
-	return u.changeJob(ctx, id, func(j *jobState) (<-chan struct{}, error) {
-		if task < 0 || task >= len(j.tasks) {
-			return nil, &JobNotFoundError{id}
+	for {
+		waited := false
+		err := u.changeJob(ctx, id, func(j *jobState) (<-chan struct{}, error) {
+			if task < 0 || task >= len(j.tasks) {
+				return nil, &JobNotFoundError{id}
+			}
+			if t := j.tasks[task]; t.settled != nil {
+				waited = true
+				return t.settled, nil
+			}
+			return u.settleTask(j.tasks[task], s)
+		})
+		if err != nil || !waited {
+			return err
 		}
-		return u.settleTask(j.tasks[task], s)
-	})
+	}
 }
 
 // settleTask schedules the commit of a task's outcome and returns a channel that is
@@ -147,10 +158,11 @@
 		return nil, err
 	}
 	committed := make(chan struct{})
+	t.settled = committed
 	u.writeRows(change{
 		writes: []rowWrite{{key: next.Key(), version: t.version, value: next.Encode()}},
 		onCommit: func(version uint64) {
-			t.version = version
+			t.version, t.settled = version, nil
 			u.recordEvent(timeline.Event{Kind: timeline.TaskSettled, Job: string(next.Job), Detail: string(s)})
 			u.releaseCommitted(t, next)
 			close(committed)
--- /dev/null
+++ b/hall/settle_test.go
@@ -0,0 +1,44 @@
+package hall
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chutereach/job"
+	"chutereach/standin"
+)
+
+// A task that is settled twice must take the first outcome, be counted once, and leave the unit running.
+func TestSettleTwiceAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBench(t, 1)
+		defer b.close()
+		u := b.startOwner()
+		id := b.submit("once", 2)
+		time.Sleep(3 * time.Second)
+		b.fleet.Reboot("w00")
+		time.Sleep(time.Minute)
+		b.table.Faults.Always(standin.Fault{Delay: 100 * time.Millisecond})
+		results := make(chan error, 2)
+		for range 2 {
+			go func() { results <- u.Settle(t.Context(), id, 0, job.Done) }()
+		}
+		first, second := <-results, <-results
+		if first != nil {
+			t.Errorf("first answer: %v", first)
+		}
+		if !errors.As(second, new(*job.SettleError)) {
+			t.Errorf("second answer: %v, want a SettleError", second)
+		}
+		s, _ := u.Job(id)
+		if got := b.taskCounts(u, id); got != "done:1 unknown:1" || s.Final() {
+			t.Errorf("tasks by state: %s, job is final: %t, want done:1 unknown:1 and a job that is not final", got, s.Final())
+		}
+		if err := u.ctx.Err(); err != nil {
+			t.Errorf("the unit has ended: %v", context.Cause(u.ctx))
+		}
+	})
+}
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -154,6 +154,8 @@
 	endpoint     string
 	waitingSince time.Time // start of the current wait, for the wait histograms
 	failedStarts int       // consecutive attempts that were not started
+
+	settled chan struct{} // closed after the pending commit of a settlement; nil if there is none
 }
 
 // commitPending reports whether the commit of the task's grant or release is pending.
