hall, cell, api: a stop or settlement is not denied while its job is stored

Callers saw a DELETE of a job that they had just submitted answered with 404, and the job ran later. An owner looked the job up in its memory only, which does not have it while the job is in the inbox, while the unit is loading, or if another box has taken over the unit and accepted the job.

StopJob and Settle now wait until the unit is loaded. A job that the unit does not hold is looked up in the table, inbox first: one in the inbox is accepted at once and then changed, and only one that the table does not have is denied. The reads prove the absence without regard to who owns the unit, since IDs are assigned when a job is stored. If the table cannot be read, or has a job that the unit does not hold, the answer is UnavailableError, which callers get as 503 with Retry-After.

New: TestSettlementIsNotDeniedWhileJobIsStored and TestStopIsNotDeniedWithoutTable, which failed before, and TestUnknownJobIsDenied, which did not.

go test -race ./hall ./cell ./box ./api: green. The tests of stops and settlements, 60 times with the race detector: green.

--- a/api/errors.go
+++ b/api/errors.go
@@ -99,6 +99,7 @@
 	{isType[*hall.UnconfirmedError], http.StatusBadGateway, CodeUnknown},
 	{isType[*commit.UnknownOutcomeError], http.StatusBadGateway, CodeUnknown},
 	{isType[*cell.NoOwnerError], http.StatusServiceUnavailable, CodeUnavailable},
+	{isType[*hall.UnavailableError], http.StatusServiceUnavailable, CodeUnavailable},
 	{isType[*peer.UnreachableError], http.StatusServiceUnavailable, CodeUnavailable},
 	{isType[*peer.NoResponseError], http.StatusBadGateway, CodeUnknown},
 	{isType[*provider.UnknownError], http.StatusBadGateway, CodeUnknown},
@@ -108,6 +109,7 @@
 // failureMappings maps the codes of failures of other boxes.
 var failureMappings = map[peer.Code]errorMapping{
 	cell.CodeNoJob:       {status: http.StatusNotFound, code: CodeNotFound},
+	cell.CodeUnavailable: {status: http.StatusServiceUnavailable, code: CodeUnavailable},
 	cell.CodeUnconfirmed: {status: http.StatusBadGateway, code: CodeUnknown},
 }
 
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -122,6 +122,17 @@
 // Unwrap lets errors.As find the hall.JobNotFoundError in results of local calls.
 func (e codedNotFoundError) Unwrap() error { return e.JobNotFoundError }
 
+// CodeUnavailable is the wire code of a hall.UnavailableError in calls between boxes.
+const CodeUnavailable peer.Code = "unavailable"
+
+// codedUnavailableError is a hall.UnavailableError with a wire code.
+type codedUnavailableError struct{ *hall.UnavailableError }
+
+func (codedUnavailableError) Code() peer.Code { return CodeUnavailable }
+
+// Unwrap lets errors.As find the hall.UnavailableError in results of local calls.
+func (e codedUnavailableError) Unwrap() error { return e.UnavailableError }
+
 // CodeUnconfirmed is the wire code of a hall.UnconfirmedError in calls between boxes.
 const CodeUnconfirmed peer.Code = "unconfirmed"
 
@@ -137,11 +148,14 @@
 func withCode(err error) error {
 	var (
 		notFound    *hall.JobNotFoundError
+		unavailable *hall.UnavailableError
 		unconfirmed *hall.UnconfirmedError
 	)
 	switch {
 	case errors.As(err, &notFound):
 		return codedNotFoundError{notFound}
+	case errors.As(err, &unavailable):
+		return codedUnavailableError{unavailable}
 	case errors.As(err, &unconfirmed):
 		return codedUnconfirmedError{unconfirmed}
 	}
--- a/hall/load.go
+++ b/hall/load.go
@@ -96,12 +96,21 @@
 	for _, j := range u.jobs {
 		u.enqueueWaitingTasks(j)
 	}
-	u.ready = true
+	close(u.loaded)
 	notify(u.placementSignal)
 	notify(u.inboxSignal)
 	return nil
 }
 
+func (u *Unit) isLoaded() bool {
+	select {
+	case <-u.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
 func (u *Unit) rebuildJobs(jobs, tasks []provider.Row) error {
 	for _, row := range jobs {
 		j, err := job.Decode(row.Value)
--- a/hall/operate.go
+++ b/hall/operate.go
@@ -15,6 +15,24 @@
 
 func (e *JobNotFoundError) Error() string { return fmt.Sprintf("there is no job %q", string(e.ID)) }
 
+// UnavailableError reports that a unit cannot change a job now: it is still loading, the
+// table cannot be read, or another box may have taken over the unit. The change has not
+// been made.
+type UnavailableError struct {
+	Unit  string
+	Cause error
+}
+
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("unit %s is unavailable; retry in a few seconds: %v", e.Unit, e.Cause)
+}
+
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// errNotHeld is the cause of an UnavailableError if the table has a job that the unit
+// does not: another box may own the unit, or the job is being removed.
+var errNotHeld = errors.New("it does not hold the job, but the table does")
+
 // UnconfirmedError reports a change of a job that may or may not be stored, because the
 // unit or the call ended before the outcome of its commit was known.
 type UnconfirmedError struct {
@@ -28,7 +46,7 @@
 
 func (e *UnconfirmedError) Unwrap() error { return e.Cause }
 
-// errUnitEnded is the cause of an UnconfirmedError if the unit ended first.
+// errUnitEnded is the cause of an error if the unit ended before the answer was known.
 var errUnitEnded = errors.New("this box no longer runs the unit")
 
 // await waits until c is closed. It returns an error if ctx or the unit ends first.
@@ -46,13 +64,19 @@
 // changeJob calls change with a job, and waits until the commit that it schedules has
 // closed the channel that it returns. Until then the change is lost if another box has
 // taken over the unit, so no caller may be told that it was made. change is called with
-// u.mu held.
+// u.mu held. A JobNotFoundError is returned only if the table does not have the job.
 func (u *Unit) changeJob(ctx context.Context, id job.ID, change func(*jobState) (stored <-chan struct{}, err error)) error {
+	if err := u.await(ctx, u.loaded); err != nil {
+		return &UnavailableError{u.assignment.Unit, err}
+	}
+	if err := u.acceptFromTable(ctx, id); err != nil {
+		return err
+	}
 	u.mu.Lock()
 	j := u.jobs[id]
-	if j == nil || j.version == 0 {
+	if j == nil {
 		u.mu.Unlock()
-		return &JobNotFoundError{id}
+		return &UnavailableError{u.assignment.Unit, errNotHeld}
 	}
 	stored, err := change(j)
 	u.mu.Unlock()
@@ -65,6 +89,32 @@
 	return nil
 }
 
+// acceptFromTable accepts a job that is in the inbox, if the unit does not hold it yet. It
+// returns a JobNotFoundError if the table does not have the job. That the unit does not hold
+// a job is no proof: the box may have lost the unit without having noticed.
+func (u *Unit) acceptFromTable(ctx context.Context, id job.ID) error {
+	if u.holds(id) {
+		return nil
+	}
+	row, err := ReadJobRow(ctx, u.deps.Sender.Table(), id)
+	var notFound *JobNotFoundError
+	switch {
+	case errors.As(err, &notFound):
+		return notFound
+	case err != nil:
+		return &UnavailableError{u.assignment.Unit, err}
+	case row.Key == job.InboxKey(id):
+		u.acceptRow(row)
+	}
+	return nil
+}
+
+func (u *Unit) holds(id job.ID) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.jobs[id] != nil
+}
+
 // StopJob stops a job: its waiting tasks are not started and its running tasks are
 // stopped. It returns nil once the stop is stored, at once if it was stored before.
 func (u *Unit) StopJob(ctx context.Context, id job.ID) error {
--- a/hall/report.go
+++ b/hall/report.go
@@ -46,7 +46,7 @@
 
 func (u *Unit) computeSummary() Summary {
 	s := Summary{
-		Unit: u.assignment.Unit, Epoch: u.assignment.Epoch, Ready: u.ready, Workers: len(u.workers), Capacity: u.capacity,
+		Unit: u.assignment.Unit, Epoch: u.assignment.Epoch, Ready: u.isLoaded(), Workers: len(u.workers), Capacity: u.capacity,
 		Jobs: len(u.jobs), Placed: u.Stats.Placed, Commits: u.Stats.Commits, Rows: u.Stats.Rows,
 		Waits: u.Stats.Waits.summary(),
 	}
--- a/hall/settle_test.go
+++ b/hall/settle_test.go
@@ -42,3 +42,40 @@
 		}
 	})
 }
+
+// A settlement must not be answered with JobNotFoundError while its job is stored.
+func TestSettlementIsNotDeniedWhileJobIsStored(t *testing.T) {
+	t.Run("job is in the inbox", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestBench(t, 1)
+			defer b.close()
+			u := b.startOwner()
+			time.Sleep(3500 * time.Millisecond)
+			err := u.Settle(t.Context(), b.submit("once", 1), 0, job.Done)
+			if !errors.As(err, new(*job.SettleError)) {
+				t.Errorf("Settle: %v, want a SettleError: the task is not unknown", err)
+			}
+		})
+	})
+	t.Run("unit is loading", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestBench(t, 1)
+			defer b.close()
+			first := b.startOwner()
+			id := b.submit("once", 1)
+			time.Sleep(3 * time.Second)
+			b.fleet.Reboot("w00")
+			time.Sleep(time.Minute)
+			b.crash(first)
+			b.table.Faults.Always(standin.Fault{Delay: 100 * time.Millisecond})
+			next := b.newOwner()
+			go next.Run()
+			if err := next.Settle(t.Context(), id, 0, job.Done); err != nil {
+				t.Errorf("Settle: %v", err)
+			}
+			if got := b.taskCounts(next, id); got != "done:1" {
+				t.Errorf("tasks by state: %s, want done:1", got)
+			}
+		})
+	})
+}
--- a/hall/stop_test.go
+++ b/hall/stop_test.go
@@ -9,6 +9,7 @@
 
 	"chutereach/config"
 	"chutereach/job"
+	"chutereach/provider"
 	"chutereach/standin"
 )
 
@@ -23,6 +24,19 @@
 			checkStopNotDenied(t, b, u, b.submit("again", 2))
 		})
 	})
+	t.Run("job is accepted by the next owner", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestBench(t, 1)
+			defer b.close()
+			replaced := b.startOwner()
+			next := b.startOwner()
+			time.Sleep(3500 * time.Millisecond)
+			id := b.submit("again", 2)
+			next.NotifyInbox()
+			time.Sleep(100 * time.Millisecond)
+			checkStopNotDenied(t, b, replaced, id)
+		})
+	})
 	t.Run("unit is loading", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			b := newTestBench(t, 1)
@@ -143,3 +157,30 @@
 		})
 	}
 }
+
+// A stop of a job that is not stored must be answered as such: callers take other errors as a reason to repeat the call.
+func TestUnknownJobIsDenied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBench(t, 1)
+		defer b.close()
+		u := b.startOwner()
+		if err := u.StopJob(t.Context(), job.NewID("h")); !errors.As(err, new(*JobNotFoundError)) {
+			t.Errorf("StopJob: %v, want a JobNotFoundError", err)
+		}
+	})
+}
+
+// A stop whose job cannot be looked up in the table must not be denied.
+func TestStopIsNotDeniedWithoutTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBench(t, 1)
+		defer b.close()
+		u := b.startOwner()
+		time.Sleep(3 * time.Second)
+		b.table.Faults.Always(standin.Fault{Refuse: standin.Down(provider.TableService)})
+		if err := u.StopJob(t.Context(), job.NewID("h")); !errors.As(err, new(*UnavailableError)) {
+			t.Errorf("StopJob: %v, want an UnavailableError", err)
+		}
+		b.table.Faults.Clear()
+	})
+}
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -75,12 +75,12 @@
 	flushSignal     chan struct{}
 	inboxSignal     chan struct{}
 	group           sync.WaitGroup // all goroutines that may send requests
+	loaded          chan struct{}  // closed once the unit is restored from the table
 	done            chan struct{}  // closed when no more requests will be sent
 	ctx             context.Context
 	cancel          context.CancelCauseFunc
 
 	mu                sync.Mutex
-	ready             bool
 	jobs              map[job.ID]*jobState
 	queue             *queue.Queue[*jobState]
 	workers           map[string]*workerState
@@ -211,7 +211,7 @@
 	u := &Unit{
 		assignment: h, settings: set, deps: deps, log: deps.Log.With().Str("unit", h.Unit).Logger(),
 		placementSignal: make(chan struct{}, 1), flushSignal: make(chan struct{}, 1), inboxSignal: make(chan struct{}, 1),
-		done: make(chan struct{}),
+		loaded: make(chan struct{}), done: make(chan struct{}),
 		jobs: map[job.ID]*jobState{}, workers: map[string]*workerState{},
 		queue: queue.New[*jobState](set.AgingPeriod), index: placement.NewIndex(),
 	}
