api: a unit without an owner is 503 also if another box says so

A stop or settlement that reached a box which no longer owns the unit was answered with 500 "internal" and without Retry-After, while the box that finds no owner itself answers 503: the code of the failure was not mapped. TestFailuresOfOtherBoxesKeepTheirStatus failed for no-owner ("from another box: 500 internal, from this box: 503 unavailable") and passes; it covers all codes of failures.

--- a/api/errors.go
+++ b/api/errors.go
@@ -109,6 +109,7 @@
 // failureMappings maps the codes of failures of other boxes.
 var failureMappings = map[peer.Code]errorMapping{
 	cell.CodeNoJob:       {status: http.StatusNotFound, code: CodeNotFound},
+	cell.CodeNoOwner:     {status: http.StatusServiceUnavailable, code: CodeUnavailable},
 	cell.CodeUnavailable: {status: http.StatusServiceUnavailable, code: CodeUnavailable},
 	cell.CodeUnconfirmed: {status: http.StatusBadGateway, code: CodeUnknown},
 }
