hall: no task of a job starts after its stop was answered

A worker got start calls for a job whose DELETE had been answered: calls to a worker are made one after the other, and those that waited behind a slow one were sent although the job had been stopped. The tasks were stopped only after the worker had reported them as running.

A start call is no longer made for a task of a stopped job; its grant is released, as the attempt cannot have started. A start call that has been sent before can still take effect until it expires.

TestNoStartAfterAnsweredStop is new.

--- a/hall/orders.go
+++ b/hall/orders.go
@@ -105,8 +105,8 @@
 }
 
 // newStartCall returns the start call of an attempt and whether to make it. An owner
-// whose ownership may have expired starts nothing; the task is then released, since
-// no call was made for the attempt.
+// whose ownership may have expired starts nothing, and tasks of stopped jobs are not
+// started; the task is then released, since no call was made for the attempt.
 func (u *Unit) newStartCall(w *workerState, attempt string) (provider.StartCall, bool) {
 	ownedUntil := u.deps.OwnedUntil()
 	u.mu.Lock()
@@ -115,6 +115,10 @@
 	if t == nil || t.phase != starting {
 		return provider.StartCall{}, false
 	}
+	if t.job.job.Stopped {
+		u.releaseNotStarted(t, "the job was stopped")
+		return provider.StartCall{}, false
+	}
 	now := time.Now()
 	if !now.Before(ownedUntil) {
 		u.releaseNotStarted(t, "the ownership of the unit may have expired")
--- a/hall/stop_test.go
+++ b/hall/stop_test.go
@@ -184,3 +184,34 @@
 		b.table.Faults.Clear()
 	})
 }
+
+// No task of a job may start after its stop was answered, even if its grant was committed before.
+func TestNoStartAfterAnsweredStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBench(t, 1)
+		defer b.close()
+		u := b.startOwner()
+		time.Sleep(3 * time.Second)
+		// The worker starts the first task at once, but the start calls of the others wait for its answer.
+		b.fleet.Faults.Set(func(op standin.Op, _ string) standin.Fault {
+			if op == standin.OpStart {
+				return standin.Fault{AnswerLate: time.Second}
+			}
+			return standin.Fault{}
+		})
+		id := b.submit("again", 4)
+		u.NotifyInbox()
+		time.Sleep(100 * time.Millisecond)
+		if err := u.StopJob(t.Context(), id); err != nil {
+			t.Fatal(err)
+		}
+		before := len(b.fleet.Witness.Starts())
+		time.Sleep(time.Minute)
+		if after := len(b.fleet.Witness.Starts()); before != 1 || after != before {
+			t.Errorf("tasks started: %d when the stop was answered and %d a minute later, want 1 and 1", before, after)
+		}
+		if got := b.taskCounts(u, id); got != "stopped:4" {
+			t.Errorf("tasks by state: %s, want stopped:4", got)
+		}
+	})
+}
