--- a/hall/load.go
+++ b/hall/load.go
@@ -96,12 +96,21 @@
 	for _, j := range u.jobs {
 		u.enqueueWaitingTasks(j)
 	}
-	u.ready = true
+	close(u.loaded)
 	notify(u.placementSignal)
 	notify(u.inboxSignal)
 	return nil
 }
 
+func (u *Unit) isLoaded() bool {
+	select {
+	case <-u.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
 func (u *Unit) rebuildJobs(jobs, tasks []provider.Row) error {
 	for _, row := range jobs {
 		j, err := job.Decode(row.Value)
@@ -136,6 +145,10 @@
 		all[i] = taskState{job: s, task: job.NewTask(j, i), waitingSince: j.Created}
 		s.tasks[i] = &all[i]
 	}
+	if j.Stopped {
+		s.stopStored = make(chan struct{})
+		close(s.stopStored)
+	}
 	u.jobs[j.ID] = s
 	return s
 }
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -75,12 +75,12 @@
 	flushSignal     chan struct{}
 	inboxSignal     chan struct{}
 	group           sync.WaitGroup // all goroutines that may send requests
+	loaded          chan struct{}  // closed once the unit is restored from the table
 	done            chan struct{}  // closed when no more requests will be sent
 	ctx             context.Context
 	cancel          context.CancelCauseFunc
 
 	mu                sync.Mutex
-	ready             bool
 	jobs              map[job.ID]*jobState
 	queue             *queue.Queue[*jobState]
 	workers           map[string]*workerState
@@ -104,16 +104,17 @@
 
 // jobState is a job with the state of its tasks.
 type jobState struct {
-	job              job.Job
-	version          uint64 // of the job's row
-	inboxVersion     uint64 // version of the last inbox row whose removal was scheduled
-	tasks            []*taskState
-	waiting          []int // indexes of the tasks to place, in order
-	queued           bool
-	templateUpdating bool // the commit of a template update is pending
-	finalTasks       int  // number of final tasks
-	endedAt          time.Time
-	replicaCounts    map[string]int // granted replicas of a service by worker and by rack
+	job           job.Job
+	version       uint64 // of the job's row
+	inboxVersion  uint64 // version of the last inbox row whose removal was scheduled
+	tasks         []*taskState
+	waiting       []int // indexes of the tasks to place, in order
+	queued        bool
+	rowPending    bool          // a commit of the job's row is pending
+	stopStored    chan struct{} // closed once the stop is stored; nil if none was requested
+	finalTasks    int           // number of final tasks
+	endedAt       time.Time
+	replicaCounts map[string]int // granted replicas of a service by worker and by rack
 }
 
 // Class implements queue.Item.
@@ -153,6 +154,8 @@
 	endpoint     string
 	waitingSince time.Time // start of the current wait, for the wait histograms
 	failedStarts int       // consecutive attempts that were not started
+
+	settled chan struct{} // closed after the pending commit of a settlement; nil if there is none
 }
 
 // commitPending reports whether the commit of the task's grant or release is pending.
@@ -208,7 +211,7 @@
 	u := &Unit{
 		assignment: h, settings: set, deps: deps, log: deps.Log.With().Str("unit", h.Unit).Logger(),
 		placementSignal: make(chan struct{}, 1), flushSignal: make(chan struct{}, 1), inboxSignal: make(chan struct{}, 1),
-		done: make(chan struct{}),
+		loaded: make(chan struct{}), done: make(chan struct{}),
 		jobs: map[job.ID]*jobState{}, workers: map[string]*workerState{},
 		queue: queue.New[*jobState](set.AgingPeriod), index: placement.NewIndex(),
 	}
