fleettest: exempt every late order that precedes the first call to an incarnation

A worker that has restarted under its ID executes late orders for its former incarnation until a call of the current owner raises its fencing token; no caller can prevent that, so attempts started in this way are not checked. The fleet recognized them by a token of 0, which holds for the first late order only: a second one was checked, and a task whose successful attempt elsewhere had been acknowledged counted as started again.

An incarnation now records whether it has received a call that was not late. Once it has, every start is checked as before.

--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -87,7 +87,7 @@
 	entryOverrides     map[string]func(fleet.Worker) fleet.Worker
 	sameIDRestartDelay time.Duration        // see SetSameIDRestart
 	wallClockOffset    time.Duration        // total of StepWallClock
-	misdelivered       bool                 // the order being executed reached a later incarnation, which had received no call before
+	misdelivered       bool                 // the order being executed reached a later incarnation, which had received no other call but such ones
 	delayed            bool                 // the order being executed was delayed by Fault.Delay
 	closedHalls        map[string]time.Time // evacuation deadlines by data hall
 }
@@ -144,6 +144,7 @@
 	// calls to a dead worker get no response.
 	refusesConnections bool
 	delisted           bool            // removed from discovery
+	called             bool            // has received a call that was not delayed by Fault.Delay
 	reported           bool            // this incarnation has answered a Hold
 	misdelivered       map[uint64]bool // sequence numbers of ended attempts with run.misdelivered
 	formerCapacities   []formerCapacity
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -53,10 +53,10 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			// Calls carry the id only, so whichever incarnation has the id by then executes it.
-			// If that one has received no call yet, no caller can prevent this: the attempt is
+			// If that one has received only such calls yet, no caller can prevent this: the attempt is
 			// marked as misdelivered and not checked.
 			if receiver := f.workers[info.ID]; receiver != nil && !receiver.dead {
-				f.misdelivered, f.delayed = receiver != w && receiver.token == 0, true
+				f.misdelivered, f.delayed = receiver != w && !receiver.called, true
 				handle(receiver)
 				f.misdelivered, f.delayed = false, false
 			}
@@ -68,6 +68,7 @@
 		return zero, &fleet.NoResponseError{Cause: errNoResponse}
 	}
 	f.mu.Lock()
+	w.called = true
 	answer, err := handle(w)
 	f.mu.Unlock()
 	if fault.ResponseLost {
