scheduler: send a confirmed stop again if the attempt is still reported

A cancelled job's attempt kept running until it ended by itself, and the owner extended its lease all the while. The owner took a confirmed stop for final: a later report that listed the attempt was only logged (`attempt is running after its stop`). A worker can confirm the stop and restart; its next incarnation does not know of the stop and executes a start that arrives late. If the worker reports no start time and its clock is ahead of the last reading from the former incarnation, nothing else in the report shows the restart.

The owner now sends the stop again when a report that was requested later than the stop time after the confirmation lists the attempt. Each line and each count of `stops_overdue` now stands for a stop that is sent again, instead of for a report.

The fleet checks starts and running attempts of jobs whose cancellation is recorded.

--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -79,7 +79,8 @@
 	fault            func(call Call, worker string) Fault
 	planOverrides    map[string]Plan // by worker; they replace the plans of the jobs
 	refused          map[fleet.Reason]int
-	startedJobs      map[string]bool // jobs with a task that was started
+	startedJobs      map[string]bool      // jobs with a task that was started
+	cancelledAt      map[string]time.Time // when the cancellation of a job was acknowledged; see RecordCancelled
 	quotas           map[string][]quotaPeriod
 	peakUsage        map[string]resource.Amount // by account, of each resource
 
@@ -98,7 +99,7 @@
 		workers: map[string]*worker{}, jobs: map[string]JobSpec{}, gangs: map[string]*gang{}, tickets: map[string]ticket{},
 		acknowledgedDone: map[string]bool{}, succeeded: map[string]bool{}, failures: map[string]int{}, startedJobs: map[string]bool{},
 		crashes: map[string]*crashRecord{}, workersLost: map[string]int{}, quotas: map[string][]quotaPeriod{}, peakUsage: map[string]resource.Amount{},
-		entryOverrides: map[string]func(fleet.Worker) fleet.Worker{}, closedHalls: map[string]time.Time{},
+		entryOverrides: map[string]func(fleet.Worker) fleet.Worker{}, cancelledAt: map[string]time.Time{}, closedHalls: map[string]time.Time{},
 		planOverrides: map[string]Plan{}, refused: map[fleet.Reason]int{}, observer: noopObserver{}, grace: resizeGrace,
 	}
 }
@@ -180,6 +181,13 @@
 	f.workers[id].delisted = true
 }
 
+// Relist adds a worker to discovery again after Delist.
+func (f *Fleet) Relist(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].delisted = false
+}
+
 // List returns the workers in discovery, sorted by id.
 func (f *Fleet) List() []fleet.Worker {
 	f.mu.Lock()
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -148,6 +148,7 @@
 		f.checkStart(w, task, order, spec)
 		f.checkCrashes(task)
 		f.checkHall(w, task)
+		f.checkCancelledStart(w, task, order.Number)
 	}
 	r := &run{task: task, number: order.Number, resumedFrom: order.Checkpoint, misdelivered: f.misdelivered}
 	if task.Step < len(spec.Request.Steps) {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -145,6 +145,7 @@
 		s.metrics.overdueStops.Add(1)
 		s.log.Warn().Str("job", t.step.job.id).Str("task", run.Task).Int("attempt", run.Number).Str("worker", w.info.ID).
 			Dur("since_stop", sent.Sub(t.stoppedAt)).Msg("attempt is running after its stop")
+		s.startStopCalls(t) // the worker may have restarted after it confirmed the stop
 	}
 	s.progressSeen = s.progressSeen || run.Percent > 0
 	s.sampleProgress(t, run.Percent, now)
