scheduler: notice a worker's restart if a start is answered first

A task was run again after it was done, and a stop stayed without effect, on workers that restart under their ID and report no start time. Their restart shows only by a clock that reads lower than before in a report. The answer to a start overwrote the last reading, so if the next incarnation answered a start before its first report, that report looked like one of the former incarnation: its ends up to the last known sequence number were ignored, but acknowledged, and the confirmations of stops by the former incarnation were kept.

A lower reading in the answer to a start is now ignored; the next report shows the restart.

TestStartIsFirstAnswerAfterWorkerRestart fails 20 times in 20 on the code before (job not completed, started again after it was acknowledged as done) and passes 20 times in 20.

--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -131,10 +131,11 @@
 	return w.clock + fleet.Clock(now.Sub(w.clockReadAt).Milliseconds())
 }
 
-// observeIncarnationClock records a clock reading if it is from the worker's own incarnation. An
-// attempt may have moved to a later one, with another clock, before its call is answered.
+// observeIncarnationClock records a clock reading from the answer to a start if it is from the worker's own
+// incarnation. An attempt may have moved to a later one, with another clock, before its call is answered. A lower
+// reading may be from a later one that is not known yet, which the next report shows by its clock.
 func (w *worker) observeIncarnationClock(incarnation fleet.Incarnation, clock fleet.Clock, now time.Time) {
-	if w.info.Incarnation == incarnation {
+	if w.info.Incarnation == incarnation && clock >= w.clock {
 		w.observeClock(clock, now)
 	}
 }
--- a/scheduler/worker_restart_test.go
+++ b/scheduler/worker_restart_test.go
@@ -144,6 +144,31 @@
 	})
 }
 
+// Guards against overlooking a restart without start times when the answer to a start is the first from the
+// next incarnation: its ends would be taken for known ones of the former incarnation, and acknowledged.
+func TestStartIsFirstAnswerAfterWorkerRestart(t *testing.T) {
+	withCell(t, 1, func(c *cell) {
+		c.lease = shortLease
+		c.hideStartTimes()
+		o := c.startOwner()
+		time.Sleep(500 * time.Millisecond)
+		c.runShortTasks(o, "before", 5)
+		var lost atomic.Bool
+		c.fleet.SetFault(func(call fleettest.Call, _ string) fleettest.Fault {
+			return fleettest.Fault{RequestLost: call == fleettest.CallStart && !lost.Swap(true)}
+		})
+		if err := c.submit(o, "job", newRequest(1, 1000), succeedAfter(500*time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		for !lost.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		c.fleet.RestartSameID("w-00", 10*time.Millisecond) // shorter than the time until the next report and start
+		c.awaitState(o, "job", workload.Completed, 5*time.Second)
+		c.assertStarts(6)
+	})
+}
+
 // Guards against repeating finished tasks: a report sent before the worker's restart counts also
 // when it is processed after the restarted worker has answered.
 func TestLastReportBeforeWorkerRestart(t *testing.T) {
