scheduler: keep a final job until its attempts have ended

A cancelled job ran again after a change of owner, beside its first attempt if that still ran. A final job expired once it was older than `keep-final` (120 s), by the wall clock of the current owner, even if an attempt was still being stopped. That deleted the row of its state; its record is kept until the last attempt has ended, and the next owner took a record without a state for a new job. A worker that refuses stops for longer leads to this, and so could an owner whose wall clock is ahead of that of the one that stored the cancellation (not tested). If the attempt ended after `keep-final` and the job expired before that was stored, the record was not deleted either.

A job now expires only after its last attempt has ended, and its record, if still in the store, is deleted with the row of its state.

--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -41,6 +41,9 @@
 	evacuateWithin time.Duration
 }
 
+// keepFinal is how long owners keep final jobs.
+const keepFinal = 2 * time.Minute
+
 // shortLease is the default lease of nodes.
 const shortLease = 3 * time.Second
 
@@ -184,7 +187,7 @@
 	ctx, kill := context.WithCancel(c.ctx)
 	client := &pausableClient{Client: c.fleet, resumed: make(chan struct{})}
 	client.resume()
-	config := scheduler.Config{Shard: testShard, Lease: c.lease, LongestLease: fleettest.MaxLease, KeepFinal: 2 * time.Minute, WorkerTimes: c.workerTimes, Load: c.load}
+	config := scheduler.Config{Shard: testShard, Lease: c.lease, LongestLease: fleettest.MaxLease, KeepFinal: keepFinal, WorkerTimes: c.workerTimes, Load: c.load}
 	if c.evacuateWithin > 0 {
 		config.EvacuateWithin, config.Evacuations = c.evacuateWithin, c.followEvacuations(ctx, caller)
 	}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -173,9 +173,6 @@
 // rowChanges returns the row changes of a job. A job without any progress has no row
 // in the progress table.
 func (s *Scheduler) rowChanges(j *job) (puts []rowstore.Put, deletes []rowstore.Key) {
-	if j.expired {
-		return nil, []rowstore.Key{s.rowKey(progressTable, j.id)}
-	}
 	needed := j.needsRecord()
 	switch {
 	case !needed && j.inserted:
@@ -183,7 +180,9 @@
 	case needed && !j.inserted:
 		puts = append(puts, rowstore.Put{Key: s.rowKey(recordTable, j.id), Value: j.record.Encode()})
 	}
-	if progress := j.progress(); j.state.Final() || j.inserted || len(progress.Steps) > 0 {
+	if j.expired {
+		deletes = append(deletes, s.rowKey(progressTable, j.id))
+	} else if progress := j.progress(); j.state.Final() || j.inserted || len(progress.Steps) > 0 {
 		puts = append(puts, rowstore.Put{Key: s.rowKey(progressTable, j.id), Value: progress.Encode()})
 	}
 	j.inserted = needed
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -314,7 +314,8 @@
 }
 
 // prune removes final jobs older than keepFinal, and unused accounts and worker identities.
-// It frees what is no longer needed of the other final jobs. The lock is held.
+// It frees what is no longer needed of the other final jobs. A job whose attempts are still being
+// stopped is kept: the next owner needs its record and state. The lock is held.
 func (s *Scheduler) prune(now time.Time) {
 	s.removeIdleAccounts()
 	s.expireIdentities(now)
@@ -326,7 +327,7 @@
 		if j.state.Final() && j.saved >= j.generation {
 			j.compact()
 		}
-		if !j.state.Final() || j.expired || now.Sub(time.UnixMilli(j.finalAt)) < s.keepFinal {
+		if !j.state.Final() || j.expired || j.hosted > 0 || now.Sub(time.UnixMilli(j.finalAt)) < s.keepFinal {
 			continue
 		}
 		j.expired = true
