--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -114,6 +114,13 @@
 	return c.Client.Start(ctx, w, o)
 }
 
+func (c *pausableClient) Stop(ctx context.Context, w fleet.Worker, o fleet.StopOrder) (fleet.Clock, error) {
+	if err := c.wait(ctx, w.ID); err != nil {
+		return 0, err
+	}
+	return c.Client.Stop(ctx, w, o)
+}
+
 func (c *pausableClient) Hold(ctx context.Context, w fleet.Worker, o fleet.HoldOrder) (fleet.Report, error) {
 	if err := c.wait(ctx, w.ID); err != nil {
 		return fleet.Report{}, err
