scheduler: keep a final job while a bundle holds an earlier state of it

A cancelled or completed job ran again after a change of owner. A bundle is deleted once all its jobs have later rows. If that takes longer than `keep-final` (120 s), as while transactions take 400 ms or more or many jobs change, the final state of a job expires before the bundle that still has its submission, and the next owner accepts the job from there.

The owner now counts the bundles in the store that have an entry for a job; the job expires only when no bundle is left but the one that holds its final state.

--- a/scheduler/bundle.go
+++ b/scheduler/bundle.go
@@ -31,10 +31,27 @@
 	Progress workload.Progress `cbor:"3,keyasint"`
 }
 
-// bundle is a bundle in the store and the jobs whose latest row it may hold.
+// bundle is a bundle in the store. jobs are those whose latest row it may hold, and entries all that it has an
+// entry for.
 type bundle struct {
-	name string
-	jobs map[string]*job
+	name    string
+	jobs    map[string]*job
+	entries []*job
+}
+
+// addEntry records that the bundle has an entry for a job.
+func (b *bundle) addEntry(j *job) {
+	b.entries = append(b.entries, j)
+	j.bundleEntries++
+}
+
+// mayBeInOlderBundle reports whether a bundle in the store may hold an earlier state of a job. Such a job must
+// not expire: without a later row, the next owner would take the earlier state for the latest.
+func (j *job) mayBeInOlderBundle() bool {
+	if j.bundle != nil {
+		return j.bundleEntries > 1
+	}
+	return j.bundleEntries > 0
 }
 
 // bundleDirty moves dirty jobs into bundles and returns the rows to write. Jobs whose rows are
@@ -62,6 +79,7 @@
 		}
 		j.queued, j.sent = false, true
 		entry := s.encodeBundleEntry(j)
+		b.addEntry(j)
 		entries = append(entries, entry)
 		size, total = size+len(entry), total+len(entry)
 		batch = append(batch, jobWrite{job: j, generation: j.generation, state: j.state, bundle: b})
@@ -107,7 +125,7 @@
 	delete(former.jobs, j.id)
 	if len(former.jobs) == 0 {
 		delete(s.bundles, former.name)
-		s.obsoleteBundles = append(s.obsoleteBundles, s.rowKey(bundleTable, former.name))
+		s.obsoleteBundles = append(s.obsoleteBundles, former)
 	}
 }
 
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"chutereach/rowstore"
@@ -165,9 +166,15 @@
 // takeObsoleteBundles dequeues bundles to be deleted, at most maxBundleDeletes.
 func (s *Scheduler) takeObsoleteBundles() []rowstore.Key {
 	count := min(len(s.obsoleteBundles), maxBundleDeletes)
-	dead := append([]rowstore.Key(nil), s.obsoleteBundles[:count]...)
-	s.obsoleteBundles = s.obsoleteBundles[count:]
-	return dead
+	var keys []rowstore.Key
+	for _, b := range s.obsoleteBundles[:count] {
+		keys = append(keys, s.rowKey(bundleTable, b.name))
+		for _, j := range b.entries {
+			j.bundleEntries-- // a job that expires because of that is deleted by a later transaction
+		}
+	}
+	s.obsoleteBundles = slices.Delete(s.obsoleteBundles, 0, count)
+	return keys
 }
 
 // rowChanges returns the row changes of a job. A job without any progress has no row
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -188,6 +188,7 @@
 	expired          bool      // expired; its rows are to be deleted
 	bundle           *bundle   // holds its latest progress; nil if that is in a row of its own
 	inheritedBundles []*bundle // bundles of former owners that may hold its latest progress
+	bundleEntries    int       // number of bundles in the store that may have an entry for it
 	afterSave        []saveAction
 	done             chan struct{} // closed once the job is final in memory
 }
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -42,6 +44,7 @@
 
 func (s *Scheduler) restore(records, progress []rowstore.Row, latest map[string]bundleEntry, bundles []rowstore.Row) error {
 	now := time.Now()
+	bundled := slices.Collect(maps.Keys(latest))
 	for _, row := range records {
 		record, err := workload.DecodeRecord(row.Name, row.Value)
 		if err != nil {
@@ -70,7 +73,7 @@
 	for id, entry := range latest {
 		s.restoreProgress(id, entry.Progress)
 	}
-	s.restoreBundles(latest, bundles)
+	s.restoreBundles(latest, bundled, bundles)
 	s.countArrivals()
 	s.log.Info().Int("jobs", len(s.jobs)).Int("active", len(s.active)).Int("workers", len(s.workers)).
 		Int("bundles", len(bundles)).Msg("scheduler state loaded")
@@ -85,10 +88,15 @@
 }
 
 // restoreBundles keeps the former owner's bundles until each job whose latest row is in one of them
-// has been written to a row of its own.
-func (s *Scheduler) restoreBundles(latest map[string]bundleEntry, rows []rowstore.Row) {
+// has been written to a row of its own. bundled are the IDs of all jobs with an entry in any of them.
+func (s *Scheduler) restoreBundles(latest map[string]bundleEntry, bundled []string, rows []rowstore.Row) {
 	for _, row := range rows {
 		b := &bundle{name: row.Name, jobs: map[string]*job{}}
+		for _, id := range bundled {
+			if j := s.jobs[id]; j != nil {
+				b.addEntry(j)
+			}
+		}
 		for id := range latest {
 			if j := s.jobs[id]; j != nil {
 				b.jobs[id] = j
@@ -96,7 +104,7 @@
 			}
 		}
 		if len(b.jobs) == 0 {
-			s.obsoleteBundles = append(s.obsoleteBundles, s.rowKey(bundleTable, row.Name))
+			s.obsoleteBundles = append(s.obsoleteBundles, b)
 			continue
 		}
 		s.bundles[row.Name] = b
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -150,7 +150,7 @@
 	eligibleShares    map[string]float64 // share of workers that may run a step, by queue
 	sizeOrder         sizeOrder
 	bundles           map[string]*bundle
-	obsoleteBundles   []rowstore.Key // bundles that no job needs, to be deleted
+	obsoleteBundles   []*bundle // bundles that no job needs, to be deleted
 	bundleCount       uint64
 	fleetSpeed        float64       // mean speed of tasks relative to their estimates
 	progressSeen      bool          // whether workers report progress
@@ -327,7 +327,7 @@
 		if j.state.Final() && j.saved >= j.generation {
 			j.compact()
 		}
-		if !j.state.Final() || j.expired || j.hosted > 0 || now.Sub(time.UnixMilli(j.finalAt)) < s.keepFinal {
+		if !j.state.Final() || j.expired || j.hosted > 0 || j.mayBeInOlderBundle() || now.Sub(time.UnixMilli(j.finalAt)) < s.keepFinal {
 			continue
 		}
 		j.expired = true
