fleettest: a call does not reach the next incarnation over a closed connection

Ends of attempts are acknowledged only over a connection to the incarnation that numbered them (platform/workers.go, Hold), as the connections end with the process. The fleet still counted a dead incarnation as connected if the next one started within the latency of the call; without start times that one then discarded ends that the owner had not read, and tasks ran again.

--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -265,12 +265,12 @@
 }
 
 // connected reports whether an incarnation is the latest with its id and has answered a Hold, so
-// that the caller has a connection that is known to lead to it.
+// that the caller has a connection that is known to lead to it. Its connections end with its process.
 func (f *Fleet) connected(incarnation fleet.Incarnation) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[incarnation.ID]
-	return w != nil && w.info.Incarnation == incarnation && w.reported
+	return w != nil && !w.dead && w.info.Incarnation == incarnation && w.reported
 }
 
 func (f *Fleet) hold(w *worker, order fleet.HoldOrder) (fleet.Report, error) {
