platform: the soak cancels jobs

An attempt of a cancelled job kept running in production, and the soak could not find it: its clients never cancelled. TestSoakCancellations runs clients that cancel most of their jobs, soon after the acceptance and through another node, also repeatedly, before or beside the submission and after a submission that was given up early, while the owner is frozen, killed, handed over or cut off from the store. It checks the attempts that the stand-in for the fleet has recorded: in time that no fault has preceded by less than 4 s, none starts later than 4 s after an acknowledged cancellation or runs 4.9 s after it. Rejected jobs must not run, accepted jobs must not be denied, and a cancelled job must not be reported as active.

TestFrozenOwnerDoesNotDenyCancellations sends cancellations to a frozen, replaced owner.

--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -79,7 +79,8 @@
 	fault            func(call Call, worker string) Fault
 	planOverrides    map[string]Plan // by worker; they replace the plans of the jobs
 	refused          map[fleet.Reason]int
-	startedJobs      map[string]bool // jobs with a task that was started
+	startedJobs      map[string]bool       // jobs with a task that was started
+	attempts         map[string][]*Attempt // by job, in the order of their starts
 	quotas           map[string][]quotaPeriod
 	peakUsage        map[string]resource.Amount // by account, of each resource
 
@@ -96,7 +97,7 @@
 func New() *Fleet {
 	return &Fleet{
 		workers: map[string]*worker{}, jobs: map[string]JobSpec{}, gangs: map[string]*gang{}, tickets: map[string]ticket{},
-		acknowledgedDone: map[string]bool{}, succeeded: map[string]bool{}, failures: map[string]int{}, startedJobs: map[string]bool{},
+		acknowledgedDone: map[string]bool{}, succeeded: map[string]bool{}, failures: map[string]int{}, startedJobs: map[string]bool{}, attempts: map[string][]*Attempt{},
 		crashes: map[string]*crashRecord{}, workersLost: map[string]int{}, quotas: map[string][]quotaPeriod{}, peakUsage: map[string]resource.Amount{},
 		entryOverrides: map[string]func(fleet.Worker) fleet.Worker{}, closedHalls: map[string]time.Time{},
 		planOverrides: map[string]Plan{}, refused: map[fleet.Reason]int{}, observer: noopObserver{}, grace: resizeGrace,
@@ -114,6 +115,7 @@
 	stopped      bool
 	misdelivered bool          // started by an order for a former incarnation
 	plannedWork  time.Duration // 0 if the attempt hangs
+	record       *Attempt
 }
 
 // percent returns the progress of the attempt, at most 99.
@@ -225,6 +227,7 @@
 	w.dead = true
 	for name, r := range w.runs {
 		r.timer.Stop()
+		r.record.Ended = time.Now()
 		f.workersLost[name]++
 		if g := f.gangs[gangKey(r.task, r.number)]; g != nil {
 			g.lost = true
@@ -337,6 +340,7 @@
 		outcome = fleet.GangBroken
 	}
 	delete(w.runs, name)
+	r.record.Ended, r.record.Outcome = time.Now(), outcome
 	w.highestAttempt[name] = max(w.highestAttempt[name], r.number)
 	w.lastSequence++
 	w.misdelivered[w.lastSequence] = r.misdelivered
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -153,6 +153,7 @@
 		r.need = spec.Request.Steps[task.Step].Need
 	}
 	w.runs[order.Task] = r
+	f.recordAttempt(w, r)
 	f.checkQuota(spec.Account)
 	r.timer = time.AfterFunc(time.Hour, func() {})
 	if task.Step < len(spec.Request.Steps) && spec.Request.Steps[task.Step].Gang {
