--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -80,8 +80,9 @@
 	fault                  func(call Call, worker string) Fault
 	planOverrides          map[string]Plan // by worker; they replace the plans of the jobs
 	refused                map[fleet.Reason]int
-	startedJobs            map[string]bool      // jobs with a task that was started
-	cancelledAt            map[string]time.Time // when the cancellation of a job was acknowledged; see RecordCancelled
+	startedJobs            map[string]bool       // jobs with a task that was started
+	attempts               map[string][]*Attempt // by job, in the order of their starts
+	cancelledAt            map[string]time.Time  // when the cancellation of a job was acknowledged; see RecordCancelled
 	quotas                 map[string][]quotaPeriod
 	peakUsage              map[string]resource.Amount // by account, of each resource
 
@@ -98,7 +99,7 @@
 func New() *Fleet {
 	return &Fleet{
 		workers: map[string]*worker{}, jobs: map[string]JobSpec{}, gangs: map[string]*gang{}, tickets: map[string]ticket{},
-		acknowledgedDone: map[string]bool{}, succeeded: map[string]bool{}, failures: map[string]int{}, startedJobs: map[string]bool{},
+		acknowledgedDone: map[string]bool{}, succeeded: map[string]bool{}, failures: map[string]int{}, startedJobs: map[string]bool{}, attempts: map[string][]*Attempt{},
 		crashes: map[string]*crashRecord{}, workersLost: map[string]int{}, quotas: map[string][]quotaPeriod{}, peakUsage: map[string]resource.Amount{},
 		entryOverrides: map[string]func(fleet.Worker) fleet.Worker{}, cancelledAt: map[string]time.Time{}, closedHalls: map[string]time.Time{},
 		planOverrides: map[string]Plan{}, refused: map[fleet.Reason]int{}, observer: noopObserver{}, grace: resizeGrace,
@@ -116,6 +117,7 @@
 	stopped      bool
 	misdelivered bool          // started by an order for a former incarnation
 	plannedWork  time.Duration // 0 if the attempt hangs
+	record       *Attempt
 }
 
 // percent returns the progress of the attempt, at most 99.
@@ -235,6 +237,7 @@
 	w.dead = true
 	for name, r := range w.runs {
 		r.timer.Stop()
+		r.record.Ended = time.Now()
 		f.workersLost[name]++
 		if g := f.gangs[gangKey(r.task, r.number)]; g != nil {
 			g.lost = true
@@ -347,6 +350,7 @@
 		outcome = fleet.GangBroken
 	}
 	delete(w.runs, name)
+	r.record.Ended, r.record.Outcome = time.Now(), outcome
 	w.highestAttempt[name] = max(w.highestAttempt[name], r.number)
 	w.lastSequence++
 	w.misdelivered[w.lastSequence] = r.misdelivered
