scheduler: a replaced owner does not report cancelled jobs as active

If its last transaction is older than 0.5 s and the job is not final, the owner now confirms its term by another one. While the store does not answer it, it returns the last known state as before: callers need an answer, and no owner could give a better one.

A state may still be up to 0.5 s old.

--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -207,9 +207,13 @@
 // or is final only in memory, State waits briefly for the final state to be stored, so that
 // callers need not poll again.
 func (s *Scheduler) State(ctx context.Context, account, id string) (workload.State, error) {
-	if state, known := s.storedState(ctx, account, id); known {
+	state, known := s.storedState(ctx, account, id)
+	if known && (state.Final() || s.term.SinceLastCommit() <= maxStateAge) {
 		return state, nil
 	}
+	if known {
+		return s.confirmState(ctx, account, id, state)
+	}
 	if err := s.confirmTerm(ctx); err != nil {
 		return "", err
 	}
@@ -223,6 +227,32 @@
 	return "", &UnknownJobError{id}
 }
 
+// maxStateAge is how long after its last transaction an owner reports jobs that are not final without
+// confirming its term. An owner without changes commits every idleCommitInterval.
+const maxStateAge = 2 * idleCommitInterval
+
+// confirmState returns the state of a job once this owner's term is confirmed. While the store does
+// not answer, it returns the last known state, which is right unless the store answers another node that has
+// taken the shard.
+func (s *Scheduler) confirmState(ctx context.Context, account, id string, last workload.State) (workload.State, error) {
+	limited, cancel := context.WithTimeout(ctx, finalCommitWait)
+	defer cancel()
+	err := s.confirmTerm(limited)
+	s.mu.Lock()
+	over := s.termOver()
+	s.mu.Unlock()
+	switch {
+	case over != nil:
+		return "", over
+	case err != nil:
+		return last, nil
+	}
+	if state, known := s.storedState(ctx, account, id); known {
+		return state, nil
+	}
+	return last, nil
+}
+
 // storedState returns the stored state of an account's job as this owner knows it, and whether it knows such
 // a job.
 func (s *Scheduler) storedState(ctx context.Context, account, id string) (state workload.State, known bool) {
