scheduler: a late end is stored before it is acknowledged

What callers could see: a task that is done runs again. Nobody reported it; it was found while tracing attempts over the limit.

Cause: an end is acknowledged once its job's change is stored, but only if the attempt was the task's current one. The end of an attempt that the owner had given up, for example because its row could not be read for 3 s, changed the job as well (the task is done) and was acknowledged at once. If the owner failed before its next transaction, the worker no longer reported the end and the next owner did not know of it.

Evidence: TestLateEndIsStoredBeforeItsAcknowledgement failed before ("ends up to 1 are acknowledged before the store has the end, want 0").

Late ends now wait for the latest change of their job, as all others do. Ends of jobs that the owner does not know are still acknowledged at once.

--- a/scheduler/late_report_test.go
+++ b/scheduler/late_report_test.go
@@ -90,3 +90,42 @@
 		t.Errorf("ends up to %d are acknowledged and the job is %s, want 3 and completed", got, s.job.state)
 	}
 }
+
+// giveUpUnreadableAttempt makes the worker report a row that cannot be read in place of the task's attempt,
+// until the owner gives the attempt up.
+func (s *reportFixture) giveUpUnreadableAttempt(t *testing.T) {
+	t.Helper()
+	unreadable := fleet.Report{StartTime: 1, Clock: 6, UndecodedRows: 1, UndecodedFrom: 1}
+	s.handleReport(s.worker, unreadable, time.Now())
+	s.worker.unreadSince = time.Now().Add(-unreadGracePeriod)
+	s.handleReport(s.worker, unreadable, time.Now())
+	if len(s.worker.tasks) > 0 {
+		t.Fatal("the attempt was not given up")
+	}
+}
+
+// assertAckedOnceStored checks that the worker's first end is acknowledged only after its job is
+// stored.
+func (s *reportFixture) assertAckedOnceStored(t *testing.T) {
+	t.Helper()
+	if got := s.worker.ackableSequence(); got != 0 {
+		t.Errorf("ends up to %d are acknowledged before the store has the end, want 0", got)
+	}
+	s.job.saved = s.job.generation
+	s.worker.advancePersisted()
+	if got := s.worker.ackableSequence(); got != 1 {
+		t.Errorf("ends up to %d are acknowledged, want 1", got)
+	}
+}
+
+// Guards against repeating a finished task: if the end of an attempt that was given up were acknowledged
+// before it is stored, the next owner would not know of it.
+func TestLateEndIsStoredBeforeItsAcknowledgement(t *testing.T) {
+	s := newReportFixture(t, 1)
+	s.giveUpUnreadableAttempt(t)
+	s.handleReport(s.worker, fleet.Report{StartTime: 1, Clock: 7, Ended: []fleet.EndedAttempt{newDoneEnd(1, "job.0.0.0")}}, time.Now())
+	if s.job.state != workload.Completed {
+		t.Errorf("the job is %s, want completed", s.job.state)
+	}
+	s.assertAckedOnceStored(t)
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -188,6 +188,9 @@
 		pending.job, pending.generation = j, j.generation
 	} else if id, err := workload.ParseTaskID(end.Task); err == nil {
 		s.handleLateEnd(id, end)
+		if j := s.jobs[id.Job]; j != nil {
+			pending.job, pending.generation = j, j.generation
+		}
 	}
 	if late {
 		w.delayAck(pending)
