scheduler: a failure counts although the attempt was given up

What callers could see: a task is started once more after its last allowed attempt has failed, so its job fails an attempt too late.

Cause: if a worker did not report an attempt, the owner gave it up. If the worker later reported that it had failed, the owner acknowledged that end, but counted no failure. This happens if the row of the end cannot be read for 3 s, and if a former owner's delayed start is executed by a worker that has restarted under its ID.

The owner now remembers the attempts that it gave up, and counts a failure that is reported for one of them later, once. The attempts are not stored, since the next owner could not tell a failure that was counted but not yet acknowledged from a new one; a failure read only by the next owner still does not count.

--- a/scheduler/late_report_test.go
+++ b/scheduler/late_report_test.go
@@ -129,3 +129,18 @@
 	}
 	s.assertAckedOnceStored(t)
 }
+
+// Guards against an attempt too many: a failure counts once, also if it can be read only after the
+// attempt was given up.
+func TestUnreadableFailureCounts(t *testing.T) {
+	s := newReportFixture(t, 1)
+	s.giveUpUnreadableAttempt(t)
+	failed := fleet.Report{StartTime: 1, Clock: 7, Ended: []fleet.EndedAttempt{{Sequence: 1, Task: "job.0.0.0", Number: 1, Outcome: fleet.Failed}}}
+	for range 2 {
+		s.handleReport(s.worker, failed, time.Now())
+		if got := s.job.rounds[0].steps[0].tasks[0].failures; got != 1 {
+			t.Errorf("%d failures, want 1", got)
+		}
+	}
+	s.assertAckedOnceStored(t)
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -166,14 +166,20 @@
 	running := t.state == taskRunning || t.state == taskDone
 	switch {
 	case running && !t.startedAt.IsZero() && t.startedAt.Before(sent):
-		s.endAttempt(t, fleet.LeaseExpired, "", "not in the worker's report")
+		s.giveUp(t, fleet.LeaseExpired, "not in the worker's report")
 	case t.unwanted() && !t.stoppedAt.IsZero() && t.stoppedAt.Before(sent):
-		s.endAttempt(t, fleet.Stopped, "", "stopped before it began")
+		s.giveUp(t, fleet.Stopped, "stopped before it began")
 	case t.state == taskStarting && t.recovered:
-		s.endAttempt(t, fleet.Stopped, "", "its former owner did not start it")
+		s.giveUp(t, fleet.Stopped, "its former owner did not start it")
 	}
 }
 
+// giveUp ends an attempt that its worker does not report.
+func (s *Scheduler) giveUp(t *task, outcome fleet.Outcome, why string) {
+	t.recordGivenUp()
+	s.endAttempt(t, outcome, "", why)
+}
+
 // handleEnd processes an end in a report.
 func (s *Scheduler) handleEnd(w *worker, end fleet.EndedAttempt) {
 	if end.Sequence <= w.lastEndSequence && !w.unreadSequences[end.Sequence] {
@@ -227,5 +233,9 @@
 	} else if end.Checkpoint != "" && t.step.spec.Checkpoints && !t.hosted() {
 		t.checkpoint = end.Checkpoint
 	}
+	if end.Outcome == fleet.Failed && !t.step.spec.LongRunning && t.givenUp[end.Number] {
+		delete(t.givenUp, end.Number) // another incarnation may execute a delayed start of the attempt again
+		s.handleTaskFailure(t)
+	}
 	s.markDirty(j)
 }
