--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -90,8 +90,9 @@
 	entryOverrides     map[string]func(fleet.Worker) fleet.Worker
 	sameIDRestartDelay time.Duration        // see SetSameIDRestart
 	wallClockOffset    time.Duration        // total of StepWallClock
-	misdelivered       bool                 // the order being executed reached a later incarnation, which had received no other call but such ones
+	misdelivered       bool                 // the order being executed reached a later incarnation, which had received only such orders before
 	delayed            bool                 // the order being executed was delayed by Fault.Delay
+	responseLost       bool                 // the caller gets no response to the order being executed
 	closedHalls        map[string]time.Time // evacuation deadlines by data hall
 }
 
@@ -134,6 +135,7 @@
 	firstID             string // id of the first incarnation at its address; empty: its own
 	startedAt           time.Time
 	token               uint64
+	contacted           bool // has executed an order that was not misdelivered
 	leaseUntil          time.Time
 	leaseTimer          *time.Timer
 	leaseExpiredThrough uint64 // last ended attempt when the lease last expired
@@ -148,9 +150,8 @@
 	// calls to a dead worker get no response.
 	refusesConnections bool
 	delisted           bool            // removed from discovery
-	called             bool            // has received a call that was not delayed by Fault.Delay
 	reported           bool            // this incarnation has answered a Hold
-	misdelivered       map[uint64]bool // sequence numbers of ended attempts with run.misdelivered
+	misdelivered       map[uint64]bool // sequence numbers of unreported ended attempts with run.misdelivered
 	formerCapacities   []formerCapacity
 	changed            chan struct{}
 }
