--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -237,15 +237,12 @@
 func (s *Scheduler) confirmState(ctx context.Context, account, id string, last workload.State) (workload.State, error) {
 	limited, cancel := context.WithTimeout(ctx, finalCommitWait)
 	defer cancel()
-	err := s.confirmTerm(limited)
+	s.confirmTerm(limited) // fails if the store does not answer
 	s.mu.Lock()
 	over := s.termOver()
 	s.mu.Unlock()
-	switch {
-	case over != nil:
+	if over != nil {
 		return "", over
-	case err != nil:
-		return last, nil
 	}
 	if state, known := s.storedState(ctx, account, id); known {
 		return state, nil
@@ -253,8 +250,7 @@
 	return last, nil
 }
 
-// storedState returns the stored state of an account's job as this owner knows it, and whether it knows such
-// a job.
+// storedState returns the stored state of an account's job as this owner knows it, and whether it knows the job.
 func (s *Scheduler) storedState(ctx context.Context, account, id string) (state workload.State, known bool) {
 	s.mu.Lock()
 	j := s.jobs[id]
