node, scheduler: logs rejected submissions, unknown outcomes, counted failures and lost attempts

The logs did not tell why a node answered 503 or 429 to a submission, whether one of its tries may have been carried out, which ends of attempts were counted as failures of a task, and what the owner concluded from an attempt that was lost with its worker. No change of logic.

--- a/node/node.go
+++ b/node/node.go
@@ -98,6 +98,8 @@
 	takingOver      bool        // a takeover is in progress; the owner's row may already name this node
 	loadFailing     atomic.Bool // the last attempt to load the shard failed
 
+	// sampledLog is for calls of callers, which may be repeated indefinitely.
+	sampledLog zerolog.Logger
 	tables     tableTracker
 	orders     orderSource
 	lag        lagMeter
@@ -122,7 +124,8 @@
 func New(ctx context.Context, config Config, platform Platform, client *peer.Client, metrics *Metrics, log zerolog.Logger) *Node {
 	n := &Node{
 		ctx: ctx, config: config, platform: platform, client: client, log: log, metrics: metrics,
-		changed: make(chan struct{}), members: map[string]Member{config.Self.Node: config.Self}, membersVersion: 1,
+		sampledLog: log.Sample(&zerolog.BurstSampler{Burst: callLogBurst, Period: time.Second}),
+		changed:    make(chan struct{}), members: map[string]Member{config.Self.Node: config.Self}, membersVersion: 1,
 		peers: map[string]peerState{},
 	}
 	n.config.Scheduler.TimerLag = n.lag.Mean
@@ -131,6 +134,9 @@
 	return n
 }
 
+// callLogBurst is the maximum number of log lines per second about rejected calls and calls of unknown outcome.
+const callLogBurst = 50
+
 // Run runs the node's background work until the context given to New ends.
 func (n *Node) Run() {
 	ctx := n.ctx
--- a/node/serve.go
+++ b/node/serve.go
@@ -33,6 +33,9 @@
 		return err
 	})
 	var overloaded *scheduler.RejectedError
+	if err != nil {
+		n.logCall(id, err, "submission not accepted")
+	}
 	if errors.As(err, &overloaded) {
 		return &scheduler.RejectedError{Reason: overloaded.Reason, RetryAfter: record.Queue.RetryAfter(record.Request)}
 	}
@@ -101,6 +104,7 @@
 		case errors.As(err, &notOwner), errors.As(err, &unreachable):
 		case errors.As(err, &lost), errors.As(err, &unconfirmed):
 			uncertain = err
+			n.logCall(id, err, "outcome of a try is unknown")
 		case errors.As(err, &overloaded) && uncertain != nil:
 			return &scheduler.UnconfirmedError{Cause: uncertain}
 		default:
@@ -115,6 +119,14 @@
 	}
 }
 
+// logCall logs a call that was not carried out or may not have been, with the owner known by then.
+func (n *Node) logCall(id string, err error, message string) {
+	n.mu.Lock()
+	owner := n.owner
+	n.mu.Unlock()
+	n.sampledLog.Info().Str("job", id).Str("owner", owner.Node).Uint64("token", owner.Token).Err(err).Msg(message)
+}
+
 // tryServe tries a call once at the currently known owner.
 func (n *Node) tryServe(ctx context.Context, id string, local func(context.Context, *scheduler.Scheduler) error, remote func(context.Context, string, time.Duration) error) error {
 	n.mu.Lock()
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -85,6 +85,10 @@
 		return
 	}
 	evidence := s.crashEvidence(t)
+	s.log.Info().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).Str("worker", w.info.ID).
+		Stringer("evidence", evidence).Dur("ran", t.runTime()).Bool("connection_closed", w.connectionClosed).Bool("recovered", t.recovered).
+		Dur("timer_lag", s.lateness()).Int("workers", t.crashes.WorkerCrashes).Int("soon", t.crashes.EarlyCrashes).
+		Msg("attempt lost with its worker")
 	t.crashes = t.crashes.WithLostAttempt(w.info.Incarnation, evidence)
 	if evidence != workload.LateLoss {
 		s.markSuspected(t.step)
--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -44,7 +44,7 @@
 		s.handleTaskDone(t)
 	case outcome == fleet.Failed && !st.spec.LongRunning:
 		t.lastFailedOn = w
-		s.handleTaskFailure(t)
+		s.handleTaskFailure(t, t.attempt)
 	case outcome == fleet.Failed:
 		st.retryAt = time.Now().Add(failureBackoff)
 	}
@@ -91,11 +91,13 @@
 	}
 }
 
-// handleTaskFailure counts a failure of a task, and fails the job when the task has no attempts
-// left.
-func (s *Scheduler) handleTaskFailure(t *task) {
+// handleTaskFailure counts the failure of an attempt of a task, and fails the job when the task has no
+// attempts left.
+func (s *Scheduler) handleTaskFailure(t *task, attempt int) {
 	st := t.step
 	t.failures++
+	s.log.Info().Str("job", st.job.id).Str("task", t.id().String()).Int("attempt", attempt).Int("failures", t.failures).
+		Int("limit", st.job.record.Queue.MaxFailures).Bool("gang", st.spec.Gang).Msg("failure counted")
 	if st.spec.Gang {
 		for _, member := range st.tasks {
 			member.failures = t.failures
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -236,7 +236,7 @@
 	}
 	if end.Outcome == fleet.Failed && !t.step.spec.LongRunning && t.givenUp[end.Number] {
 		delete(t.givenUp, end.Number) // another incarnation may execute a delayed start of the attempt again
-		s.handleTaskFailure(t)
+		s.handleTaskFailure(t, end.Number)
 	}
 	s.markDirty(j)
 }
--- a/workload/crashes.go
+++ b/workload/crashes.go
@@ -46,6 +46,17 @@
 	EarlyLoss
 )
 
+// String returns the name of the evidence in log lines.
+func (e LossEvidence) String() string {
+	switch e {
+	case LateLoss:
+		return "late"
+	case EarlyLoss:
+		return "early"
+	}
+	return "inconclusive"
+}
+
 // LostWorker identifies a worker incarnation that stopped responding until its lease expired.
 type LostWorker struct {
 	ID        string `cbor:"1,keyasint"`
