daemon: a stop ends within the grace whatever still runs

The platform kills a node that has not exited within the grace after SIGTERM. A node waited without a bound for all its background work after it had cancelled it. Each call that it waits for ends with its context. What computes does not: a node that is decoding a configuration exits only afterwards.

The stop, from the handover to the end of the last goroutine, now has one bound, 0.5 s before the end of the grace. Then the log says so, names what runs, and the process exits: the store holds whatever the node has acknowledged. The log tells what runs 0.1 s after the cancellation instead of 0.2 s, so that this comes before the bound.

TestExitWithinGrace brings about work that ignores its cancellation. On the former code it fails in both cases, after a stop by signal and by context: still running when the grace of 1 s is over.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,11 +35,13 @@
 	// balancerNotices is how long new connections still come after the node has
 	// called itself not ready.
 	balancerNotices = 2200 * time.Millisecond
-	// stopReserve is kept of the grace for the end of the process.
+	// stopReserve is kept of the grace for the end of the background work, and exitReserve of that for
+	// the last log lines and the exit.
 	stopReserve = 700 * time.Millisecond
+	exitReserve = 500 * time.Millisecond
 	// endNotice is how long the background work may go on after its cancellation before the log tells
 	// what runs. It ended within 10 ms in 293 exits beside faults of the links to the store.
-	endNotice   = 200 * time.Millisecond
+	endNotice   = 100 * time.Millisecond
 	headerWait  = 5 * time.Second
 	metricsPath = "/metrics"
 )
@@ -156,6 +158,7 @@
 
 // Run serves until the process is told to stop.
 func (d *Daemon) Run(ctx context.Context) error {
+	defer d.cancel()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -166,24 +169,44 @@
 	}
 	d.log.Info().Str("node", d.settings.Self.Name).Str("front", d.settings.Self.Front).Msg("started")
 	warnDefaulted(d.log, d.settings)
-	var begun time.Time
 	for {
 		select {
 		case <-ctx.Done():
-			begun = time.Now()
+			d.endInTime(func(time.Time) { d.end(&living) })
 		case received := <-signals:
 			if received == syscall.SIGHUP {
 				d.reload()
 				continue
 			}
-			begun = time.Now()
-			d.stop(begun)
+			d.endInTime(func(begun time.Time) {
+				d.stop(begun)
+				d.end(&living)
+			})
 		}
-		break
+		return nil
+	}
+}
+
+// endInTime calls end with the current time and returns when that has returned, or when the grace is nearly
+// used up: the platform then kills the process, and the log would lack its last lines. Nothing that the node
+// still does by then is needed, as the store holds whatever it has acknowledged.
+func (d *Daemon) endInTime(end func(begun time.Time)) {
+	begun := time.Now()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		end(begun)
+	}()
+	grace := d.settings.Times.Grace
+	timer := time.NewTimer(max(grace-exitReserve, grace/2))
+	defer timer.Stop()
+	select {
+	case <-ended:
+		d.log.Info().Dur("took", time.Since(begun)).Msg("stopped")
+	case <-timer.C:
+		d.log.Error().Dur("took", time.Since(begun)).Msg("stopped while background work was running: the grace is used up")
+		logGoroutines(d.log)
 	}
-	d.end(&living)
-	d.log.Info().Dur("took", time.Since(begun)).Msg("stopped")
-	return nil
 }
 
 // end ends the background work, closes all listeners and connections, and waits for their goroutines.
--- a/daemon/exit_test.go
+++ b/daemon/exit_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"expvar"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -92,3 +94,29 @@
 	<-r.ended
 	r.log.awaitText(t, `"stopped"`)
 }
+
+// Guards against nodes that do not exit within the grace and are killed, because they wait for work that does not
+// end when it is cancelled.
+func TestExitWithinGrace(t *testing.T) {
+	stops := map[string]func(*runningDaemon) error{
+		"context ended": func(r *runningDaemon) error { r.cancel(); return nil },
+		"SIGTERM":       func(*runningDaemon) error { return syscall.Kill(os.Getpid(), syscall.SIGTERM) },
+	}
+	for name, stop := range stops {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			defer close(release)
+			r := startDaemon(t, func() { waitForRelease(release) })
+			begun := time.Now()
+			if err := stop(r); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case <-r.ended:
+			case <-time.After(testGrace):
+				t.Fatalf("still running %v after the stop, want an exit within the grace of %v", time.Since(begun), testGrace)
+			}
+			r.log.awaitText(t, "daemon.waitForRelease")
+		})
+	}
+}
