--- a/logs/bounded_test.go
+++ b/logs/bounded_test.go
@@ -1,6 +1,7 @@
 package logs_test
 
 import (
+	"errors"
 	"os"
 	"testing"
 	"time"
@@ -48,3 +49,28 @@
 		t.Errorf("%d lines counted as dropped", dropped.Value())
 	}
 }
+
+// Guards against processes that do not exit while the reader of the log does not read.
+func TestCloseDoesNotWaitForReader(t *testing.T) {
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer read.Close() // ends the write in progress
+	writer, dropped := logs.Bounded(write, 64)
+	log := logs.New(writer, true, zerolog.InfoLevel)
+	for range 10_000 { // more than a pipe holds
+		log.Info().Str("job", "5c0e7a21d94b36f8").Msg("refused")
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- writer.Close() }()
+	select {
+	case err := <-closed:
+		var unwritten *logs.UnwrittenError
+		if !errors.As(err, &unwritten) {
+			t.Errorf("got %v with %d lines dropped, want UnwrittenError", err, dropped.Value())
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("Close waits for the reader")
+	}
+}
