peer: the close of a server does not wait without a bound for handlers

http3.Server.Close waits until every handler has returned, after it has aborted the calls. Close of an HTTP server, which the users' platform uses between nodes, does not wait for handlers.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -31,6 +31,8 @@
 	dialTimeout = 2 * time.Second
 	// maxStreams limits the concurrent calls from one peer.
 	maxStreams = 10_000
+	// closeTimeout bounds the wait for aborted calls when a Server is closed.
+	closeTimeout = 2 * time.Second
 )
 
 func quicConfig() *quic.Config {
@@ -75,8 +77,27 @@
 // Serve serves calls until Close.
 func (s *Server) Serve() error { return s.server.Serve(s.conn) }
 
-// Close stops the server and aborts calls in progress.
-func (s *Server) Close() error { return errors.Join(s.server.Close(), s.conn.Close()) }
+// Close stops the server and aborts calls in progress. It waits for their handlers and returns a
+// HandlersRunningError if some ignore that their calls were aborted.
+func (s *Server) Close() error {
+	closed := make(chan error, 1)
+	go func() { closed <- s.server.Close() }()
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-closed:
+		return errors.Join(err, s.conn.Close())
+	case <-timer.C:
+		return errors.Join(&HandlersRunningError{closeTimeout}, s.conn.Close())
+	}
+}
+
+// HandlersRunningError reports that handlers of aborted calls were still running after Limit.
+type HandlersRunningError struct{ Limit time.Duration }
+
+func (e *HandlersRunningError) Error() string {
+	return fmt.Sprintf("handlers of aborted calls have not ended within %v", e.Limit)
+}
 
 // Client makes calls to peers.
 type Client struct {
