scheduler: an unknown outcome does not unwrap to its cause

A submission was answered with 503 although its job was stored and later ran. The owner had sent the transaction with the job and waited for the store when a worker told it that another node owns the shard. The wait ended with an UnconfirmedError around the DeposedError. The node found the DeposedError through the wrapper and took the call for one that was not carried out. It then found no owner for 1.3 s and rejected the submission. Nodes that had forwarded the call got the same answer. If another owner answered in time, the job was found there, so this showed only while none could be reached.

Evidence: TestSubmissionWithLostTransactionIsNotRejected failed both at the owner and at a forwarding node with "not taken: no owner has carried out the call: this node does not own the shard".

UnconfirmedError has no Unwrap any more, so its cause decides nothing. confirmTerm, which changes nothing, returns the DeposedError itself if the term ends first. A rejection or an unknown job that could not be confirmed is asked for at the successor as before; without that its callers would get 504 instead of 429 or 410. TestUnconfirmedAnswerIsNotAnUnknownOutcome failed for both without that part.

--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -24,13 +24,12 @@
 func (e *UnknownJobError) Error() string { return fmt.Sprintf("there is no job %s", e.ID) }
 
 // UnconfirmedError reports that a change was not confirmed by the store in time. It may
-// still take effect.
+// still take effect. It does not unwrap to its cause, as that must not decide what callers are told: the end of
+// the term, for example, means "not carried out" if it comes before a change and says nothing after one.
 type UnconfirmedError struct{ Cause error }
 
 func (e *UnconfirmedError) Error() string { return fmt.Sprintf("not confirmed: %v", e.Cause) }
 
-func (e *UnconfirmedError) Unwrap() error { return e.Cause }
-
 // storeDownAfter is how long the store may fail before new jobs are rejected and callers
 // stop waiting for it. Until then another node that the store does answer may take the
 // shard over.
--- a/scheduler/replaced_owner_test.go
+++ b/scheduler/replaced_owner_test.go
@@ -66,3 +66,28 @@
 		t.Errorf("former owner: %v, want no rejection: its successor has accepted the job", err)
 	}
 }
+
+// Guards against an unknown outcome for a call that has changed nothing: if the term ends while the rejection of a
+// submission or an unknown job is being confirmed, the call can be made at the successor as if it were the first.
+func TestUnconfirmedAnswerIsNotAnUnknownOutcome(t *testing.T) {
+	calls := map[string]func(*accountCell) error{
+		"rejection": func(a *accountCell) error {
+			return a.submit("a", "job", a.queue, newGangRequest(2, 1000), time.Second)
+		},
+		"unknown job": func(a *accountCell) error {
+			_, err := a.owner.State(a.ctx, "other")
+			return err
+		},
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			withCell(t, 2, func(c *cell) {
+				a := c.withAccounts(account.Terms{Name: "a", Weight: 1, Quota: cpuQuota(1000)})
+				time.Sleep(time.Second)
+				holdCommits(c, a.owner)
+				c.startOwner()
+				wantError[*scheduler.DeposedError](t, name, call(a))
+			})
+		})
+	}
+}
--- a/scheduler/unknown_job.go
+++ b/scheduler/unknown_job.go
@@ -89,7 +89,8 @@
 }
 
 // confirmTerm waits for a transaction that starts after the call. Its success proves that this node owned the
-// shard at the time of the call.
+// shard at the time of the call. If the term ends first, it returns a DeposedError, because the caller has changed
+// nothing yet.
 func (s *Scheduler) confirmTerm(ctx context.Context) error {
 	s.mu.Lock()
 	if err := s.termOver(); err != nil {
@@ -99,7 +100,16 @@
 	confirmed := make(chan struct{})
 	s.confirmations = append(s.confirmations, confirmed)
 	wake(s.commitWake)
-	return s.awaitCommit(ctx, confirmed, func() error { return nil })
+	err := s.awaitCommit(ctx, confirmed, func() error { return nil })
+	if err == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if over := s.termOver(); over != nil {
+		return over
+	}
+	return err
 }
 
 // confirmRejection logs the rejection of a submission and returns its error once this owner's term is
