node: no rejection of a later try stands for a try with an unknown outcome

A call that had no answer, or that its owner could not confirm, is made again. If the next owner rejected it because of the quota, the key or the route, the caller was told 429, 401 or 404, although the first try could still be carried out. Only RejectedError was checked against earlier tries. A forwarded call is cancelled when the owner changes, so that each change of the owner with submissions under way could show this.

serve classifies results in one place, outcomeOf, and each call says which results override an unknown outcome: for a submission only that it is accepted; for a cancellation that the job is cancelled, or that it is unknown, as that is stored and rejects a late submission; for state and count any result, as these calls change nothing. A read that is rejected after a lost try is now answered 503 instead of 504.

--- a/node/serve.go
+++ b/node/serve.go
@@ -22,15 +22,32 @@
 	ownerRetryDelay  = 25 * time.Millisecond
 )
 
+// ownerCall is a call about a job or a queue that the owner carries out: local at this node if it is the owner, else
+// remote at the owner's address. All calls are idempotent.
+type ownerCall struct {
+	id     string // of the job, or the name of the queue
+	local  func(context.Context, *scheduler.Scheduler) error
+	remote func(ctx context.Context, address string, timeout time.Duration) error
+	// overrides reports whether the result of a try is right whether or not an earlier try with an unknown
+	// outcome has been, or will be, carried out.
+	overrides func(error) bool
+}
+
 // Submit passes a job to the owner and returns once it is in the store. Besides the scheduler's
-// errors it returns those of routing.Table.Recheck. After a RejectedError the job was not
-// accepted; after an UnconfirmedError it may have been.
+// errors it returns those of routing.Table.Recheck. After an UnconfirmedError the job may have been
+// accepted; after all other errors that callers know, it was not.
 func (n *Node) Submit(ctx context.Context, caller routing.Caller, id string, record workload.Record) error {
-	err := n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
-		return own.Submit(ctx, id, record)
-	}, func(ctx context.Context, address string, timeout time.Duration) error {
-		_, err := peer.Call[empty](ctx, n.client, address, submitPath, submitRequest{id, record, timeout, caller})
-		return err
+	err := n.serve(ctx, ownerCall{
+		id: id,
+		local: func(ctx context.Context, own *scheduler.Scheduler) error {
+			return own.Submit(ctx, id, record)
+		},
+		remote: func(ctx context.Context, address string, timeout time.Duration) error {
+			_, err := peer.Call[empty](ctx, n.client, address, submitPath, submitRequest{id, record, timeout, caller})
+			return err
+		},
+		// An earlier try may still reach an owner after a later one was rejected.
+		overrides: func(err error) bool { return err == nil },
 	})
 	var overloaded *scheduler.RejectedError
 	if err != nil {
@@ -45,11 +62,21 @@
 // Cancel cancels a job and returns once that is in the store.
 func (n *Node) Cancel(ctx context.Context, caller routing.Caller, id string) error {
 	startedAt := time.Now()
-	err := n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
-		return own.Cancel(ctx, caller.Account, id)
-	}, func(ctx context.Context, address string, timeout time.Duration) error {
-		_, err := peer.Call[empty](ctx, n.client, address, cancelPath, jobRequest{id, timeout, caller})
-		return err
+	err := n.serve(ctx, ownerCall{
+		id: id,
+		local: func(ctx context.Context, own *scheduler.Scheduler) error {
+			return own.Cancel(ctx, caller.Account, id)
+		},
+		remote: func(ctx context.Context, address string, timeout time.Duration) error {
+			_, err := peer.Call[empty](ctx, n.client, address, cancelPath, jobRequest{id, timeout, caller})
+			return err
+		},
+		// Once a job is cancelled or unknown, an earlier try that arrives late changes nothing. Other errors say
+		// that the job is not cancelled, which an earlier try may yet do.
+		overrides: func(err error) bool {
+			var unknownJob *scheduler.UnknownJobError
+			return err == nil || errors.As(err, &unknownJob)
+		},
 	})
 	n.mu.Lock()
 	owner := n.owner
@@ -61,54 +88,60 @@
 
 // State returns a job's state.
 func (n *Node) State(ctx context.Context, caller routing.Caller, id string) (state workload.State, err error) {
-	err = n.serve(ctx, id, func(ctx context.Context, own *scheduler.Scheduler) error {
-		state, err = own.State(ctx, caller.Account, id)
-		return err
-	}, func(ctx context.Context, address string, timeout time.Duration) error {
-		state, err = peer.Call[workload.State](ctx, n.client, address, statePath, jobRequest{id, timeout, caller})
-		return err
+	err = n.serve(ctx, ownerCall{
+		id: id,
+		local: func(ctx context.Context, own *scheduler.Scheduler) error {
+			state, err = own.State(ctx, caller.Account, id)
+			return err
+		},
+		remote: func(ctx context.Context, address string, timeout time.Duration) error {
+			state, err = peer.Call[workload.State](ctx, n.client, address, statePath, jobRequest{id, timeout, caller})
+			return err
+		},
+		overrides: anyResult,
 	})
 	return state, err
 }
 
 // Pending returns the number of a queue's jobs of which no task has started.
 func (n *Node) Pending(ctx context.Context, caller routing.Caller, queue string) (count int, err error) {
-	err = n.serve(ctx, queue, func(ctx context.Context, own *scheduler.Scheduler) error {
-		count, err = own.Pending(ctx, queue)
-		return err
-	}, func(ctx context.Context, address string, _ time.Duration) error {
-		count, err = peer.Call[int](ctx, n.client, address, pendingPath, pendingRequest{queue, caller})
-		return err
+	err = n.serve(ctx, ownerCall{
+		id: queue,
+		local: func(ctx context.Context, own *scheduler.Scheduler) error {
+			count, err = own.Pending(ctx, queue)
+			return err
+		},
+		remote: func(ctx context.Context, address string, _ time.Duration) error {
+			count, err = peer.Call[int](ctx, n.client, address, pendingPath, pendingRequest{queue, caller})
+			return err
+		},
+		overrides: anyResult,
 	})
 	return count, err
 }
 
+// anyResult is the overrides of calls that change nothing.
+func anyResult(error) bool { return true }
+
 // serve carries out a call at the owner, which is this node or another one, and waits for an owner
-// if there is none. It retries calls that were not carried out and calls that may have been,
-// because all of them are idempotent.
-func (n *Node) serve(ctx context.Context, id string, local func(context.Context, *scheduler.Scheduler) error, remote func(context.Context, string, time.Duration) error) error {
+// if there is none. It retries calls that were not carried out and calls that may have been.
+func (n *Node) serve(ctx context.Context, call ownerCall) error {
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
 	startedAt := time.Now()
 	var uncertain error // error of a try that may have been carried out
 	for {
-		err := n.tryServe(ctx, id, local, remote)
-		var (
-			notOwner    *NotOwnerError
-			unreachable *peer.UnreachableError
-			lost        *peer.NoResponseError
-			unconfirmed *scheduler.UnconfirmedError
-			overloaded  *scheduler.RejectedError
-		)
-		switch {
-		case errors.As(err, &notOwner), errors.As(err, &unreachable):
-		case errors.As(err, &lost), errors.As(err, &unconfirmed):
-			uncertain = err
-			n.logCall(id, err, "outcome of a try is unknown")
-		case errors.As(err, &overloaded) && uncertain != nil:
-			return &scheduler.UnconfirmedError{Cause: uncertain}
-		default:
+		err := n.tryServe(ctx, call)
+		switch outcomeOf(err) {
+		case definite:
+			if uncertain != nil && !call.overrides(err) {
+				return &scheduler.UnconfirmedError{Cause: uncertain}
+			}
 			return err
+		case unknown:
+			uncertain = err
+			n.logCall(call.id, err, "outcome of a try is unknown")
+		case notCarriedOut:
 		}
 		if wait.For(ctx, ownerRetryDelay) != nil || time.Since(startedAt) > noOwnerTimeout {
 			if uncertain != nil {
@@ -119,6 +152,33 @@
 	}
 }
 
+// tryOutcome tells what the result of a try at the owner says about the call.
+type tryOutcome int
+
+const (
+	definite      tryOutcome = iota // the owner has answered
+	notCarriedOut                   // no owner was reached
+	unknown                         // the owner may have carried out the call, or may yet do so
+)
+
+// outcomeOf classifies the result of a try. An error that says that the outcome is unknown does not unwrap to its
+// cause, so that the cause cannot make it another one.
+func outcomeOf(err error) tryOutcome {
+	var (
+		notOwner    *NotOwnerError
+		unreachable *peer.UnreachableError
+		lost        *peer.NoResponseError
+		unconfirmed *scheduler.UnconfirmedError
+	)
+	switch {
+	case errors.As(err, &lost), errors.As(err, &unconfirmed):
+		return unknown
+	case errors.As(err, &notOwner), errors.As(err, &unreachable):
+		return notCarriedOut
+	}
+	return definite
+}
+
 // logCall logs a call that was not carried out or may not have been, with the owner known by then.
 func (n *Node) logCall(id string, err error, message string) {
 	n.mu.Lock()
@@ -128,12 +188,12 @@
 }
 
 // tryServe tries a call once at the currently known owner.
-func (n *Node) tryServe(ctx context.Context, id string, local func(context.Context, *scheduler.Scheduler) error, remote func(context.Context, string, time.Duration) error) error {
+func (n *Node) tryServe(ctx context.Context, call ownerCall) error {
 	n.mu.Lock()
 	own, owner, changed := n.scheduler, n.owner, n.changed
 	n.mu.Unlock()
 	if own != nil {
-		return n.serveLocal(ctx, own, local)
+		return n.serveLocal(ctx, own, call.local)
 	}
 	if owner.Address == "" || owner.Address == n.config.Self.Address {
 		return &NotOwnerError{}
@@ -147,11 +207,11 @@
 		case <-callCtx.Done():
 		}
 	}()
-	err := remote(callCtx, owner.Address, ownerCallTimeout)
+	err := call.remote(callCtx, owner.Address, ownerCallTimeout)
 	if isRefused(err) {
 		n.suspectOwner(owner)
 	}
-	return decodeError(id, err)
+	return decodeError(call.id, err)
 }
 
 // serveLocal carries out a call at this node's scheduler once that has loaded.
