scheduler: tests that a withdrawn job is in no transaction

A job is withdrawn, and its submission rejected, only while no transaction has included it. That holds as it is: the mark "sent" is set under the lock together with the choice of the jobs of a transaction, for rows and for bundles, and a start waits until its grant is stored. The test submits jobs that are placed while transactions are held, loses the response of the transaction that includes some of them, and asks a successor.

--- a/scheduler/withdraw_test.go
+++ b/scheduler/withdraw_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -145,3 +146,71 @@
 	}
 	c.t.Logf("%d of %d jobs were accepted", accepted, len(answers))
 }
+
+// Guards against a withdrawn job that a transaction includes: it would run although its submission was rejected. The
+// jobs are placed in memory before the transaction is sent, and its response is lost.
+func TestWithdrawnJobsAreInNoTransaction(t *testing.T) {
+	cases := []struct {
+		name      string
+		jobs      int
+		specBytes int
+		// unsent is set if the jobs do not all fit into the transaction.
+		unsent bool
+	}{
+		{"a row of its own", 1, 10, false},
+		{"rows of their own, two transactions", 60, 10, true},
+		{"bundled", 80, 10, false},
+		{"bundled, two transactions", 200, 4000, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			withCell(t, 8, func(c *cell) {
+				o := c.startOwner()
+				time.Sleep(time.Second)
+				release, err := o.HoldCommits(c.ctx)
+				if err != nil {
+					t.Fatal(err)
+				}
+				request := lookupRequest()
+				request.Spec = strings.Repeat("x", test.specBytes)
+				answers := map[string]<-chan submitResult{}
+				for i := range test.jobs {
+					id := fmt.Sprintf("job-%03d", i)
+					answers[id] = c.submitAsync(o, id, lookups, request)
+				}
+				time.Sleep(50 * time.Millisecond)
+				o.caller.SetFault(func(write bool) memory.Fault { return memory.Fault{DropResponse: write, DropRequest: !write} })
+				release()
+				rejected := map[string]bool{}
+				for id, answer := range answers {
+					var overloaded *scheduler.RejectedError
+					rejected[id] = errors.As((<-answer).err, &overloaded)
+				}
+				successor := c.startOwner()
+				c.checkRejected(successor, rejected, test.unsent)
+			})
+		})
+	}
+}
+
+// checkRejected fails the test unless jobs are unknown to an owner exactly if they were rejected, and the others
+// complete. Some must have been rejected if wantSome is set, and some not.
+func (c *cell) checkRejected(o *owner, rejected map[string]bool, wantSome bool) {
+	c.t.Helper()
+	count := 0
+	for id := range rejected {
+		if !rejected[id] {
+			c.awaitState(o, id, workload.Completed, 30*time.Second)
+			continue
+		}
+		count++
+		_, err := o.State(c.ctx, id)
+		wantError[*scheduler.UnknownJobError](c.t, "state of rejected job "+id, err)
+		if c.fleet.JobStarted(id) {
+			c.t.Errorf("job %s was rejected but a task of it has started", id)
+		}
+	}
+	if (count > 0) != wantSome || count == len(rejected) {
+		c.t.Errorf("%d of %d jobs were rejected, want some: %v", count, len(rejected), wantSome)
+	}
+}
