fleettest: failed attempts are counted by their numbers

What tests saw: "was started after 3 failed attempts, limit 3" although only two attempts had failed. One of them had been executed by two incarnations of a worker, one of which executed the start late.

Cause: the check of starts counted ends that were acknowledged.

--- a/fleet/fleettest/checks.go
+++ b/fleet/fleettest/checks.go
@@ -52,8 +52,8 @@
 			f.violation("%s runs twice: on %s as attempt %d and on %s as attempt %d", name, other.info.ID, r.number, w.info.ID, order.Number)
 		}
 	}
-	if f.failures[name] >= spec.MaxFailures {
-		f.violation("%s was started after %d failed attempts, limit %d", name, f.failures[name], spec.MaxFailures)
+	if failed := len(f.failures[name]); failed >= spec.MaxFailures {
+		f.violation("%s was started after %d failed attempts, limit %d", name, failed, spec.MaxFailures)
 	}
 	f.checkStep(w, task, order, spec)
 }
--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -64,7 +64,7 @@
 	jobs                   map[string]JobSpec // by job id
 	acknowledgedDone       map[string]bool    // tasks acknowledged as done, which must not be started again
 	succeeded              map[string]bool    // tasks with a completed attempt that workers no longer report
-	failures               map[string]int     // acknowledged failed attempts by task
+	failures               attemptSet         // acknowledged failed attempts by task
 	crashes                map[string]*crashRecord
 	workersLost            map[string]int // workers that ended while they ran a task, by task
 	gangs                  map[string]*gang
@@ -100,7 +100,7 @@
 func New() *Fleet {
 	return &Fleet{
 		workers: map[string]*worker{}, jobs: map[string]JobSpec{}, gangs: map[string]*gang{}, tickets: map[string]ticket{},
-		acknowledgedDone: map[string]bool{}, succeeded: map[string]bool{}, failures: map[string]int{}, startedJobs: map[string]bool{}, attempts: map[string][]*Attempt{},
+		acknowledgedDone: map[string]bool{}, succeeded: map[string]bool{}, failures: attemptSet{}, startedJobs: map[string]bool{}, attempts: map[string][]*Attempt{},
 		crashes: map[string]*crashRecord{}, workersLost: map[string]int{}, quotas: map[string][]quotaPeriod{}, peakUsage: map[string]resource.Amount{},
 		entryOverrides: map[string]func(fleet.Worker) fleet.Worker{}, cancelledAt: map[string]time.Time{}, closedHalls: map[string]time.Time{},
 		planOverrides: map[string]Plan{}, refused: map[fleet.Reason]int{}, observer: noopObserver{}, grace: resizeGrace,
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -318,7 +318,7 @@
 			f.acknowledgedDone[end.Task], f.succeeded[end.Task] = true, true
 			f.checkDone(end)
 		case end.Outcome == fleet.Failed:
-			f.failures[end.Task]++
+			f.failures.add(end.Task, end.Number)
 		}
 	}
 	w.ended = rest
