scheduler: an attempt of a gang fails once, however many of its members fail

What callers saw: a job reported as `failed` although no task, and no gang in different attempts, had failed as often as its queue allows. With a limit of 2, one attempt was enough.

Cause: handleTaskFailure counted the failed end of each member. Workers end the other members of a gang some time after the first one has ended, and until then these can fail by themselves. The test fleet ended them at the same instant, so no test could see it. A change of owner between two reports made no difference, as only the number of failures was stored.

Change: a task, or a gang, records which attempts have failed (workload.FailedAttempts), so that counting an end again has no effect. Key 3 keeps the number for earlier builds. Rows of earlier builds hold only that; the failures are then taken to be the latest attempts that have ended, and no more than there were attempts.

The test fleet now breaks a gang 200 ms after the end of a member (SetGangBreakDelay). The random tests check that a failed job has a reason; generateJob staggers the ends of failing tasks so that members of a gang fail one by one.

The fixture of late_report_test.go is split so that the next owner can have one; its checks are unchanged.

--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -68,6 +68,7 @@
 	crashes                map[string]*crashRecord
 	workersLost            map[string]int // workers that ended while they ran a task, by task
 	gangs                  map[string]*gang
+	gangBreakDelay         time.Duration // see SetGangBreakDelay
 	tickets                map[string]ticket
 	violations             []string
 	cancellationViolations []string // part of violations
@@ -103,7 +104,7 @@
 		acknowledgedDone: map[string]bool{}, succeeded: map[string]bool{}, failures: attemptSet{}, startedJobs: map[string]bool{}, attempts: map[string][]*Attempt{},
 		crashes: map[string]*crashRecord{}, workersLost: map[string]int{}, quotas: map[string][]quotaPeriod{}, peakUsage: map[string]resource.Amount{},
 		entryOverrides: map[string]func(fleet.Worker) fleet.Worker{}, cancelledAt: map[string]time.Time{}, closedHalls: map[string]time.Time{},
-		planOverrides: map[string]Plan{}, refused: map[fleet.Reason]int{}, observer: noopObserver{}, grace: resizeGrace,
+		planOverrides: map[string]Plan{}, refused: map[fleet.Reason]int{}, observer: noopObserver{}, grace: resizeGrace, gangBreakDelay: defaultGangBreakDelay,
 	}
 }
 
@@ -232,18 +233,14 @@
 	f.terminate(f.workers[id])
 }
 
-// terminate ends a worker and all attempts on it. The other members of their gangs end after
-// gangFailureDelay.
+// terminate ends a worker and all attempts on it, and breaks their gangs.
 func (f *Fleet) terminate(w *worker) {
 	w.dead = true
 	for name, r := range w.runs {
 		r.timer.Stop()
 		r.record.Ended = time.Now()
 		f.workersLost[name]++
-		if g := f.gangs[gangKey(r.task, r.number)]; g != nil {
-			g.lost = true
-			time.AfterFunc(gangFailureDelay, func() { f.failGang(r) })
-		}
+		f.breakGang(r)
 	}
 	clear(w.runs)
 	if w.leaseTimer != nil {
@@ -347,7 +344,7 @@
 		return
 	}
 	r.timer.Stop()
-	if g := f.gangs[gangKey(r.task, r.number)]; g != nil && g.lost && outcome == fleet.Done {
+	if g := f.gangs[gangKey(r.task, r.number)]; g != nil && g.broken && outcome == fleet.Done {
 		outcome = fleet.GangBroken
 	}
 	delete(w.runs, name)
@@ -360,7 +357,7 @@
 	if outcome == fleet.Done {
 		f.endGang(r, fleet.Done)
 	} else {
-		f.endGang(r, fleet.GangBroken)
+		f.breakGang(r)
 	}
 }
 
--- a/fleet/fleettest/gang.go
+++ b/fleet/fleettest/gang.go
@@ -11,17 +11,32 @@
 // gang is the set of attempts of a gang step that work together.
 type gang struct {
 	members map[int]*worker
-	lost    bool // a member's worker has ended, so the others can't complete
+	broken  bool // a member has ended, so the others cannot complete; they end after the break delay
 }
 
-// gangFailureDelay is the time from the end of a worker to the end of its gangs' other members.
-const gangFailureDelay = 200 * time.Millisecond
+// defaultGangBreakDelay is the default of SetGangBreakDelay.
+const defaultGangBreakDelay = 200 * time.Millisecond
 
-// failGang ends the gang of an attempt that was lost with its worker.
-func (f *Fleet) failGang(lost *run) {
+// SetGangBreakDelay sets the time from the end of a gang's member to the end of the others. Members whose plans
+// end in that time report ends of their own.
+func (f *Fleet) SetGangBreakDelay(delay time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.endGang(lost, fleet.GangBroken)
+	f.gangBreakDelay = delay
+}
+
+// breakGang makes the other members of an attempt's gang end after the break delay. Until then they keep working.
+func (f *Fleet) breakGang(r *run) {
+	g := f.gangs[gangKey(r.task, r.number)]
+	if g == nil || g.broken {
+		return
+	}
+	g.broken = true
+	time.AfterFunc(f.gangBreakDelay, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.endGang(r, fleet.GangBroken)
+	})
 }
 
 // endGang ends the running members of an attempt's gang.
@@ -55,7 +70,7 @@
 		f.gangs[name] = g
 	}
 	g.members[r.task.Index] = w
-	if len(g.members) == spec.Request.Steps[r.task.Step].Count {
+	if !g.broken && len(g.members) == spec.Request.Steps[r.task.Step].Count {
 		for index, host := range g.members {
 			member := r.task
 			member.Index = index
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -255,6 +255,15 @@
 	c.t.Errorf("job %s is %q after %v, want %q", id, state, within, want)
 }
 
+// assertFailedWithCause fails the test if a job is reported as failed although none of its tasks, and none of its
+// gangs in different attempts, has failed as often as allowed. It accepts that two workers have ended under a task.
+func (c *cell) assertFailedWithCause(id string, state workload.State) {
+	c.t.Helper()
+	if state == workload.Failed && !c.fleet.AttemptsExhausted(id) && c.fleet.MaxWorkersLost(id) < 2 {
+		c.t.Errorf("job %s is reported as failed, but none of its tasks or gangs has failed as often as allowed", id)
+	}
+}
+
 // newRequest returns a request with one step.
 func newRequest(count int, cpu resource.MilliCPU) workload.Request {
 	return workload.Request{Spec: "spec", Steps: []workload.Step{newStep(count, cpu)}}
--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -63,7 +63,7 @@
 	}
 	event.Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).
 		Str("worker", t.worker.info.ID).Str("outcome", string(outcome)).Str("why", why).
-		Dur("ran", t.runTime()).Int("failures", t.failures).Msg("attempt over")
+		Dur("ran", t.runTime()).Int("failures", len(t.failures)).Msg("attempt over")
 }
 
 // runTime returns the confirmed run time of the current attempt: from the worker's confirmation of
@@ -91,20 +91,23 @@
 	}
 }
 
-// handleTaskFailure counts the failure of an attempt of a task, and fails the job when the task has no
-// attempts left.
+// handleTaskFailure counts the failure of an attempt of a task, unless it has been counted, and fails the job
+// when the task has no attempts left. A gang's attempt fails once, however many of its members fail.
 func (s *Scheduler) handleTaskFailure(t *task, attempt int) {
 	st := t.step
-	t.failures++
-	s.log.Info().Str("job", st.job.id).Str("task", t.id().String()).Int("attempt", attempt).Int("failures", t.failures).
+	st.retryAt = time.Now().Add(failureBackoff)
+	if t.failures.Contains(attempt) {
+		return
+	}
+	t.failures = t.failures.With(attempt)
+	s.log.Info().Str("job", st.job.id).Str("task", t.id().String()).Int("attempt", attempt).Int("failures", len(t.failures)).
 		Int("limit", st.job.record.Queue.MaxFailures).Bool("gang", st.spec.Gang).Msg("failure counted")
 	if st.spec.Gang {
 		for _, member := range st.tasks {
 			member.failures = t.failures
 		}
 	}
-	st.retryAt = time.Now().Add(failureBackoff)
-	if t.failures >= st.job.record.Queue.MaxFailures {
+	if len(t.failures) >= st.job.record.Queue.MaxFailures {
 		s.finish(st.job, workload.Failed, "a task has failed "+t.id().String())
 	}
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -76,7 +76,7 @@
 
 // onLastAttempt reports whether another failure of the task fails its job.
 func (t *task) onLastAttempt() bool {
-	return !t.step.spec.LongRunning && t.failures+1 >= t.step.job.record.Queue.MaxFailures
+	return !t.step.spec.LongRunning && len(t.failures)+1 >= t.step.job.record.Queue.MaxFailures
 }
 
 // addSpeed adds a speed sample to the mean.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -28,9 +28,9 @@
 	index                 int
 	state                 taskState
 	attempt               int
-	failures              int
-	worker                *worker // where the attempt is or may be; nil if nowhere
-	urgent                bool    // the queue had priority 0 when the attempt was assigned to its worker
+	failures              workload.FailedAttempts // the members of a gang share it
+	worker                *worker                 // where the attempt is or may be; nil if nowhere
+	urgent                bool                    // the queue had priority 0 when the attempt was assigned to its worker
 	checkpoint            string
 	ticket                string
 	startedAt             time.Time // when the worker confirmed the attempt
@@ -357,7 +357,10 @@
 		case t.state == taskDone:
 			sp.Done = workload.SetBit(sp.Done, t.index)
 		case t.attempt > 0 || t.checkpoint != "":
-			tp := workload.TaskProgress{Index: t.index, Attempt: t.attempt, Failures: t.failures, Checkpoint: t.checkpoint, CrashHistory: t.crashes}
+			tp := workload.TaskProgress{Index: t.index, Attempt: t.attempt, Failures: len(t.failures), Checkpoint: t.checkpoint, CrashHistory: t.crashes}
+			if !st.spec.Gang || len(sp.Tasks) == 0 {
+				tp.FailedAttempts = t.failures
+			}
 			if t.worker != nil {
 				tp.Worker, tp.StartTime = t.worker.info.ID, t.worker.info.StartTime
 				if !addressed[t.worker] { // once per worker, to keep the row small: it is rewritten on each change
@@ -394,7 +397,7 @@
 			continue
 		}
 		t := st.tasks[tp.Index]
-		t.attempt, t.failures, t.checkpoint, t.crashes = tp.Attempt, tp.Failures, tp.Checkpoint, tp.CrashHistory
+		t.attempt, t.checkpoint, t.crashes = tp.Attempt, tp.Checkpoint, tp.CrashHistory
 		st.suspected = st.suspected || t.crashes.Suspected
 		if tp.Worker != "" {
 			hosts(fleet.Incarnation{ID: tp.Worker, StartTime: tp.StartTime}, tp.Address).assign(t, taskStarting)
@@ -405,4 +408,5 @@
 			w.lostAttempts = append(w.lostAttempts, lostAttempt{t, t.attempt})
 		}
 	}
+	st.restoreFailures(sp.Tasks)
 }
--- a/scheduler/late_report_test.go
+++ b/scheduler/late_report_test.go
@@ -23,6 +23,20 @@
 // newReportFixture returns a fixture that has taken in the worker's first report, which lists all
 // tasks as running.
 func newReportFixture(t *testing.T, tasks int) *reportFixture {
+	t.Helper()
+	s := newIdleReportFixture(t, workload.Step{Count: tasks})
+	report := fleet.Report{StartTime: 1, Clock: 5}
+	for _, task := range s.job.rounds[0].steps[0].tasks {
+		s.worker.assign(task, taskStarting)
+		task.attempt, task.startSent = 1, true
+		report.Running = append(report.Running, fleet.Attempt{Task: task.id().String(), Number: 1})
+	}
+	s.handleReport(s.worker, report, time.Now())
+	return s
+}
+
+// newIdleReportFixture returns a fixture whose worker has not reported, and whose job has not started.
+func newIdleReportFixture(t *testing.T, step workload.Step) *reportFixture {
 	t.Helper()
 	term, err := leadership.Acquire(t.Context(), memory.New().NewClient(), "main", "node", "address", leadership.ObservedRow{})
 	if err != nil {
@@ -31,16 +45,9 @@
 	s := New(Config{Shard: "main", Lease: time.Second}, memory.New(), nil, term, NewMetrics(), zerolog.Nop())
 	w := s.addIncarnation(fleet.Worker{Incarnation: fleet.Incarnation{ID: "w", StartTime: 1}, Service: "s"})
 	queue := workload.Queue{Name: "q", Service: "s", MaxFailures: 3}
-	request := workload.Request{Steps: []workload.Step{{Count: tasks}}}
+	request := workload.Request{Steps: []workload.Step{step}}
 	j := newJob("job", workload.Record{Request: request, Queue: queue}, s.accountOf(account.Terms{}), time.Now())
 	s.jobs[j.id], s.active[j.id] = j, j
-	report := fleet.Report{StartTime: 1, Clock: 5}
-	for _, task := range j.rounds[0].steps[0].tasks {
-		w.assign(task, taskStarting)
-		task.attempt, task.startSent = 1, true
-		report.Running = append(report.Running, fleet.Attempt{Task: task.id().String(), Number: 1})
-	}
-	s.handleReport(w, report, time.Now())
 	return &reportFixture{s, w, j}
 }
 
@@ -95,13 +102,19 @@
 // until the owner gives the attempt up.
 func (s *reportFixture) giveUpUnreadableAttempt(t *testing.T) {
 	t.Helper()
+	s.exceedUnreadGracePeriod()
+	if len(s.worker.tasks) > 0 {
+		t.Fatal("the attempt was not given up")
+	}
+}
+
+// exceedUnreadGracePeriod makes the worker report a row that cannot be read in place of all attempts, for longer
+// than unreadGracePeriod.
+func (s *reportFixture) exceedUnreadGracePeriod() {
 	unreadable := fleet.Report{StartTime: 1, Clock: 6, UndecodedRows: 1, UndecodedFrom: 1}
 	s.handleReport(s.worker, unreadable, time.Now())
 	s.worker.unreadSince = time.Now().Add(-unreadGracePeriod)
 	s.handleReport(s.worker, unreadable, time.Now())
-	if len(s.worker.tasks) > 0 {
-		t.Fatal("the attempt was not given up")
-	}
 }
 
 // assertAckedOnceStored checks that the worker's first end is acknowledged only after its job is
@@ -138,9 +151,7 @@
 	failed := fleet.Report{StartTime: 1, Clock: 7, Ended: []fleet.EndedAttempt{{Sequence: 1, Task: "job.0.0.0", Number: 1, Outcome: fleet.Failed}}}
 	for range 2 {
 		s.handleReport(s.worker, failed, time.Now())
-		if got := s.job.rounds[0].steps[0].tasks[0].failures; got != 1 {
-			t.Errorf("%d failures, want 1", got)
-		}
+		s.assertFailures(t, 1)
 	}
 	s.assertAckedOnceStored(t)
 }
--- a/scheduler/random_cancellations_test.go
+++ b/scheduler/random_cancellations_test.go
@@ -150,6 +150,12 @@
 	calm := time.Now().Add(r.lease)
 	r.awaitCallers()
 	time.Sleep(time.Until(calm))
+	for i := range list {
+		id := fmt.Sprintf("job-%d", i)
+		if state, err := r.owner(false).State(r.ctx, id); err == nil {
+			r.assertFailedWithCause(id, state)
+		}
+	}
 	for range 2 {
 		time.Sleep(5 * time.Second)
 		r.fleet.CheckCancelled(calm)
--- a/scheduler/random_restarts_test.go
+++ b/scheduler/random_restarts_test.go
@@ -113,7 +113,11 @@
 	duration := time.Duration(100+150*(number%9)) * time.Millisecond
 	if number%4 == 1 {
 		failing := fleettest.Plan{Work: duration, Outcome: fleet.Failed}
-		return request, func(workload.TaskID, int) fleettest.Plan { return failing }, workload.Failed
+		return request, func(task workload.TaskID, _ int) fleettest.Plan {
+			plan := failing
+			plan.Work += time.Duration(task.Index%3) * 60 * time.Millisecond // members of a gang fail before it is broken
+			return plan
+		}, workload.Failed
 	}
 	return request, succeedAfter(duration), workload.Completed
 }
@@ -126,6 +130,7 @@
 	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		state, _ = o.State(c.ctx, name)
 		if state == want || state == workload.Failed && c.fleet.MaxWorkersLost(name) >= 2 {
+			c.assertFailedWithCause(name, state)
 			return
 		}
 	}
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -25,7 +25,7 @@
 type TaskProgress struct {
 	Index      int    `cbor:"1,keyasint"`
 	Attempt    int    `cbor:"2,keyasint,omitempty"` // number of the latest granted attempt
-	Failures   int    `cbor:"3,keyasint,omitempty"`
+	Failures   int    `cbor:"3,keyasint,omitempty"` // len(FailedAttempts); all that earlier builds store
 	Worker     string `cbor:"4,keyasint,omitempty"` // worker that may hold the attempt, or empty
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
 	// StartTime distinguishes incarnations of a worker that reuse its ID; 0 if unknown.
@@ -33,6 +33,8 @@
 	// Address is the address of the worker, which lets a new owner contact it before discovery
 	// has listed it. It is set only on the first task of the step on each worker.
 	Address string `cbor:"12,keyasint,omitempty"`
+	// FailedAttempts is set only on the first task of a gang, whose tasks share it.
+	FailedAttempts FailedAttempts `cbor:"13,keyasint,omitempty"`
 	CrashHistory
 }
 
