scheduler: an earlier disconnect is no evidence that a task crashes its workers

What callers could see: a job reported as `failed` although its task neither failed nor crashed a worker. Two restarts of workers were enough.

Cause: the owner remembers of a worker that it closed its connection, and when. A worker that answered again kept that mark. If it later restarted without another broken connection, because its next incarnation answered the next call, the time of the former disconnect was taken for the time at which its attempts were lost. They had begun after that, so each counted as lost at its start with a closed connection: the strongest evidence of a crash. Reset connections followed by workers that restart under their IDs lead to this.

Change: connectionClosed ends with the next report of the worker. Without it the last report counts as the time up to which the worker was alive, as for a worker that went silent.

Evidence: TestEarlierDisconnectIsNoEvidence failed before ("the job is "failed", want it to be retried") and passes now.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -30,7 +30,7 @@
 	if !w.unresponsive {
 		s.recordCallResult(true)
 	}
-	w.lastReportAt, w.unresponsive, w.failedCalls = now, false, 0
+	w.lastReportAt, w.unresponsive, w.connectionClosed, w.failedCalls = now, false, false, 0
 	s.clearLost(w)
 	w.observeClock(report.Clock, now)
 	s.recordUnread(w, report, now)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -35,7 +35,7 @@
 	unresponsive      bool          // the last call was not answered
 	failedCalls       int           // consecutive unanswered calls
 	unresponsiveSince time.Time     // when the first of them failed
-	connectionClosed  bool          // the first of them failed because the worker closed or refused the connection
+	connectionClosed  bool          // the first of them failed because the worker closed or refused the connection; false once it answers again
 	leaving           bool          // draining, or removed from discovery while it still answered
 	lostAttempts      []lostAttempt // until it is known whether the worker has ended
 	trial             trial
