scheduler: a late failure counts although a former owner gave the attempt up

What callers saw: a task was started once more after its last allowed attempt had failed, if a former owner had given one of the attempts up and the next owner read its failed end. The same happened if a restarted worker executed a start again whose attempt had ended otherwise before.

Cause: late failures counted only for attempts that this owner had given up itself, because the next owner could not tell a counted failure from a new one. It can since the failed attempts are stored.

Change: every failed end that is read counts, once per attempt; givenUp is removed. This includes failures that are read after the lease of their attempt has expired.

Evidence: TestLateFailureCountsForNextOwner/once and TestFailureOfRepeatedAttemptCounts failed before ("0 failures, want 1"). Now the tests of the package pass with -race except the known red one, and those of node and platform pass.

--- a/scheduler/failures_test.go
+++ b/scheduler/failures_test.go
@@ -126,6 +126,58 @@
 	})
 }
 
+// Guards against an attempt too many: the failure of an attempt that the former owner gave up is first read by
+// the next one.
+func TestLateFailureCountsForNextOwner(t *testing.T) {
+	failed := newFailedEnd(1, "job.0.0.0")
+	t.Run("once", func(t *testing.T) {
+		s := newReportFixture(t, 1)
+		s.giveUpUnreadableAttempt(t)
+		next := s.nextOwner(t)
+		for range 2 {
+			next.reportEnds(1, 7, failed)
+			next.assertFailures(t, 1)
+		}
+	})
+	t.Run("not again if the former owner has counted it", func(t *testing.T) {
+		s := newReportFixture(t, 1)
+		s.giveUpUnreadableAttempt(t)
+		s.reportEnds(1, 7, failed)
+		s.assertFailures(t, 1)
+		next := s.nextOwner(t)
+		next.reportEnds(1, 8, failed)
+		next.assertFailures(t, 1)
+	})
+	t.Run("once for two members of a gang", func(t *testing.T) {
+		s := newGangFixture(t, 2)
+		s.exceedUnreadGracePeriod()
+		next := s.nextOwner(t)
+		next.reportEnds(1, 7, failed)
+		next.reportEnds(1, 8, failed, newFailedEnd(2, "job.0.0.1"))
+		next.assertFailures(t, 1)
+	})
+}
+
+// Guards against leaving out a failure: queues limit the failed attempts of a task whether or not a lease expired
+// before the failure was read.
+func TestFailureReadAfterItsLeaseExpiredCounts(t *testing.T) {
+	s := newReportFixture(t, 1)
+	s.expireAttempts(s.worker, "its lease has expired")
+	s.assertFailures(t, 0)
+	s.reportEnds(1, 7, newFailedEnd(1, "job.0.0.0"))
+	s.assertFailures(t, 1)
+}
+
+// Guards against an attempt too many: a restarted worker executes a start again whose attempt did not fail before.
+func TestFailureOfRepeatedAttemptCounts(t *testing.T) {
+	s := newReportFixture(t, 1)
+	stopped := newFailedEnd(1, "job.0.0.0")
+	stopped.Outcome = fleet.Stopped
+	s.reportEnds(1, 6, stopped)
+	s.reportEnds(2, 1, newFailedEnd(1, "job.0.0.0"))
+	s.assertFailures(t, 1)
+}
+
 // Guards against starting a gang too often, or failing it too early, after an upgrade during its attempts: rows
 // of earlier builds hold only the number of failures, which those builds counted by member.
 func TestFailuresStoredByEarlierBuild(t *testing.T) {
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -213,13 +213,8 @@
 		Int("running", len(report.Running)).Int("ended", len(report.Ended)).Msg("worker has started again")
 	reported := reportedAttempts(report)
 	for _, t := range former.taskList() {
-		if t.worker != former {
-			continue
-		}
-		if reported[attemptKey{t.id().String(), t.attempt}] {
+		if t.worker == former && reported[attemptKey{t.id().String(), t.attempt}] {
 			s.moveAttempt(next, t)
-		} else {
-			t.recordGivenUp() // the next incarnation may still execute a delayed start
 		}
 	}
 	s.endIncarnation(former, "worker restarted")
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -46,18 +46,6 @@
 	startSent             bool      // the start may have reached the worker
 	startConnectionClosed bool      // the connection closed during the start call, as when the worker's process exits
 	crashes               workload.CrashHistory
-	// givenUp contains the attempts that this owner has ended although neither an end was reported
-	// nor their lease had expired. If their worker reports later that they failed, this counts as a
-	// failure. It is not stored, so that no owner counts a failure that a former one has counted.
-	givenUp map[int]bool
-}
-
-// recordGivenUp adds the current attempt to givenUp.
-func (t *task) recordGivenUp() {
-	if t.givenUp == nil {
-		t.givenUp = map[int]bool{}
-	}
-	t.givenUp[t.attempt] = true
 }
 
 func (t *task) id() workload.TaskID {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -167,20 +167,14 @@
 	running := t.state == taskRunning || t.state == taskDone
 	switch {
 	case running && !t.startedAt.IsZero() && t.startedAt.Before(sent):
-		s.giveUp(t, fleet.LeaseExpired, "not in the worker's report")
+		s.endAttempt(t, fleet.LeaseExpired, "", "not in the worker's report")
 	case t.unwanted() && !t.stoppedAt.IsZero() && t.stoppedAt.Before(sent):
-		s.giveUp(t, fleet.Stopped, "stopped before it began")
+		s.endAttempt(t, fleet.Stopped, "", "stopped before it began")
 	case t.state == taskStarting && t.recovered:
-		s.giveUp(t, fleet.Stopped, "its former owner did not start it")
+		s.endAttempt(t, fleet.Stopped, "", "its former owner did not start it")
 	}
 }
 
-// giveUp ends an attempt that its worker does not report.
-func (s *Scheduler) giveUp(t *task, outcome fleet.Outcome, why string) {
-	t.recordGivenUp()
-	s.endAttempt(t, outcome, "", why)
-}
-
 // handleEnd processes an end in a report.
 func (s *Scheduler) handleEnd(w *worker, end fleet.EndedAttempt) {
 	if end.Sequence <= w.lastEndSequence && !w.unreadSequences[end.Sequence] {
@@ -215,8 +209,8 @@
 	w.pendingEnds = slices.Insert(w.pendingEnds, 0, pending)
 }
 
-// handleLateEnd processes the end of an attempt that the owner had given up. A task that such an
-// attempt completed is done.
+// handleLateEnd processes the end of an attempt that this owner or a former one had given up or has already
+// processed. A task that such an attempt completed is done, and a failure counts unless it has been counted.
 func (s *Scheduler) handleLateEnd(id workload.TaskID, end fleet.EndedAttempt) {
 	j := s.jobs[id.Job]
 	if j == nil || j.state.Final() {
@@ -234,8 +228,7 @@
 	} else if end.Checkpoint != "" && t.step.spec.Checkpoints && !t.hosted() {
 		t.checkpoint = end.Checkpoint
 	}
-	if end.Outcome == fleet.Failed && !t.step.spec.LongRunning && t.givenUp[end.Number] {
-		delete(t.givenUp, end.Number) // another incarnation may execute a delayed start of the attempt again
+	if end.Outcome == fleet.Failed && !t.step.spec.LongRunning {
 		s.handleTaskFailure(t, end.Number)
 	}
 	s.markDirty(j)
