client: a keyed call that was sent before is not unreachable

net/http sends a request with an Idempotency-Key again if its kept-alive connection ends without a response. If the box had ended by then, the second dial failed and the call counted as never sent: the client went on to the next box, or reported that no box answers (exit code "unavailable" of the tool), although the first box may have carried out the call.

Evidence: TestCallIsLostIfBoxEndsDuringIt/with_a_key failed with UnreachableError. Without a key it passed.

A failed dial of a keyed call that had a connection before is a LostError. Calls without a key are sent again only if nothing had been written, so that for these a failed dial still proves that no box has the call.

--- a/client/client.go
+++ b/client/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync/atomic"
@@ -145,6 +146,8 @@
 	if len(call.Query) > 0 {
 		target += "?" + call.Query.Encode()
 	}
+	connected := false // the transport calls GotConn before RoundTrip returns
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	req, err := http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, &UnreachableError{[]string{server}, err}
@@ -157,7 +160,9 @@
 	var op *net.OpError
 	switch {
 	case err == nil:
-	case errors.As(err, &op) && op.Op == "dial":
+	// The transport sends a request with a key again if its connection ends without a response. A failed dial then says
+	// nothing about the first time.
+	case errors.As(err, &op) && op.Op == "dial" && !(connected && req.Header.Get(api.HeaderKey) != ""):
 		return nil, &UnreachableError{[]string{server}, op}
 	default:
 		return nil, &LostError{err}
