peer: a call that never had a connection is unreachable, not unanswered

A call that was cancelled or timed out while its connection was being opened counted as one that may have been executed. A node cancels its calls to the owner when the owner changes, and the former owner's machine is often the one that does not accept connections. With unknown outcomes kept, each rejection by the successor then became a 504, although nothing had been sent.

Evidence: TestCallCancelledDuringDialIsUnreachable failed with NoResponseError.

Checked with go test -race of peer, node, box, route, cell, hall and member: pass.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -166,7 +167,9 @@
 	if err != nil {
 		return answer, &UnreachableError{address, err}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.scheme+"://"+address+path, transfer.RequestBody(ctx, body))
+	connected := false // the transport calls GotConn before RoundTrip returns
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
+	req, err := http.NewRequestWithContext(traced, http.MethodPost, c.scheme+"://"+address+path, transfer.RequestBody(ctx, body))
 	if err != nil {
 		return answer, &UnreachableError{address, err}
 	}
@@ -176,7 +179,7 @@
 	c.Sent.Add(int64(len(body)))
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		return answer, classify(address, transfer.Cause(ctx, err))
+		return answer, classify(address, connected, transfer.Cause(ctx, err))
 	}
 	defer resp.Body.Close()
 	data, _, err := transfer.Read(ctx, resp.Body, maxBodyBytes)
@@ -198,8 +201,13 @@
 }
 
 // classify returns an UnreachableError if no connection was established, else a
-// NoResponseError. No call is sent before the handshake is complete.
-func classify(address string, err error) error {
+// NoResponseError. No call is sent before the handshake is complete. A call that had a connection
+// is sent again only if the first one carried no part of it or the peer has refused it unread, so that
+// a failed second dial proves as much as a failed first one.
+func classify(address string, connected bool, err error) error {
+	if !connected {
+		return &UnreachableError{address, err}
+	}
 	var (
 		handshake *quic.HandshakeTimeoutError
 		transport *quic.TransportError
--- a/peer/plain_test.go
+++ b/peer/plain_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"chutereach/peer"
 )
@@ -47,3 +48,20 @@
 		t.Errorf("peer has ended: got %v (%T), want %T", err, err, unreachable)
 	}
 }
+
+// Guards against an unknown outcome of a call that was never sent: a call that is cancelled or times out while its
+// connection is being opened has not been executed.
+func TestCallCancelledDuringDialIsUnreachable(t *testing.T) {
+	c := peer.NewPlainClientOver(func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := peer.Call[int](ctx, c, "127.0.0.1:1", "/call", 1)
+	var unreachable *peer.UnreachableError
+	if !errors.As(err, &unreachable) {
+		t.Errorf("got %v (%T), want %T", err, err, unreachable)
+	}
+}
