scheduler: a failure that an earlier build has counted does not count again

What callers could see: during an upgrade, a job reported as `failed` before a task had failed as often as its queue allows.

Cause: rows of earlier builds hold only the number of failures, so the owner guesses which attempts failed. Since every failed end that is read counts, one that the earlier build had counted without acknowledging it counted again if the guess was a later attempt: attempt 1 failed, attempt 2 was lost, and attempt 1 is reported again.

Change: ends of attempts up to the last one that may be meant by such a number do not count, as before. A failure that only the new owner reads is then missed, so such a task can be started once too often, but never fails too early.

Evidence: TestFailureCountedByEarlierBuildReportedAgain failed before for a task and for a gang ("2 failures, want 1") and passes now. go test ./scheduler: only the known red test store_refuses_calls fails. With -race the tests of failures, gangs, attempts and late ends pass; the whole package was not run with -race on this change.

--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -96,7 +96,7 @@
 func (s *Scheduler) handleTaskFailure(t *task, attempt int) {
 	st := t.step
 	st.retryAt = time.Now().Add(failureBackoff)
-	if t.failures.Contains(attempt) {
+	if attempt <= t.guessedThrough || t.failures.Contains(attempt) {
 		return
 	}
 	t.failures = t.failures.With(attempt)
--- a/scheduler/failures.go
+++ b/scheduler/failures.go
@@ -12,6 +12,9 @@
 		if tp.Index < len(st.tasks) {
 			t := st.tasks[tp.Index]
 			t.failures = tp.FailedAttempts.WithCount(tp.Failures, t.lastEnded())
+			if len(tp.FailedAttempts) < tp.Failures {
+				t.guessedThrough = t.lastEnded()
+			}
 		}
 	}
 }
@@ -28,9 +31,13 @@
 	for _, t := range st.tasks {
 		lastEnded = max(lastEnded, t.lastEnded())
 	}
+	guessedThrough := 0
+	if len(failures) < count {
+		guessedThrough = lastEnded
+	}
 	failures = failures.WithCount(count, lastEnded)
 	for _, t := range st.tasks {
-		t.failures = failures
+		t.failures, t.guessedThrough = failures, guessedThrough
 	}
 }
 
--- a/scheduler/failures_test.go
+++ b/scheduler/failures_test.go
@@ -210,3 +210,27 @@
 		})
 	}
 }
+
+// Guards against a job that is reported as failed too early after an upgrade: the failure of an attempt that an earlier
+// build has counted, but not acknowledged, is reported again after a later attempt has ended in another way.
+func TestFailureCountedByEarlierBuildReportedAgain(t *testing.T) {
+	fixtures := map[string]func(*testing.T) *reportFixture{
+		"task": func(t *testing.T) *reportFixture { return newReportFixture(t, 1) },
+		"gang": func(t *testing.T) *reportFixture { return newGangFixture(t, 2) },
+	}
+	for name, newFixture := range fixtures {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t)
+			failed := newFailedEnd(1, "job.0.0.0")
+			s.reportEnds(1, 6, failed)
+			progress := s.job.progress()
+			for i := range progress.Steps[0].Tasks {
+				stored := &progress.Steps[0].Tasks[i]
+				stored.Attempt, stored.Failures, stored.FailedAttempts, stored.Worker = 2, 1, nil, ""
+			}
+			next := s.nextOwnerWith(t, progress)
+			next.reportEnds(1, 7, failed)
+			next.assertFailures(t, 1)
+		})
+	}
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -29,6 +29,7 @@
 	state                 taskState
 	attempt               int
 	failures              workload.FailedAttempts // the members of a gang share it
+	guessedThrough        int                     // last attempt of which it is unknown whether failures counts it, as an earlier build stored only a number
 	worker                *worker                 // where the attempt is or may be; nil if nowhere
 	urgent                bool                    // the queue had priority 0 when the attempt was assigned to its worker
 	checkpoint            string
