hall, job: reboots that chance explains do not fail tasks

In the product's own cell a task failed after three attempts in a row whose workers rebooted within two minutes of the start. Where workers reboot by turns for other causes, that happens to every sound task: with 8 workers that each reboot every 40 s, 16 of 16 tasks were reported as failed.

A reboot now counts only if it comes so soon after the start that a coincidence has a probability of 5% at most, as estimated from the reboots of the other workers in the last two minutes, and never later than two minutes. The time until the reboot is measured to when the worker stopped answering, not to when it was back. With a single worker that never reboots by itself, the time is 6 s.

--- a/hall/crash_test.go
+++ b/hall/crash_test.go
@@ -1,6 +1,7 @@
 package hall
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,3 +43,25 @@
 		})
 	}
 }
+
+// Guards against failing sound tasks for reboots that have other causes: the workers of a cell reboot by
+// turns, each every 40 s, so that most attempts end within two minutes.
+func TestRebootsByTurnsFailNoTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const workers = 8
+		b := newTestBench(t, workers)
+		defer b.close()
+		b.addTemplate("long", "sleep 1h", "always")
+		u := b.startOwner()
+		time.Sleep(time.Second)
+		id := b.submit("long", 16)
+		for i := range 8 * workers {
+			time.Sleep(5 * time.Second)
+			b.fleet.Reboot(fmt.Sprintf("w%02d", i%workers))
+		}
+		time.Sleep(time.Minute)
+		if got := b.taskCounts(u, id); got != "running:16" {
+			t.Errorf("tasks by state: %s, want running:16", got)
+		}
+	})
+}
--- a/hall/unit.go
+++ b/hall/unit.go
@@ -86,6 +86,7 @@
 	workers           map[string]*workerState
 	index             *placement.Index
 	capacity          resource.Amount
+	reboots           rebootLog
 	dirtyWorkers      []*workerState // workers with a dirty ledger, in the order they were marked
 	rowChanges        []change       // pending changes that involve no ledger
 	uncommittedGrants int            // number of grants whose commit is pending
--- a/hall/watch.go
+++ b/hall/watch.go
@@ -154,7 +154,12 @@
 		return
 	}
 	first := w.boot == ""
+	lostAt := time.Now()
+	if !w.unresponsiveSince.IsZero() {
+		lostAt = w.unresponsiveSince
+	}
 	if !first && r.Boot != w.boot {
+		u.reboots.add(w, lostAt)
 		u.recordEvent(timeline.Event{Kind: timeline.WorkerRebooted, Worker: w.name()})
 	}
 	w.boot, w.reportSeq, w.usage = r.Boot, r.Seq, r.Usage
@@ -169,7 +174,7 @@
 		seen[state.Attempt] = true
 		u.handleReportedAttempt(w, state)
 	}
-	u.handleMissing(w, seen, requestedAt)
+	u.handleMissing(w, seen, requestedAt, lostAt)
 }
 
 // handleReportedAttempt processes one attempt of a report. An attempt of this unit
@@ -254,8 +259,9 @@
 }
 
 // attemptRebooted records an attempt whose worker has rebooted. The caller holds u.mu.
-func (u *Unit) attemptRebooted(t *taskState) {
-	next := t.task.WithReboot(t.job.job.Template, time.Now())
+func (u *Unit) attemptRebooted(w *workerState, t *taskState, lostAt time.Time) {
+	soon := lostAt.Sub(t.task.Changed) <= u.reboots.blameTime(w, len(u.workers), time.Now())
+	next := t.task.WithReboot(t.job.job.Template, soon, time.Now())
 	reason := "the worker rebooted"
 	if next.State == job.Failed {
 		reason = "the task has reached the limit of consecutive worker reboots"
@@ -278,9 +284,9 @@
 	u.release(t, next, true)
 }
 
-// handleMissing handles the granted attempts that are absent from a report. The
-// caller holds u.mu.
-func (u *Unit) handleMissing(w *workerState, seen map[string]bool, requestedAt time.Time) {
+// handleMissing handles the granted attempts that are absent from a report. lostAt is when they
+// were lost if the worker has rebooted. The caller holds u.mu.
+func (u *Unit) handleMissing(w *workerState, seen map[string]bool, requestedAt, lostAt time.Time) {
 	for _, g := range w.ledger.Grants() {
 		t := w.tasks[g.Attempt]
 		if t == nil || seen[g.Attempt] || t.commitPending() {
@@ -292,7 +298,7 @@
 			u.releaseNotStarted(t, "the worker rebooted before the start")
 		case unstarted:
 		case g.Boot != w.boot:
-			u.attemptRebooted(t)
+			u.attemptRebooted(w, t, lostAt)
 		case requestedAt.After(t.startExpires.Add(u.settings.ClockError)):
 			// The worker lists every attempt until told to forget it, and a start
 			// call that has not arrived yet has expired.
--- a/job/task.go
+++ b/job/task.go
@@ -134,20 +134,16 @@
 	return t
 }
 
-const (
-	// maxConsecutiveReboots is the value of Task.Reboots at which a task fails. It limits
-	// the harm done by a task that crashes its workers and everything that runs on them.
-	maxConsecutiveReboots = 3
-	// rebootWindow is the time after a start within which a reboot is attributed to the
-	// task. It includes the worker's downtime.
-	rebootWindow = 2 * time.Minute
-)
-
-// WithReboot returns t after an attempt whose worker rebooted. The attempt counts as lost.
-// A task fails after maxConsecutiveReboots of them unless it is the replica of a service.
-func (t Task) WithReboot(tmpl config.Template, now time.Time) Task {
+// maxConsecutiveReboots is the value of Task.Reboots at which a task fails. It limits the harm
+// done by a task that crashes its workers and everything that runs on them.
+const maxConsecutiveReboots = 3
+
+// WithReboot returns t after an attempt whose worker rebooted. The attempt counts as lost. soon
+// reports whether this was so soon after the start that the attempt probably caused it. A task fails
+// after maxConsecutiveReboots of that kind unless it is the replica of a service.
+func (t Task) WithReboot(tmpl config.Template, soon bool, now time.Time) Task {
 	reboots := t.Reboots + 1
-	if now.Sub(t.Changed) > rebootWindow {
+	if !soon {
 		reboots = 0
 	}
 	t = t.WithLoss(tmpl, "", now)
