workload, scheduler: workers that end by chance fail no job

Callers saw jobs reported as failed although no task had ended as failed as often as its queue allows. The job of a task was given up when two workers had ended within 0.25 s of a start, or three in any way and two more attempts. Where a tenth to a third of the workers go down and up every second, both happen to sound tasks by chance. The time was also measured from when the owner heard of the start, so an owner that was late took an old attempt for a young one.

A task is now given up after three conclusive losses or five in a row that no attempt has outlived. A loss is conclusive if (ends of other workers per worker and second) x (time from the first send of the start until the broken connection was noticed) is at most 0.005. An attempt has outlived its start if a report lists it 0.1 s after it began to work, both by the worker's clock; suspected attempts are asked about at that time. Other losses of attempts that ran do not count. New counts are in keys 14 to 17 of a task's row; keys 6 to 8 are no longer used, and neither build takes over the counts of the other.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
-	"slices"
+	"context"
 	"time"
 
+	"chutereach/fleet"
+	"chutereach/wait"
 	"chutereach/workload"
 )
 
@@ -14,63 +16,151 @@
 // it; only the last two count as an end. The job of a task with too many is failed.
 
 const (
-	// settleTime is how long an attempt must have run for the end of its worker not to be
-	// attributed to it. Tasks that crash their workers were observed to do so within 10 ms. Higher
-	// values fail more healthy jobs because of unrelated ends: with 250 ms, 4 of 20,893 jobs in
-	// randomized runs.
+	// survivalTime is how long an attempt must have worked by its worker's clock to have survived its
+	// start. Tasks that crash their workers were observed to do so within 10 ms. Where a third of the
+	// workers end every second, 5% of all attempts are lost within survivalTime.
+	survivalTime = 100 * time.Millisecond
+	// settleTime replaces survivalTime where the clock of this process has to do, which may be late.
 	settleTime = 250 * time.Millisecond
-	// crashResetTime is how long an attempt must have run for the task's crash record to be
-	// cleared: a task that runs for months loses workers without causing it.
-	crashResetTime = time.Minute
-	// Several workers that end within correlationWindow probably have a common cause, such as a
-	// rack that lost power. With up to maxCorrelatedEnds others a task is still blamed, because two
-	// crashing tasks may start at the same time.
-	correlationWindow = 150 * time.Millisecond
-	maxCorrelatedEnds = 1
-	// disconnectRetention is how long a disconnect is kept: as long as the longest lease.
-	disconnectRetention = 20 * time.Second
+	// openCallTime is how long a call must have been open for its failure to tell when the worker
+	// ended. One to a worker that has ended before fails within a round trip.
+	openCallTime = 50 * time.Millisecond
+	// survivalCheckMargin covers the drift of workers' clocks.
+	survivalCheckMargin = 10 * time.Millisecond
+	// maxCoincidence is the probability of a coincidence up to which the loss of an attempt is
+	// conclusive.
+	maxCoincidence = 0.005
+	// maxConclusiveExposure bounds the exposure of a conclusive loss, so that a task that runs for
+	// months clears its record between unrelated ends of workers, however large the fleet is.
+	maxConclusiveExposure = 30 * time.Second
 	// listedAliveDelay is how long a worker must be unresponsive but still listed to count as alive
 	// and unreachable. Entries expire after three missed heartbeats, 4.5 s with the platform's
 	// interval of 1.5 s.
 	listedAliveDelay = 6 * time.Second
 )
 
-// disconnect records that the connection to a worker broke.
-type disconnect struct {
-	at      time.Time
-	worker  *worker
-	jobs    []*job // with attempts there that had not settled
-	onTrial bool   // a trial was running there, which explains the end
+// exposure bounds the time for which the current attempt of a task has run.
+type exposure struct {
+	sentAt     time.Time     // when the start was first sent; zero if a former owner sent it
+	startClock fleet.Clock   // the worker's clock when the attempt was at work; 0 if unknown
+	shownRun   time.Duration // how long the attempt has worked by the worker's clock, at least
 }
 
-// recordDisconnect records that a worker closed its connection. The caller must hold s.mu.
-func (s *Scheduler) recordDisconnect(w *worker, now time.Time) {
-	s.connectionBreaks = slices.DeleteFunc(s.connectionBreaks, func(b disconnect) bool { return now.Sub(b.at) > disconnectRetention })
-	var jobs []*job
-	for _, t := range w.tasks {
-		if !t.settledBy(now) {
-			jobs = append(jobs, t.step.job)
+// withStartAnswer returns e after an answer, made at the given time of the worker's clock, that shows
+// that the attempt was at work.
+func (e exposure) withStartAnswer(clock fleet.Clock) exposure {
+	if clock > 0 && (e.startClock == 0 || clock < e.startClock) {
+		e.startClock = clock
+	}
+	return e
+}
+
+// withReport returns e after a report, made at the given time of the worker's clock, has listed the
+// attempt as running.
+func (e exposure) withReport(clock fleet.Clock) exposure {
+	if e.startClock > 0 {
+		e.shownRun = max(e.shownRun, time.Duration(clock-e.startClock)*time.Millisecond)
+	}
+	return e
+}
+
+// survivedStart reports whether the attempt is shown to have worked for survivalTime.
+func (e exposure) survivedStart() bool { return e.shownRun >= survivalTime }
+
+// recordReported records what the end of the current attempt, which its worker has reported, shows of
+// its task.
+func (s *Scheduler) recordReported(t *task, outcome fleet.Outcome) {
+	if t.startedAt.IsZero() || outcome == fleet.LeaseExpired || t.crashes.IsEmpty() {
+		return
+	}
+	since := t.workingSince()
+	worked := time.Since(since) - s.lateness()
+	switch {
+	case outcome == fleet.Done || outcome == fleet.Failed:
+		t.crashes = t.crashes.WithReportedOutcome()
+	case !since.IsZero() && worked >= settleTime:
+		t.crashes = t.crashes.WithSurvivedAttempt(worked)
+	default:
+		t.crashes = t.crashes.WithIdleAttempt()
+	}
+}
+
+// workingSince returns since when the current attempt has worked by the clock of this process, or zero if
+// it may not have. Members of a gang work once all have started.
+func (t *task) workingSince() time.Time {
+	since := t.startedAt
+	if !t.step.spec.Gang {
+		return since
+	}
+	for _, member := range t.step.tasks {
+		if member.attempt != t.attempt || member.startedAt.IsZero() {
+			return time.Time{}
+		}
+		if member.startedAt.After(since) {
+			since = member.startedAt
 		}
 	}
-	s.connectionBreaks = append(s.connectionBreaks, disconnect{now, w, jobs, w.trial.started && w.trialUnsettled(now)})
+	return since
 }
 
-// settledBy reports whether the current attempt had run for settleTime at the given time.
-func (t *task) settledBy(at time.Time) bool {
-	return !t.startedAt.IsZero() && at.Sub(t.startedAt) >= settleTime
+// checkSurvival requests reports from a worker until all its attempts of suspected tasks are shown to
+// have survived their start or have ended, for up to maxTrialTime. Without this a report may be a long
+// poll away, and the loss of the worker until then would count. The caller must hold s.mu.
+func (s *Scheduler) checkSurvival(w *worker) {
+	if w.checkingSurvival || s.ctx == nil {
+		return
+	}
+	w.checkingSurvival = true
+	until := time.Now().Add(maxTrialTime)
+	s.running.Go(func() {
+		for wait.For(s.ctx, survivalTime+survivalCheckMargin) == nil {
+			s.mu.Lock()
+			if w.checkingSurvival = w.unsurvivedSuspects() && time.Now().Before(until); !w.checkingSurvival {
+				s.mu.Unlock()
+				return
+			}
+			order := fleet.HoldOrder{Token: s.tokenOf(w.info.ID), AckedThrough: w.ackableSequence()}
+			info, sent := w.info, time.Now()
+			s.mu.Unlock()
+			callCtx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+			report, err := s.client.Hold(callCtx, info, order)
+			cancel()
+			if err == nil {
+				s.handleReport(w, report, sent)
+			}
+		}
+	})
 }
 
-// endedAlone reports whether at most maxCorrelatedEnds other workers ended at the same time as w.
-// Workers on trial and those with unsettled attempts of the same job are not counted.
-func (s *Scheduler) endedAlone(w *worker, j *job) bool {
-	others := 0
-	for _, b := range s.connectionBreaks {
-		correlated := b.worker != w && b.at.Sub(w.unresponsiveSince).Abs() < correlationWindow
-		if correlated && !b.onTrial && !slices.Contains(b.jobs, j) {
-			others++
+// unsurvivedSuspects reports whether the worker may run attempts of suspected tasks that are not yet shown
+// to have survived their start.
+func (w *worker) unsurvivedSuspects() bool {
+	if w.ended || w.unresponsive {
+		return false
+	}
+	for _, t := range w.tasks {
+		if (t.state == taskStarting || t.state == taskRunning) && t.startSent && t.crashes.Suspected && !t.exposure.survivedStart() {
+			return true
 		}
 	}
-	return others <= maxCorrelatedEnds
+	return false
+}
+
+// recordShownRun records how long the current attempt, which its worker's last report lists as
+// running, has run by the worker's clock. This process may be late by any time, so its own clock does
+// not show that an attempt has survived its start. The caller must hold s.mu.
+func (s *Scheduler) recordShownRun(t *task) {
+	if t.exposure.startClock == 0 && !t.workingSince().IsZero() {
+		t.exposure = t.exposure.withStartAnswer(t.worker.clock)
+	}
+	t.exposure = t.exposure.withReport(t.worker.clock)
+	if !t.exposure.survivedStart() || t.crashes.IsEmpty() {
+		return
+	}
+	if cleared := t.crashes.WithSurvivedAttempt(t.exposure.shownRun); !cleared.Equal(t.crashes) {
+		t.crashes = cleared
+		s.markDirty(t.step.job)
+	}
 }
 
 // recordLost records that the current attempt was lost with its worker. It must be called before
@@ -80,17 +170,13 @@
 	if !t.startSent || w.leaving {
 		return
 	}
-	if t.runTime() >= crashResetTime {
-		t.crashes = workload.CrashHistory{}
-		return
-	}
-	evidence := s.crashEvidence(t)
+	evidence := s.lossEvidence(t)
 	s.log.Info().Str("job", t.step.job.id).Str("task", t.id().String()).Int("attempt", t.attempt).Str("worker", w.info.ID).
 		Stringer("evidence", evidence).Dur("ran", t.runTime()).Bool("connection_closed", w.connectionClosed).Bool("recovered", t.recovered).
-		Dur("timer_lag", s.lateness()).Int("workers", t.crashes.WorkerCrashes).Int("soon", t.crashes.EarlyCrashes).
-		Msg("attempt lost with its worker")
+		Dur("timer_lag", s.lateness()).Dur("exposure", evidence.Exposure).Int("unsurvived", t.crashes.UnsurvivedLosses).
+		Int("conclusive", t.crashes.ConclusiveLosses).Msg("attempt lost with its worker")
 	t.crashes = t.crashes.WithLostAttempt(w.info.Incarnation, evidence)
-	if evidence != workload.LateLoss {
+	if evidence.Suspicious() {
 		s.markSuspected(t.step)
 	}
 	w.lostAttempts = append(w.lostAttempts, lostAttempt{t, t.attempt})
@@ -104,24 +190,46 @@
 	st.suspected, st.trialPassed = true, false
 }
 
-// crashEvidence returns the evidence that the current attempt, which is lost, crashed its worker.
-func (s *Scheduler) crashEvidence(t *task) workload.LossEvidence {
+// lossEvidence returns the evidence that the current attempt, which is lost, crashed its worker.
+func (s *Scheduler) lossEvidence(t *task) workload.LossEvidence {
 	w := t.worker
-	lastAlive := w.lastReportAt
-	if w.connectionClosed {
-		lastAlive = w.unresponsiveSince
+	evidence := workload.LossEvidence{Unsurvived: t.mayBeLostAtStart(s.lateness())}
+	if !w.connectionClosed || t.recovered || t.exposure.sentAt.IsZero() {
+		return evidence
 	}
+	evidence.Exposure = w.unresponsiveSince.Sub(t.exposure.sentAt)
+	evidence.Conclusive = evidence.Exposure < maxConclusiveExposure && s.workerEnds.aloneAt(w, t.step.job) &&
+		s.workerEnds.rate(w, s.liveWorkers(), time.Now())*evidence.Exposure.Seconds() <= maxCoincidence
+	return evidence
+}
+
+// mayBeLostAtStart reports whether the current attempt, which is lost, may not have survived its
+// start. late is by how much this process may have been late to learn that the connection broke.
+func (t *task) mayBeLostAtStart(late time.Duration) bool {
+	w := t.worker
 	switch {
+	case t.exposure.survivedStart():
+		return false
 	case t.recovered: // this owner never reached the worker and cannot tell when it ended
-		return workload.InconclusiveLoss
-	case t.startedAt.IsZero() && !t.startConnectionClosed: // the start may not have reached the worker
-		return workload.InconclusiveLoss
-	case t.settledBy(lastAlive):
-		return workload.LateLoss
-	case w.connectionClosed && s.endedAlone(w, t.step.job):
-		return workload.EarlyLoss
+		return true
+	case t.startedAt.IsZero():
+		// Without any sign that the start has arrived, a worker had probably ended before if it
+		// went silent, or if this process learned of that late.
+		return t.startConnectionClosed || w.connectionClosed && w.unresponsiveSince.Sub(t.exposure.sentAt) > late
+	}
+	since := t.workingSince()
+	return since.IsZero() || !w.connectionClosed || !w.brokeOpenCall || w.unresponsiveSince.Sub(since) < settleTime+late
+}
+
+// liveWorkers returns the number of workers that answer, at least 1. The caller must hold s.mu.
+func (s *Scheduler) liveWorkers() int {
+	count := 0
+	for _, w := range s.workers {
+		if !w.ended && !w.unresponsive {
+			count++
+		}
 	}
-	return workload.InconclusiveLoss
+	return max(1, count)
 }
 
 // lostAttempt is an attempt that was lost with its worker.
@@ -160,11 +268,10 @@
 		if j.state.Final() || t.state == taskDone {
 			continue
 		}
-		t.crashes = t.crashes.WithWorkerCrash(w.info.Incarnation, t.attempt)
+		t.crashes = t.crashes.WithWorkerCrash(w.info.Incarnation)
 		s.metrics.lostWithWorker.Add(1)
 		s.log.Warn().Str("job", j.id).Str("task", t.id().String()).Int("attempt", lost.number).Str("worker", w.info.ID).
-			Int("workers", t.crashes.WorkerCrashes).Int("soon", t.crashes.EarlyCrashes).Int("last_attempt", t.crashes.LastAttempt).
-			Msg("worker has ended under a task")
+			Int("unsurvived", t.crashes.UnsurvivedLosses).Int("conclusive", t.crashes.ConclusiveLosses).Msg("worker has ended under a task")
 		s.markDirty(j)
 		if !t.hosted() {
 			s.failIfCrashing(t)
@@ -176,7 +283,7 @@
 // failIfCrashing fails the job of a task under which too many workers have ended. The caller must
 // hold s.mu.
 func (s *Scheduler) failIfCrashing(t *task) {
-	if t.state == taskDone || !t.crashes.Exhausted(t.attempt) {
+	if t.state == taskDone || !t.crashes.Exhausted() {
 		return
 	}
 	s.metrics.crashLimitReached.Add(1)
--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -23,12 +23,7 @@
 	s.metrics.end(outcome)
 	s.recordOutcome(t, outcome, time.Now())
 	w.release(t)
-	switch {
-	case !t.startSent:
-		t.crashes = t.crashes.WithUnstartedAttempt()
-	case outcome != fleet.LeaseExpired && !t.startedAt.IsZero():
-		t.crashes = t.crashes.WithSurvivedAttempt() // the worker survived the attempt
-	}
+	s.recordReported(t, outcome)
 	s.finishTrial(w, time.Now())
 	t.ticket, t.recovered = "", false
 	if t.state != taskDone {
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -73,7 +73,7 @@
 		return false
 	}
 	if result.err != nil {
-		if s.handleHoldFailure(w, result.order, result.err) {
+		if s.handleHoldFailure(w, result) {
 			return false
 		}
 		wait.For(ctx, s.retryDelay(w))
@@ -164,12 +164,13 @@
 }
 
 // handleHoldFailure processes a failed call and reports whether the worker's incarnation has ended.
-func (s *Scheduler) handleHoldFailure(w *worker, order fleet.HoldOrder, err error) bool {
+func (s *Scheduler) handleHoldFailure(w *worker, result holdResult) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	err := result.err
 	var refused *fleet.RefusedError
 	if errors.As(err, &refused) && refused.Reason == fleet.Fenced {
-		return s.handleFenced(w, order.Token)
+		return s.handleFenced(w, result.order.Token)
 	}
 	var replaced *fleet.ReplacedError
 	if errors.As(err, &replaced) {
@@ -181,7 +182,8 @@
 		s.recordCallResult(false)
 		w.unresponsive, w.unresponsiveSince, w.connectionClosed = true, time.Now(), fleet.IsConnectionClosed(err)
 		if w.connectionClosed {
-			s.recordDisconnect(w, w.unresponsiveSince)
+			w.brokeOpenCall = w.unresponsiveSince.Sub(result.sent) > openCallTime+s.lateness()
+			s.recordWorkerEnd(w, w.unresponsiveSince)
 		}
 		s.log.Warn().Str("worker", w.info.ID).Err(err).Msg("worker does not answer")
 	}
@@ -213,6 +215,7 @@
 		return
 	}
 	w.ended = true
+	s.recordWorkerEnd(w, time.Now())
 	s.expireAttempts(w, why)
 	s.log.Info().Str("worker", w.info.ID).Str("why", why).Strs("lost", attemptNames(w.lostAttempts)).Bool("leaving", w.leaving).
 		Dur("silent", time.Since(w.lastReportAt)).Msg("worker incarnation ended")
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -64,6 +64,7 @@
 func (s *Scheduler) addIncarnation(info fleet.Worker) *worker {
 	w := newWorker(info)
 	w.leaseExpiry = s.formerLeaseExpiry
+	w.formerEndedAt = s.workerEnds.latestAt(info)
 	id := s.identities[info.ID]
 	if id == nil {
 		id = &identity{token: s.term.Token()}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -33,7 +33,8 @@
 	urgent                bool    // the queue had priority 0 when the attempt was assigned to its worker
 	checkpoint            string
 	ticket                string
-	startedAt             time.Time // when the worker confirmed the attempt
+	startedAt             time.Time // when this owner learned that the worker had started the attempt
+	exposure              exposure  // for how long the attempt has run
 	stoppedAt             time.Time // when the worker confirmed a stop
 	recovered             bool      // granted by a former owner and not yet reported by its worker
 	percent               int
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -96,7 +96,12 @@
 		return fleet.Worker{}, fleet.StartOrder{}, decision
 	}
 	w.extendLeaseBound(expiry, 0)
-	t.startSent = true
+	if !t.startSent {
+		t.startSent, t.exposure.sentAt = true, time.Now()
+		if t.crashes.Suspected {
+			s.checkSurvival(w)
+		}
+	}
 	return w.info, fleet.StartOrder{
 		Task: t.id().String(), Number: number, Spec: t.step.job.record.Request.Spec,
 		Checkpoint: t.checkpoint, Ticket: t.ticket, Token: s.tokenOf(w.info.ID), Deadline: w.estimateClock(expiry),
@@ -169,6 +174,9 @@
 		if t.state == taskStarting {
 			s.markRunning(t, now)
 		}
+		if w.info.Incarnation == result.incarnation && !t.step.spec.Gang {
+			t.exposure = t.exposure.withStartAnswer(result.clock)
+		}
 		return true
 	}
 	var (
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -141,6 +141,7 @@
 	if t.state == taskStarting || t.state == taskGranted {
 		s.markRunning(t, now)
 	}
+	s.recordShownRun(t)
 	if t.stopOverdue(sent, s.times) {
 		s.metrics.overdueStops.Add(1)
 		s.log.Warn().Str("job", t.step.job.id).Str("task", run.Task).Int("attempt", run.Number).Str("worker", w.info.ID).
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -159,7 +159,7 @@
 	fleetSpeed        float64       // mean speed of tasks relative to their estimates
 	progressSeen      bool          // whether workers report progress
 	answers           callStats     // response times and losses of calls to workers
-	connectionBreaks  []disconnect  // recent losses of connections to workers
+	workerEnds        workerEnds    // recent ends of workers
 	unaskedBuffer     []workerSlots // reused by unaskedWorkers
 	commitSlot        chan struct{} // semaphore of size 1, held during a transaction
 	deposed           error
@@ -185,7 +185,7 @@
 		queues: map[string]workload.Queue{}, accounts: map[string]*accountState{}, demands: map[string]headroom.Demand{},
 		stoppingStrays: map[string]bool{}, bundles: map[string]*bundle{}, eligibleShares: map[string]float64{}, sizeOrder: newSizeOrder(), fleetSpeed: 1,
 		formerLeaseExpiry: latestLeaseExpiry(term.FormerSentBefore().Add(leaseExtensionWindow), config.Lease), Loaded: make(chan struct{}),
-		firstCalls: newCallLimiter(maxFirstCalls),
+		firstCalls: newCallLimiter(maxFirstCalls), workerEnds: workerEnds{observedSince: time.Now()},
 		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1), commitSlot: make(chan struct{}, 1),
 	}
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -22,11 +22,13 @@
 	// superseded is whether a later incarnation with the same id is known.
 	superseded bool
 	reusedID   bool // an earlier incarnation had the same id
-	ended      bool // this incarnation has ended
-	used       resource.Amount
-	usedUrgent resource.Amount  // part of used, by tasks of priority 0
-	tasks      map[string]*task // by task id
-	cancel     context.CancelFunc
+	// formerEndedAt is when a former worker with the same id or address ended; zero if none is known.
+	formerEndedAt time.Time
+	ended         bool // this incarnation has ended
+	used          resource.Amount
+	usedUrgent    resource.Amount  // part of used, by tasks of priority 0
+	tasks         map[string]*task // by task id
+	cancel        context.CancelFunc
 
 	lastReportAt      time.Time // time of the last report
 	clock             fleet.Clock
@@ -36,9 +38,11 @@
 	failedCalls       int           // consecutive unanswered calls
 	unresponsiveSince time.Time     // when the first of them failed
 	connectionClosed  bool          // the first of them failed because the worker closed or refused the connection
+	brokeOpenCall     bool          // and had been open before, so that the worker lived until then
 	leaving           bool          // draining, or removed from discovery while it still answered
 	lostAttempts      []lostAttempt // until it is known whether the worker has ended
 	trial             trial
+	checkingSurvival  bool // checkSurvival is running
 
 	lastEndSequence uint64          // highest end sequence processed
 	unreadSequences map[uint64]bool // lower sequences whose ends could not be decoded
@@ -87,6 +91,7 @@
 	t.worker, t.state = w, state
 	t.startedAt, t.stoppedAt, t.progressedAt, t.percent = time.Time{}, time.Time{}, time.Time{}, 0
 	t.startSent, t.startConnectionClosed = false, false
+	t.exposure = exposure{}
 	t.sampledAt, t.sampledPercent = time.Time{}, 0
 	w.used = w.used.Plus(t.step.need())
 	if t.urgent = t.step.job.topPriority(); t.urgent {
--- a/workload/crashes.go
+++ b/workload/crashes.go
@@ -2,67 +2,81 @@
 
 import (
 	"slices"
+	"time"
 
 	"chutereach/fleet"
 )
 
 const (
-	// earlyCrashLimit is the number of early worker crashes after which a task is given up.
-	// The platform contract permits this once two workers have crashed under the task.
-	earlyCrashLimit = 2
-	// crashLimit is the number of worker crashes of any kind after which a task has only
-	// attemptsAfterLimit attempts left. The platform contract forbids a third.
-	crashLimit         = 3
-	attemptsAfterLimit = 2
+	// conclusiveLimit is the number of conclusive losses after which a task is given up. Each is a
+	// coincidence with a probability of 0.5% at most.
+	conclusiveLimit = 3
+	// unsurvivedLimit is the number of consecutive losses after which a task is given up if none
+	// of its attempts has survived its start in between. The platform contract allows at most two
+	// starts after a task has crashed three workers.
+	unsurvivedLimit = 5
+	// fewAttemptsLeft is the number of consecutive losses from which a task is not preempted, and from
+	// which attempts that end before they have worked may count.
+	fewAttemptsLeft = 3
+	// contradictionFactor is the ratio of an attempt's run time to the longest exposure of the
+	// conclusive losses from which the attempt contradicts that the task caused them.
+	contradictionFactor = 2
 )
 
 // CrashHistory is the persistent record of workers that ended while running a task. A worker that
 // crashes cannot report the outcome of its tasks, so without this record a task that crashes
-// its workers would be restarted indefinitely.
+// its workers would be restarted indefinitely. Workers also end for other causes, so a loss counts
+// only until another attempt shows that the task does not crash its workers.
+//
+// Keys 6 to 8 are in rows of builds that counted by other criteria. Those builds read a row of this
+// one as without a crash.
 type CrashHistory struct {
-	// WorkerCrashes is the number of workers that ended while they held an attempt.
-	WorkerCrashes int `cbor:"6,keyasint,omitempty"`
-	// EarlyCrashes is the number of workers that ended alone, immediately after the attempt started.
-	EarlyCrashes int `cbor:"7,keyasint,omitempty"`
-	// LastAttempt is the number of the last permitted attempt, or 0 if there is no limit.
-	LastAttempt int `cbor:"8,keyasint,omitempty"`
 	// Unresolved lists lost workers that may have crashed or may only be unreachable.
 	Unresolved []LostWorker `cbor:"9,keyasint,omitempty"`
-	// Suspected reports whether the task may be crashing its workers: an attempt was lost that
-	// is not known to have run past its start, and no attempt has survived since.
+	// Suspected reports whether the task may be crashing its workers: a loss was suspicious, and no
+	// attempt has survived its start since.
 	Suspected bool `cbor:"10,keyasint,omitempty"`
+	// ConclusiveLosses is the number of crashed workers whose loss was conclusive.
+	ConclusiveLosses int `cbor:"14,keyasint,omitempty"`
+	// UnsurvivedLosses is the number of workers that crashed under attempts not known to have
+	// survived their start, since the last attempt that did.
+	UnsurvivedLosses int `cbor:"15,keyasint,omitempty"`
+	// LongestExposure is the longest exposure of the conclusive losses.
+	LongestExposure time.Duration `cbor:"16,keyasint,omitempty"`
+	// IdleAttempts is the number of attempts that ended before they had worked, since
+	// UnsurvivedLosses reached fewAttemptsLeft.
+	IdleAttempts int `cbor:"17,keyasint,omitempty"`
 }
 
-// LossEvidence classifies the loss of an attempt together with its worker.
-type LossEvidence int
+// LossEvidence is the evidence that an attempt crashed the worker it was lost with.
+type LossEvidence struct {
+	// Unsurvived reports whether the attempt may have been lost at its start.
+	Unsurvived bool `cbor:"4,keyasint,omitempty"`
+	// Conclusive reports whether the worker is unlikely to have ended at this time by coincidence.
+	Conclusive bool `cbor:"5,keyasint,omitempty"`
+	// Exposure is the longest time for which the attempt can have run.
+	Exposure time.Duration `cbor:"6,keyasint,omitempty"`
+}
 
-const (
-	// LateLoss means that the attempt had run for some time before the worker was lost.
-	LateLoss LossEvidence = iota
-	// InconclusiveLoss means that the attempt may not have started, or that other workers were lost
-	// at the same time.
-	InconclusiveLoss
-	// EarlyLoss means that only this worker was lost, immediately after the attempt had started.
-	EarlyLoss
-)
+// Suspicious reports whether the loss may count against the task.
+func (e LossEvidence) Suspicious() bool { return e.Unsurvived || e.Conclusive }
 
 // String returns the name of the evidence in log lines.
 func (e LossEvidence) String() string {
-	switch e {
-	case LateLoss:
-		return "late"
-	case EarlyLoss:
-		return "early"
+	switch {
+	case e.Conclusive:
+		return "conclusive"
+	case e.Unsurvived:
+		return "unsurvived"
 	}
-	return "inconclusive"
+	return "late"
 }
 
 // LostWorker identifies a worker incarnation that stopped responding until its lease expired.
 type LostWorker struct {
 	ID        string `cbor:"1,keyasint"`
 	StartTime int64  `cbor:"3,keyasint,omitempty"`
-	// Early reports whether a crash of this worker would count as an early crash.
-	Early bool `cbor:"2,keyasint,omitempty"`
+	LossEvidence
 }
 
 // Incarnation returns the incarnation that was lost.
@@ -70,52 +84,90 @@
 	return fleet.Incarnation{ID: l.ID, StartTime: l.StartTime}
 }
 
+// IsEmpty reports whether nothing is recorded.
+func (c CrashHistory) IsEmpty() bool { return c.Equal(CrashHistory{}) }
+
+// Equal reports whether c and other record the same.
+func (c CrashHistory) Equal(other CrashHistory) bool {
+	return c.Suspected == other.Suspected && c.ConclusiveLosses == other.ConclusiveLosses && c.UnsurvivedLosses == other.UnsurvivedLosses &&
+		c.LongestExposure == other.LongestExposure && c.IdleAttempts == other.IdleAttempts && slices.Equal(c.Unresolved, other.Unresolved)
+}
+
 // WithLostAttempt returns c with the loss of an attempt whose worker may have crashed.
 func (c CrashHistory) WithLostAttempt(worker fleet.Incarnation, evidence LossEvidence) CrashHistory {
-	c.Unresolved = append(c.unresolvedExcept(worker), LostWorker{worker.ID, worker.StartTime, evidence == EarlyLoss})
-	c.Suspected = c.Suspected || evidence != LateLoss
+	c.Unresolved = append(c.unresolvedExcept(worker), LostWorker{worker.ID, worker.StartTime, evidence})
+	c.Suspected = c.Suspected || evidence.Suspicious()
+	return c
+}
+
+// WithSurvivedAttempt returns c after an attempt has survived its start and run for at least the
+// given time.
+func (c CrashHistory) WithSurvivedAttempt(ran time.Duration) CrashHistory {
+	longest := c.LongestExposure
+	for _, lost := range c.Unresolved {
+		if lost.Conclusive {
+			longest = max(longest, lost.Exposure)
+		}
+	}
+	contradicted := ran > contradictionFactor*longest
+	c.Suspected, c.UnsurvivedLosses, c.IdleAttempts = false, 0, 0
+	if contradicted {
+		c.ConclusiveLosses, c.LongestExposure = 0, 0
+	}
+	c.Unresolved = slices.Clone(c.Unresolved)
+	for i := range c.Unresolved {
+		c.Unresolved[i].Unsurvived = false
+		c.Unresolved[i].Conclusive = c.Unresolved[i].Conclusive && !contradicted
+	}
 	return c
 }
 
-// WithSurvivedAttempt returns c after an attempt has survived its start.
-func (c CrashHistory) WithSurvivedAttempt() CrashHistory {
+// WithIdleAttempt returns c after a worker has reported the end of an attempt that may not have worked:
+// it was stopped early, or its gang was never complete. It shows nothing of the task, but it is one of
+// the starts that are left to a task that crashes its workers.
+func (c CrashHistory) WithIdleAttempt() CrashHistory {
 	c.Suspected = false
+	if c.UnsurvivedLosses >= fewAttemptsLeft {
+		c.IdleAttempts++
+	}
 	return c
 }
 
+// WithReportedOutcome returns c after a worker has reported that an attempt is done or has failed,
+// which shows that the task does not crash its workers.
+func (c CrashHistory) WithReportedOutcome() CrashHistory {
+	unresolved := slices.Clone(c.Unresolved)
+	for i := range unresolved {
+		unresolved[i].LossEvidence = LossEvidence{}
+	}
+	return CrashHistory{Unresolved: unresolved}
+}
+
 // WithWorkerAlive returns c after a lost worker has responded again, which rules out a crash.
 func (c CrashHistory) WithWorkerAlive(worker fleet.Incarnation) CrashHistory {
 	c.Unresolved = c.unresolvedExcept(worker)
 	return c
 }
 
-// WithWorkerCrash returns c after a lost worker is confirmed to have ended. attempt is the task's
-// latest attempt. A worker that is not recorded as lost leaves c unchanged.
-func (c CrashHistory) WithWorkerCrash(worker fleet.Incarnation, attempt int) CrashHistory {
+// WithWorkerCrash returns c after a lost worker is confirmed to have ended. A worker that is not
+// recorded as lost leaves c unchanged.
+func (c CrashHistory) WithWorkerCrash(worker fleet.Incarnation) CrashHistory {
 	i := slices.IndexFunc(c.Unresolved, func(lost LostWorker) bool { return lost.Incarnation() == worker })
 	if i < 0 {
 		return c
 	}
-	c.WorkerCrashes++
-	if c.Unresolved[i].Early {
-		c.EarlyCrashes++
+	lost := c.Unresolved[i]
+	if lost.Unsurvived {
+		c.UnsurvivedLosses++
 	}
-	if c.WorkerCrashes == crashLimit {
-		c.LastAttempt = attempt + attemptsAfterLimit
+	if lost.Conclusive {
+		c.ConclusiveLosses++
+		c.LongestExposure = max(c.LongestExposure, lost.Exposure)
 	}
 	c.Unresolved = c.unresolvedExcept(worker)
 	return c
 }
 
-// WithUnstartedAttempt returns c after an attempt that no worker has started. Such an attempt does
-// not count towards the limit.
-func (c CrashHistory) WithUnstartedAttempt() CrashHistory {
-	if c.LastAttempt > 0 {
-		c.LastAttempt++
-	}
-	return c
-}
-
 // unresolvedExcept returns the lost workers other than the given one.
 func (c CrashHistory) unresolvedExcept(worker fleet.Incarnation) []LostWorker {
 	var rest []LostWorker
@@ -130,27 +182,40 @@
 // MustWait reports whether the task must not start until its lost workers are known to have
 // crashed or not, because their crashes would reach a limit.
 func (c CrashHistory) MustWait() bool {
-	if len(c.Unresolved) == 0 {
-		return false
+	conclusive, unsurvived := c.unresolved()
+	return conclusive+unsurvived > 0 && c.exhaustedBy(c.ConclusiveLosses+conclusive, c.UnsurvivedLosses+unsurvived)
+}
+
+// exhaustedBy reports whether the task is given up at given numbers of losses. Idle attempts count only
+// if a loss was conclusive: where workers go down and up by turns, gangs often end before they work.
+func (c CrashHistory) exhaustedBy(conclusive, unsurvived int) bool {
+	if conclusive > 0 {
+		unsurvived += c.IdleAttempts
 	}
-	return c.EarlyCrashes+c.unresolvedEarly() >= earlyCrashLimit || c.WorkerCrashes+len(c.Unresolved) >= crashLimit
+	return conclusive >= conclusiveLimit || unsurvived >= unsurvivedLimit
 }
 
-func (c CrashHistory) unresolvedEarly() int {
-	count := 0
+// unresolved returns the numbers of unresolved losses that would count towards each limit.
+func (c CrashHistory) unresolved() (conclusive, unsurvived int) {
 	for _, lost := range c.Unresolved {
-		if lost.Early {
-			count++
+		if lost.Conclusive {
+			conclusive++
+		}
+		if lost.Unsurvived {
+			unsurvived++
 		}
 	}
-	return count
+	return conclusive, unsurvived
 }
 
-// Exhausted reports whether a task is given up after an attempt that did not complete.
-func (c CrashHistory) Exhausted(attempt int) bool {
-	return c.EarlyCrashes >= earlyCrashLimit || c.LastAttempt > 0 && attempt >= c.LastAttempt
+// Exhausted reports whether the task is given up.
+func (c CrashHistory) Exhausted() bool {
+	return c.exhaustedBy(c.ConclusiveLosses, c.UnsurvivedLosses)
 }
 
-// AttemptsLimited reports whether the task has a limited number of attempts left. Such attempts must
-// not be preempted.
-func (c CrashHistory) AttemptsLimited() bool { return c.LastAttempt > 0 }
+// MustNotPreempt reports whether attempts of the task must not be preempted, because it may have few
+// attempts left.
+func (c CrashHistory) MustNotPreempt() bool {
+	_, unsurvived := c.unresolved()
+	return c.UnsurvivedLosses+unsurvived >= fewAttemptsLeft
+}
