scheduler: a reported failure clears the crash record although the start was not confirmed

What callers could see: a job reported as `failed` for the crashes of workers although a worker had just reported the end of one of its attempts as `failed`.

Cause: recordReported ignored attempts whose start the owner had not seen confirmed. An attempt that fails before a report lists it as running, and whose start got no answer, ends with the first report. That a worker reports it as done or failed shows that it did not crash this worker, whether or not the start was confirmed.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -70,13 +70,14 @@
 // recordReported records what the end of the current attempt, which its worker has reported, shows of
 // its task.
 func (s *Scheduler) recordReported(t *task, outcome fleet.Outcome) {
-	if t.startedAt.IsZero() || outcome == fleet.LeaseExpired || t.crashes.IsEmpty() {
+	reported := outcome == fleet.Done || outcome == fleet.Failed // by the worker, even if its start has not been confirmed
+	if t.startedAt.IsZero() && !reported || outcome == fleet.LeaseExpired || t.crashes.IsEmpty() {
 		return
 	}
 	since := t.workingSince()
 	worked := time.Since(since) - s.lateness()
 	switch {
-	case outcome == fleet.Done || outcome == fleet.Failed:
+	case reported:
 		t.crashes = t.crashes.WithReportedOutcome()
 	case !since.IsZero() && worked >= settleTime:
 		t.crashes = t.crashes.WithSurvivedAttempt(worked)
--- a/scheduler/disconnect_test.go
+++ b/scheduler/disconnect_test.go
@@ -32,3 +32,17 @@
 		t.Errorf("the job is %q, want it to be retried", s.job.state)
 	}
 }
+
+// Guards against a job that is reported as failed for crashes although its worker has reported the end of an attempt:
+// an attempt that fails before any report lists it as running, and whose start got no answer, shows as much as another.
+func TestFailureWithoutStartAnswerIsNoCrash(t *testing.T) {
+	s := newIdleReportFixture(t, workload.Step{Count: 1})
+	task := s.job.rounds[0].steps[0].tasks[0]
+	task.crashes.UnsurvivedLosses = 4
+	s.worker.assign(task, taskStarting)
+	task.attempt, task.startSent = 1, true
+	s.reportEnds(1, 1, newFailedEnd(1, "job.0.0.0"))
+	if !task.crashes.IsEmpty() {
+		t.Errorf("the crash record is %+v, want it to be empty", task.crashes)
+	}
+}
