--- a/fleet/fleettest/attempts.go
+++ b/fleet/fleettest/attempts.go
@@ -11,6 +11,7 @@
 	Task    string
 	Number  int
 	Worker  string
+	Token   uint64 // fencing token of the owner that started it
 	Started time.Time
 	Ended   time.Time     // zero while it runs
 	Outcome fleet.Outcome // empty while it runs, or if it ended with its worker
@@ -29,6 +30,6 @@
 
 // recordAttempt records the start of an attempt. The lock is held.
 func (f *Fleet) recordAttempt(w *worker, r *run) {
-	r.record = &Attempt{Task: r.task.String(), Number: r.number, Worker: w.info.ID, Started: time.Now()}
+	r.record = &Attempt{Task: r.task.String(), Number: r.number, Worker: w.info.ID, Token: w.token, Started: time.Now()}
 	f.attempts[r.task.Job] = append(f.attempts[r.task.Job], r.record)
 }
