--- a/fleet/fleettest/attempts.go
+++ b/fleet/fleettest/attempts.go
@@ -11,7 +11,7 @@
 	Task    string
 	Number  int
 	Worker  string
-	Token   uint64 // fencing token of the owner that started it
+	Token   uint64 // fencing token of its start: at least that of the owner, less than that of any successor
 	Started time.Time
 	Ended   time.Time     // zero while it runs
 	Outcome fleet.Outcome // empty while it runs, or if it ended with its worker
