--- a/scheduler/unsteady_workers_test.go
+++ b/scheduler/unsteady_workers_test.go
@@ -37,8 +37,8 @@
 	return c.Client.Hold(ctx, w, o)
 }
 
-// slowOwner processes each answer 150 ms late. A node with a mean lag of 40 ms hands its shard over.
-func slowOwner(time.Time) time.Duration { return 150 * time.Millisecond }
+// slowOwner processes each answer 400 ms late. A node with a mean lag of 40 ms hands its shard over.
+func slowOwner(time.Time) time.Duration { return 400 * time.Millisecond }
 
 // suspendedOwner processes nothing in the last 800 ms of every 2 s.
 func suspendedOwner(began time.Time) time.Duration {
