scheduler, node: an owner rejects a submission only with a proof that it has not been replaced

Callers saw: 503 or 429 to the repeated submission of a job that another node had accepted and ran. A caller that believes it hands the work in under a new ID, and it runs twice.

Cause: an owner whose store does not answer cannot prove its term by a transaction, and rejected without a proof: jobs while the store is down, jobs over a quota that it still knew, withdrawn jobs, and jobs with the ID of another account's job, the last two even while the store answered.

Evidence: TestReplacedOwnerDoesNotRejectAcceptedJobs/store_refuses_calls failed each time.

Change: while the store does not answer, the owner asks all other nodes, one round for all submissions that wait. Each must answer that it does not own the shard, is not taking it over, knows no later owner, and has been up since the owner's last transaction. That proves that no other node has owned the shard, as an owner accepts nothing without owning it. A job is withdrawn only with the proof. An owner whose term is not confirmed removes no members, because those that it does not ask cannot contradict it.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -212,7 +212,7 @@
 func (n *Node) answerPing(context.Context, empty) (pingResponse, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return pingResponse{n.owner, n.scheduler != nil || n.takingOver}, nil
+	return pingResponse{Owner: n.owner, IsOwner: n.scheduler != nil || n.takingOver, UpFor: n.startedAt.Since()}, nil
 }
 
 // checkStore hands the shard over when the store does not answer this node but answers others.
--- a/node/member_removal.go
+++ b/node/member_removal.go
@@ -19,6 +19,8 @@
 	// other nodes check that they are still members. A member gets a heartbeat at least every
 	// maxFarHeartbeatInterval.
 	membershipCheckInterval = 30 * time.Second
+	// removalTermAge is how recent the owner's last transaction must be for it to remove members.
+	removalTermAge = time.Second
 )
 
 // membershipLoop removes lost members while this node owns the shard. Otherwise it registers
@@ -38,7 +40,8 @@
 }
 
 // removeLostMembers removes the members that have not answered this owner for
-// memberRemovalDelay, and deletes their rows.
+// memberRemovalDelay, and deletes their rows. While the owner's term is not confirmed it removes none: it may be the
+// owner that is cut off, and the members are asked whether one of them has replaced it (soleOwner).
 func (n *Node) removeLostMembers(ctx context.Context) {
 	removed := n.dropLostMembers(time.Now())
 	if len(removed) == 0 {
@@ -62,7 +65,7 @@
 func (n *Node) dropLostMembers(now time.Time) []Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.scheduler == nil || now.Sub(n.termStartedAt) < memberRemovalDelay {
+	if n.scheduler == nil || now.Sub(n.termStartedAt) < memberRemovalDelay || n.scheduler.Term().SinceLastCommit() > removalTermAge {
 		return nil
 	}
 	var removed []Member
--- a/node/messages.go
+++ b/node/messages.go
@@ -21,6 +21,7 @@
 	cancelPath    = "/v1/cancel"
 	statePath     = "/v1/state"
 	pendingPath   = "/v1/pending"
+	absentPath    = "/v1/absent"
 	advisePath    = "/v1/advise"
 	tablePath     = "/v1/table"
 	ordersPath    = "/v1/orders"
@@ -102,6 +103,8 @@
 type pingResponse struct {
 	Owner   ownership `cbor:"1,keyasint"`
 	IsOwner bool      `cbor:"2,keyasint"`
+	// UpFor is how long the node's process has been up, including time during which its machine was suspended.
+	UpFor time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 type takeoverRequest struct {
@@ -118,6 +121,7 @@
 	Caller  routing.Caller  `cbor:"4,keyasint"`
 }
 
+// jobRequest is a call about a job. Its Caller is zero if the job of any account is meant.
 type jobRequest struct {
 	ID      string         `cbor:"1,keyasint"`
 	Timeout time.Duration  `cbor:"2,keyasint"`
@@ -152,6 +156,8 @@
 	codeOverQuota   peer.Code = "over-quota"
 	codeNoRoute     peer.Code = "no-route"
 	codeKey         peer.Code = "key"
+	// codeNotCarriedOut is passed on by older builds as an error of unknown kind, which says as little.
+	codeNotCarriedOut peer.Code = "not-carried-out"
 )
 
 // NotOwnerError reports that the called node does not own the shard. The call was not carried out.
@@ -188,10 +194,13 @@
 		overQuota   *scheduler.QuotaError
 		noRoute     *routing.NoRouteError
 		noKey       *routing.KeyError
+		undone      *scheduler.NotCarriedOutError
 	)
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &undone):
+		return codedError{err, codeNotCarriedOut}
 	case errors.As(err, &overQuota):
 		return codedError{err, codeOverQuota}
 	case errors.As(err, &noRoute):
@@ -232,6 +241,8 @@
 		return &scheduler.QuotaError{Why: failure.Message}
 	case codeNoRoute:
 		return &routing.NoRouteError{}
+	case codeNotCarriedOut:
+		return &scheduler.NotCarriedOutError{Reason: failure.Message}
 	case codeKey:
 		return &routing.KeyError{Fault: routing.KeyUnknown}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chutereach/clock"
 	"chutereach/evacuation"
 	"chutereach/fleet"
 	"chutereach/peer"
@@ -54,7 +55,9 @@
 	client   *peer.Client
 	log      zerolog.Logger
 	metrics  *Metrics
-	routes   routing.Newest
+	// startedAt is when this process became a node.
+	startedAt clock.Instant
+	routes    routing.Newest
 	// evacuations holds the data halls that the operator has evacuated.
 	evacuations evacuation.Newest
 
@@ -123,7 +126,7 @@
 // New returns a Node that answers calls until ctx ends. Run starts its background work.
 func New(ctx context.Context, config Config, platform Platform, client *peer.Client, metrics *Metrics, log zerolog.Logger) *Node {
 	n := &Node{
-		ctx: ctx, config: config, platform: platform, client: client, log: log, metrics: metrics,
+		ctx: ctx, config: config, platform: platform, client: client, log: log, metrics: metrics, startedAt: clock.Now(),
 		sampledLog: log.Sample(&zerolog.BurstSampler{Burst: callLogBurst, Period: time.Second}),
 		changed:    make(chan struct{}), members: map[string]Member{config.Self.Node: config.Self}, membersVersion: 1,
 		peers: map[string]peerState{},
--- a/node/owner.go
+++ b/node/owner.go
@@ -292,7 +292,9 @@
 // startTerm loads and runs the shard in the background until the term ends.
 func (n *Node) startTerm(term *leadership.Term, startedAt time.Time) {
 	ctx, cancel := context.WithCancel(n.ctx)
-	own := scheduler.New(n.config.Scheduler, n.platform.Store, n.platform.Workers, term, n.metrics.Scheduler, n.log)
+	config, sole := n.config.Scheduler, newSoleOwner(n, term)
+	config.ConfirmSoleOwner = sole.confirm
+	own := scheduler.New(config, n.platform.Store, n.platform.Workers, term, n.metrics.Scheduler, n.log)
 	n.mu.Lock()
 	n.scheduler, n.cancelTerm, n.termStartedAt = own, cancel, time.Now()
 	n.mu.Unlock()
@@ -300,7 +302,7 @@
 	n.sendHeartbeats(allNodesTurn)
 	loaded := make(chan struct{})
 	n.tasks.Go(func() { n.platform.FollowWorkers(ctx, afterLoad(ctx, loaded, own.SetWorkers)) })
-	n.tasks.Go(func() { n.followMembers(ctx) })
+	n.tasks.Go(func() { n.followMembers(ctx, sole) })
 	n.tasks.Go(func() {
 		defer cancel()
 		err := n.load(ctx, own)
@@ -340,10 +342,11 @@
 
 // followMembers keeps all members up to date while this node owns the shard, and announces the
 // owner to them once the first read has succeeded.
-func (n *Node) followMembers(ctx context.Context) {
+func (n *Node) followMembers(ctx context.Context, sole *soleOwner) {
 	first := true
 	rowstore.Follow(ctx, n.platform.Store, nodesTable, "", func(rows map[string]rowstore.Row) {
 		n.setMembers(rows)
+		sole.membersKnown.Store(true)
 		n.updateAdviceNodes()
 		if first {
 			n.sendHeartbeats(allNodesTurn)
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -18,6 +18,12 @@
 
 func (e *RejectedError) Error() string { return "not taken: " + e.Reason }
 
+// NotCarriedOutError reports that a call was not carried out and that its caller may repeat it. Unlike a
+// RejectedError, it says nothing about earlier submissions of the same job, one of which may have been accepted.
+type NotCarriedOutError struct{ Reason string }
+
+func (e *NotCarriedOutError) Error() string { return "not carried out: " + e.Reason }
+
 // UnknownJobError reports that no job has the ID, or that it belongs to another account.
 type UnknownJobError struct{ ID string }
 
@@ -58,29 +64,13 @@
 		wake(s.dispatchWake)
 	} else if !j.belongsTo(record.Account.Name) {
 		s.mu.Unlock()
-		s.log.Info().Str("job", id).Str("account", record.Account.Name).Msg("refused: another account's job has its id")
-		s.metrics.admission("refused")
-		return &RejectedError{"job id " + id + " is in use", defaultRetryAfter}
+		return s.confirmRejection(ctx, id, record, &RejectedError{"another account's job has the id", defaultRetryAfter})
 	} else {
 		s.metrics.admission("known")
 	}
 	return s.awaitAccepted(ctx, j)
 }
 
-// awaitAccepted waits until a submitted job is in the store or has been withdrawn.
-// It releases the lock.
-func (s *Scheduler) awaitAccepted(ctx context.Context, j *job) error {
-	abort := func() error {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.withdrawIfLate(j, time.Now()) {
-			return &RejectedError{(&StoreDownError{}).Error(), defaultRetryAfter}
-		}
-		return nil
-	}
-	return s.awaitSavedUnless(ctx, j, abort)
-}
-
 // defaultRetryAfter is the retry delay that rejected submissions report.
 const defaultRetryAfter = time.Second
 
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,6 +43,8 @@
 	evacuateWithin time.Duration
 	// answerLag, if not nil, returns how late an owner processes an answer of a worker that arrives now.
 	answerLag func() time.Duration
+	// newestToken is the token of the owner started last.
+	newestToken atomic.Uint64
 }
 
 // keepFinal is how long owners keep final jobs.
@@ -212,6 +215,8 @@
 	}
 	client.resume()
 	config := scheduler.Config{TimerLag: c.answerLag, Shard: testShard, Lease: c.lease, LongestLease: fleettest.MaxLease, KeepFinal: keepFinal, WorkerTimes: c.workerTimes, Load: c.load}
+	config.ConfirmSoleOwner = func(context.Context) error { return c.confirmNewest(term.Token()) }
+	c.newestToken.Store(term.Token())
 	if c.evacuateWithin > 0 {
 		config.EvacuateWithin, config.Evacuations = c.evacuateWithin, c.followEvacuations(ctx, caller)
 	}
@@ -235,6 +240,14 @@
 	return o
 }
 
+// confirmNewest answers for the other nodes whether any of them has owned the shard since an owner was started.
+func (c *cell) confirmNewest(token uint64) error {
+	if c.newestToken.Load() != token {
+		return errors.New("another node has owned the shard")
+	}
+	return nil
+}
+
 // submit registers a job with the fleet and submits it without a client account.
 func (c *cell) submit(o *owner, id string, request workload.Request, plan func(workload.TaskID, int) fleettest.Plan) error {
 	c.registerJob(id, request, plan)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -60,6 +60,9 @@
 	EvacuateWithin time.Duration
 	// Load selects the policies for work under hard load.
 	Load LoadPolicy
+	// ConfirmSoleOwner, if not nil, proves without the store that no other node has owned the shard from this
+	// term's last transaction until a moment after the call. It returns an error if there is no such proof.
+	ConfirmSoleOwner func(context.Context) error
 }
 
 // LoadPolicy selects the policies for work under hard load. The zero value disables all of them.
@@ -105,15 +108,17 @@
 	// Loaded is closed by the caller of Load once the shard can serve requests.
 	Loaded chan struct{}
 
-	shard          string
-	lateness       func() time.Duration
-	gate           evacuationGate
-	lease          time.Duration
-	maxLease       time.Duration // the longest lease that workers accept
-	keepFinal      time.Duration
-	load           LoadPolicy
-	commitInterval time.Duration // minimum time between the starts of two transactions
-	times          WorkerTimes
+	shard     string
+	lateness  func() time.Duration
+	gate      evacuationGate
+	lease     time.Duration
+	maxLease  time.Duration // the longest lease that workers accept
+	keepFinal time.Duration
+	load      LoadPolicy
+	// confirmSoleOwner is Config.ConfirmSoleOwner.
+	confirmSoleOwner func(context.Context) error
+	commitInterval   time.Duration // minimum time between the starts of two transactions
+	times            WorkerTimes
 	// remoteFactor is the ratio of run times away from a task's data and near it.
 	remoteFactor float64
 	store        rowstore.Store
@@ -177,7 +182,7 @@
 func New(config Config, store rowstore.Store, client fleet.Client, term *leadership.Term, metrics *Metrics, log zerolog.Logger) *Scheduler {
 	log = log.With().Uint64("token", term.Token()).Logger()
 	return &Scheduler{
-		shard: config.Shard, load: config.Load, lateness: config.lateness, gate: newEvacuationGate(config), lease: config.Lease, keepFinal: config.KeepFinal,
+		shard: config.Shard, load: config.Load, confirmSoleOwner: config.ConfirmSoleOwner, lateness: config.lateness, gate: newEvacuationGate(config), lease: config.Lease, keepFinal: config.KeepFinal,
 		store: store, client: client, term: term, log: log, sampledLog: log.Sample(&zerolog.BurstSampler{Burst: unknownJobLogBurst, Period: time.Second}), metrics: metrics,
 		commitInterval: commitIntervalFor(config.PartitionWrites), times: config.workerTimes(), remoteFactor: config.remoteFactor(),
 		jobs: map[string]*job{}, earlyCancellations: map[string]int{}, undecodable: map[string]error{}, active: map[string]*job{}, workers: map[fleet.Incarnation]*worker{},
--- a/scheduler/unknown_job.go
+++ b/scheduler/unknown_job.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"strings"
@@ -112,38 +111,6 @@
 	return err
 }
 
-// confirmRejection logs the rejection of a submission and returns its error once this owner's term is
-// confirmed, as another owner may have accepted the job from an earlier try of its caller. While the store is
-// down no owner can confirm its term; submissions are then rejected at once.
-func (s *Scheduler) confirmRejection(ctx context.Context, id string, record workload.Record, rejection error) error {
-	var (
-		deposed     *DeposedError
-		unconfirmed *UnconfirmedError
-	)
-	if errors.As(rejection, &deposed) || errors.As(rejection, &unconfirmed) {
-		return rejection
-	}
-	if !s.storeIsDown() {
-		if err := s.confirmTerm(ctx); err != nil {
-			return err
-		}
-		s.mu.Lock()
-		accepted := s.jobs[id] != nil
-		s.mu.Unlock()
-		if accepted {
-			return &UnconfirmedError{&AcceptedMeanwhileError{id}}
-		}
-	}
-	s.logRefused(id, record, rejection)
-	return rejection
-}
-
-// AcceptedMeanwhileError reports that a job was accepted while the rejection of another submission of it was
-// being confirmed.
-type AcceptedMeanwhileError struct{ ID string }
-
-func (e *AcceptedMeanwhileError) Error() string { return "job " + e.ID + " was accepted meanwhile" }
-
 // takeConfirmations returns the channels to close once the next transaction is applied.
 func (s *Scheduler) takeConfirmations() []chan struct{} {
 	s.mu.Lock()
--- a/scheduler/withdraw.go
+++ b/scheduler/withdraw.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -12,24 +14,62 @@
 // the loss of an owner in a run.
 const withdrawOutage = 700 * time.Millisecond
 
-// withdrawIfLate withdraws a job that no transaction has included, if the store does not
-// answer and the job can no longer be completed in time, and reports whether the job is
-// withdrawn. Its submitter then gets a definite rejection; otherwise the outcome would be
-// unknown and the job would run after its deadline. Jobs that can still be completed in time
-// are kept. The lock is held.
+// awaitAccepted waits until a submitted job is in the store or has been withdrawn. It releases the lock.
+//
+// A job is withdrawn if no transaction has included it, the store does not answer and the job can no longer be
+// completed in time. Its submitter then gets a definite rejection; otherwise the outcome would be unknown and the job
+// would run after its deadline. Jobs that can still be completed in time are kept, and so are those for which nothing
+// proves that no other node has accepted them from an earlier submission.
+func (s *Scheduler) awaitAccepted(ctx context.Context, j *job) error {
+	for {
+		err := s.awaitSavedUnless(ctx, j, func() error { return s.checkLate(j) })
+		var late *lateError
+		if !errors.As(err, &late) {
+			return err
+		}
+		if err := s.confirmByPeers(ctx); err == nil && s.withdrawIfLate(j, time.Now()) {
+			return s.checkNotAccepted(j.id, j.record.Account.Name, &RejectedError{(&StoreDownError{}).Error(), defaultRetryAfter})
+		}
+		if s.storeIsDown() {
+			return &UnconfirmedError{&StoreDownError{}}
+		}
+		s.mu.Lock()
+	}
+}
+
+// lateError reports that a job may be withdrawn.
+type lateError struct{}
+
+func (e *lateError) Error() string { return "the job can no longer be completed in time" }
+
+// checkLate returns a lateError if a job may be withdrawn.
+func (s *Scheduler) checkLate(j *job) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j.withdrawn || s.mayWithdraw(j, time.Now()) {
+		return &lateError{}
+	}
+	return nil
+}
+
+// withdrawIfLate withdraws a job that may be withdrawn, and reports whether it is withdrawn.
 func (s *Scheduler) withdrawIfLate(j *job, now time.Time) bool {
-	if j.withdrawn {
-		return true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !j.withdrawn && s.mayWithdraw(j, now) {
+		s.withdraw(j, now)
 	}
+	return j.withdrawn
+}
+
+// mayWithdraw reports whether no transaction has included a job, the store does not answer and the job can no longer
+// be completed in time. The lock is held.
+func (s *Scheduler) mayWithdraw(j *job, now time.Time) bool {
 	since := s.term.FailingSince()
 	if j.sent || j.saved > 0 || j.state.Final() || since.IsZero() || now.Sub(since) < withdrawOutage {
 		return false
 	}
-	if j.rounds[0].urgency(now).InTime() {
-		return false
-	}
-	s.withdraw(j, now)
-	return true
+	return !j.rounds[0].urgency(now).InTime()
 }
 
 // urgency returns the urgency of the round's first step.
