node, platform: a submission that no owner has carried out is not rejected

Callers saw: 503 while no node owned the shard, and while the owner could not load it from the store. The job could be in the store, accepted from an earlier submission whose answer was lost.

Cause: both places knew only that this call was not carried out.

Change: such a submission is answered 504 (NotCarriedOutError), as fast as before; other calls still get 503.

--- a/node/serve.go
+++ b/node/serve.go
@@ -35,7 +35,8 @@
 
 // Submit passes a job to the owner and returns once it is in the store. Besides the scheduler's
 // errors it returns those of routing.Table.Recheck. After an UnconfirmedError the job may have been
-// accepted; after all other errors that callers know, it was not.
+// accepted, and after a NotCarriedOutError an earlier submission of it may have been. After all other errors that
+// callers know, it was not.
 func (n *Node) Submit(ctx context.Context, caller routing.Caller, id string, record workload.Record) error {
 	err := n.serve(ctx, ownerCall{
 		id: id,
@@ -147,7 +148,7 @@
 			if uncertain != nil {
 				return &scheduler.UnconfirmedError{Cause: uncertain}
 			}
-			return &scheduler.RejectedError{Reason: "no owner has carried out the call: " + err.Error(), RetryAfter: retryAfter}
+			return &scheduler.NotCarriedOutError{Reason: "no owner is available: " + err.Error()}
 		}
 	}
 }
@@ -230,8 +231,8 @@
 // loadTimeout bounds how long one try waits for the scheduler to load; serve retries.
 const loadTimeout = 400 * time.Millisecond
 
-// awaitLoaded waits until the scheduler has loaded. It refuses calls at once while loading from
-// the store fails.
+// awaitLoaded waits until the scheduler has loaded. Calls are not carried out while loading from
+// the store fails, and fail at once. They may be about jobs that are in the store.
 func (n *Node) awaitLoaded(ctx context.Context, own *scheduler.Scheduler) error {
 	select {
 	case <-own.Loaded:
@@ -239,7 +240,7 @@
 	default:
 	}
 	if n.loadFailing.Load() {
-		return &scheduler.RejectedError{Reason: "loading the shard from the store fails", RetryAfter: retryAfter}
+		return &scheduler.NotCarriedOutError{Reason: "loading the shard from the store fails"}
 	}
 	timer := time.NewTimer(loadTimeout)
 	defer timer.Stop()
