--- a/node/node.go
+++ b/node/node.go
@@ -239,6 +239,7 @@
 	peer.Handle(mux, cancelPath, n.answerCancel)
 	peer.Handle(mux, statePath, n.answerState)
 	peer.Handle(mux, pendingPath, n.answerPending)
+	peer.Handle(mux, absentPath, n.answerAbsent)
 	peer.Handle(mux, advisePath, n.answerAdvise)
 	peer.Handle(mux, tablePath, n.answerTable)
 	peer.Handle(mux, ordersPath, n.answerOrders)
--- a/node/serve.go
+++ b/node/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"chutereach/peer"
@@ -121,6 +122,21 @@
 	return count, err
 }
 
+// ConfirmAbsent returns nil if no account has a job with the ID, so that a submission of it may be rejected.
+func (n *Node) ConfirmAbsent(ctx context.Context, id string) error {
+	return n.serve(ctx, ownerCall{
+		id: id,
+		local: func(ctx context.Context, own *scheduler.Scheduler) error {
+			return own.ConfirmAbsent(ctx, id)
+		},
+		remote: func(ctx context.Context, address string, timeout time.Duration) error {
+			_, err := peer.Call[empty](ctx, n.client, address, absentPath, jobRequest{ID: id, Timeout: timeout})
+			return err
+		},
+		overrides: anyResult,
+	})
+}
+
 // anyResult is the overrides of calls that change nothing.
 func anyResult(error) bool { return true }
 
@@ -295,6 +311,13 @@
 	return state, err
 }
 
+func (n *Node) answerAbsent(ctx context.Context, call jobRequest) (empty, error) {
+	anyAccount := routing.Caller{Version: math.MaxUint64} // no table is newer, so none rejects the call
+	return empty{}, n.serveAsOwner(ctx, anyAccount, call.Timeout, func(ctx context.Context, own *scheduler.Scheduler) error {
+		return own.ConfirmAbsent(ctx, call.ID)
+	})
+}
+
 func (n *Node) answerPending(ctx context.Context, call pendingRequest) (count int, err error) {
 	err = n.serveAsOwner(ctx, call.Caller, 0, func(ctx context.Context, own *scheduler.Scheduler) error {
 		count, err = own.Pending(ctx, call.Queue)
--- a/node/sole_owner_test.go
+++ b/node/sole_owner_test.go
@@ -109,3 +109,26 @@
 		})
 	}
 }
+
+// Guards against a false rejection by a node that cannot route a submission: an owner denies that a job exists only
+// with a proof.
+func TestConfirmAbsent(t *testing.T) {
+	runInCell(t, 3, func(c *cell) {
+		for _, m := range c.nodes {
+			wantNoError(t, "unknown job at "+m.name, m.ConfirmAbsent(c.ctx, "job"))
+		}
+		if err := c.submit(c.nodes[0], "job"); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range c.nodes {
+			if err := m.ConfirmAbsent(c.ctx, "job"); err == nil {
+				t.Errorf("accepted job at %s: got no error, want one", m.name)
+			}
+		}
+		c.failStore()
+		c.stop(c.nodeOtherThan(c.owner()))
+		if err := c.owner().ConfirmAbsent(c.ctx, "other"); err == nil {
+			t.Error("unknown job without a proof: got no error, want one")
+		}
+	})
+}
