scheduler: the last starts of a task whose workers end are spread over time

Nothing tells an owner such a loss from a task that crashes its workers.

Change: after three such losses in a row, the step is placed again 2 s after the loss. That is within the 3 s for which a job with free capacity may have nothing running. The limits stay: a task that crashes its workers still gets two more starts after three. A series that goes on for more than 4 s can still use up all five.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -37,6 +37,10 @@
 	// and unreachable. Entries expire after three missed heartbeats, 4.5 s with the platform's
 	// interval of 1.5 s.
 	listedAliveDelay = 6 * time.Second
+	// crashRetryDelay is how long after the loss of an attempt a step whose task has few starts left is placed
+	// again. Troubles that end workers come in bursts, and one must not use up all starts of a sound task. A job of
+	// which nothing runs must run again within 3 s.
+	crashRetryDelay = 2 * time.Second
 )
 
 // exposure bounds the time for which the current attempt of a task has run.
@@ -180,6 +184,9 @@
 	if evidence.Suspicious() {
 		s.markSuspected(t.step)
 	}
+	if evidence.Unsurvived && t.crashes.FewStartsLeft() {
+		t.step.delayRetry(w.unresponsiveSince.Add(crashRetryDelay))
+	}
 	w.lostAttempts = append(w.lostAttempts, lostAttempt{t, t.attempt})
 }
 
--- /dev/null
+++ b/scheduler/crash_series_test.go
@@ -0,0 +1,99 @@
+package scheduler_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"chutereach/fleet/fleettest"
+	"chutereach/workload"
+)
+
+const (
+	// seriesDuration is how long a series of ends of workers lasts, and endAfterStart how soon after a start of the
+	// task its worker ends.
+	seriesDuration = 4 * time.Second
+	endAfterStart  = 40 * time.Millisecond
+	// maxIdleTime is how long a job of which nothing runs may wait for free capacity.
+	maxIdleTime = 3 * time.Second
+)
+
+// Guards against a sound job that is given up because a burst of trouble has ended the worker of its task right after
+// each start (seed 403 of TestSoakFailures).
+func TestSeriesOfWorkerEndsFailsNoJob(t *testing.T) {
+	cases := map[string]struct {
+		request workload.Request
+		work    time.Duration
+	}{
+		"one task": {newRequest(1, 1000), 300 * time.Millisecond},
+		"gang":     {newGangRequest(2, 1000), 300 * time.Millisecond},
+		"lasting":  {newLastingRequest(1, 1000), time.Hour},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			withCell(t, 24, func(c *cell) {
+				c.lease = shortLease
+				o := c.startOwner()
+				stop := make(chan struct{})
+				defer close(stop)
+				go c.endOtherWorkers("job.0.0.0", stop)
+				time.Sleep(2 * time.Second)
+				if err := c.submit(o, "job", test.request, succeedAfter(test.work)); err != nil {
+					t.Fatal(err)
+				}
+				ends := c.endWorkersOf("job.0.0.0")
+				time.Sleep(8 * time.Second)
+				if state, err := o.State(c.ctx, "job"); state == workload.Failed || err != nil || ends < 3 {
+					t.Errorf("job is %q (%v) after %d ends of workers, want it to go on after at least 3", state, err, ends)
+				}
+				c.assertNeverIdle("job", maxIdleTime)
+			})
+		})
+	}
+}
+
+// endOtherWorkers ends random workers that do not run a task, so that no end is conclusive.
+func (c *cell) endOtherWorkers(task string, stop <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		if list := c.fleet.List(); len(list) > 0 {
+			if worker := list[rng.IntN(len(list))].ID; worker != c.fleet.WorkerOf(task) {
+				c.fleet.RestartSameID(worker, 200*time.Millisecond)
+			}
+		}
+	}
+}
+
+// endWorkersOf ends each worker that runs a task shortly after it has started it, for the duration of a series, and
+// returns how many it has ended.
+func (c *cell) endWorkersOf(task string) (ends int) {
+	for end := time.Now().Add(seriesDuration); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		worker := c.fleet.WorkerOf(task)
+		if worker == "" {
+			continue
+		}
+		time.Sleep(endAfterStart)
+		c.fleet.RestartSameID(worker, 200*time.Millisecond)
+		ends++
+	}
+	return ends
+}
+
+// assertNeverIdle fails the test if no task of a job ran for longer than a limit between two of its attempts.
+func (c *cell) assertNeverIdle(job string, limit time.Duration) {
+	c.t.Helper()
+	var last fleettest.Attempt
+	for _, attempt := range c.fleet.Attempts(job) {
+		if idle := attempt.Started.Sub(last.Ended); !last.Ended.IsZero() && idle > limit {
+			c.t.Errorf("nothing of job %s ran for %v before %s#%d, want at most %v", job, idle, attempt.Task, attempt.Number, limit)
+		}
+		if last.Ended.Before(attempt.Ended) || attempt.Ended.IsZero() {
+			last = attempt
+		}
+	}
+}
--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -41,7 +41,7 @@
 		t.lastFailedOn = w
 		s.handleTaskFailure(t, t.attempt)
 	case outcome == fleet.Failed:
-		st.retryAt = time.Now().Add(failureBackoff)
+		st.delayRetry(time.Now().Add(failureBackoff))
 	}
 	if st.spec.Gang && !st.done() && !j.state.Final() {
 		s.stopGang(st, t.attempt, "another member of the gang ended")
@@ -90,7 +90,7 @@
 // when the task has no attempts left. A gang's attempt fails once, however many of its members fail.
 func (s *Scheduler) handleTaskFailure(t *task, attempt int) {
 	st := t.step
-	st.retryAt = time.Now().Add(failureBackoff)
+	st.delayRetry(time.Now().Add(failureBackoff))
 	if attempt <= t.guessedThrough || t.failures.Contains(attempt) {
 		return
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -105,6 +105,13 @@
 
 func (st *step) done() bool { return st.tasksLeft == 0 }
 
+// delayRetry keeps the step from being placed before a time.
+func (st *step) delayRetry(until time.Time) {
+	if until.After(st.retryAt) {
+		st.retryAt = until
+	}
+}
+
 // setMayPreempt sets mayPreempt. When it becomes true, the next pass considers all
 // workers again.
 func (st *step) setMayPreempt(allowed bool) {
--- a/workload/crashes.go
+++ b/workload/crashes.go
@@ -213,9 +213,9 @@
 	return c.exhaustedBy(c.ConclusiveLosses, c.UnsurvivedLosses)
 }
 
-// MustNotPreempt reports whether attempts of the task must not be preempted, because it may have few
-// attempts left.
-func (c CrashHistory) MustNotPreempt() bool {
+// FewStartsLeft reports whether the task may be given up after two more losses. Its attempts must then not be
+// preempted, and its starts are spread over time.
+func (c CrashHistory) FewStartsLeft() bool {
 	_, unsurvived := c.unresolved()
 	return c.UnsurvivedLosses+unsurvived >= fewAttemptsLeft
 }
