node: a few nodes that are gone do not keep an owner from proving that it has not been replaced

Cause: every node had to confirm.

Change: a new owner accepts no job before some nodes have acknowledged its term by answering a heartbeat: half of the members, six at most. An owner then needs the word of all other nodes but fewer than that: the new owner and the nodes that have acknowledged it cannot all be among those that do not confirm. Where too few nodes can acknowledge a new owner, it waits until the proofs of earlier owners have expired, 10 s after their last transaction; they use none after 9 s. A new owner with fewer than five members waits for nobody, and its predecessor needs the word of all.

TestCutOffSuccessorAcceptsNoJobs fails without the wait.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -140,6 +140,9 @@
 	if wasLost != state.lost || relayed != state.relays {
 		n.plan = nil
 	}
+	if sole := n.soleOwner; err == nil && sole != nil && answer.Owner.Token == message.Owner.Token && sole.term.Token() == answer.Owner.Token {
+		sole.acknowledge(member.Node, len(n.members))
+	}
 	n.mu.Unlock()
 	if wasLost != state.lost {
 		n.log.Info().Str("node", member.Node).Bool("lost", state.lost).Msg("node reachability changed")
--- a/node/node.go
+++ b/node/node.go
@@ -84,6 +84,7 @@
 	plan          *relayPlan
 	planVersion   uint64
 	scheduler     *scheduler.Scheduler // nil unless this node owns the shard
+	soleOwner     *soleOwner           // of the term of scheduler
 	termStartedAt time.Time
 	// lagNormalSince is when this owner's timer lag last became normal, or zero while it is
 	// high. lagWasNormal is whether it has been normal for lagNormalPeriod during this term.
--- a/node/owner.go
+++ b/node/owner.go
@@ -296,13 +296,15 @@
 	config.ConfirmSoleOwner = sole.confirm
 	own := scheduler.New(config, n.platform.Store, n.platform.Workers, term, n.metrics.Scheduler, n.log)
 	n.mu.Lock()
-	n.scheduler, n.cancelTerm, n.termStartedAt = own, cancel, time.Now()
+	n.scheduler, n.soleOwner, n.cancelTerm, n.termStartedAt = own, sole, cancel, time.Now()
+	members := len(n.members)
 	n.mu.Unlock()
 	n.config.notifyOwnership(true)
 	n.sendHeartbeats(allNodesTurn)
 	loaded := make(chan struct{})
 	n.tasks.Go(func() { n.platform.FollowWorkers(ctx, afterLoad(ctx, loaded, own.SetWorkers)) })
 	n.tasks.Go(func() { n.followMembers(ctx, sole) })
+	n.tasks.Go(func() { sole.expireFormer(ctx, members) })
 	n.tasks.Go(func() {
 		defer cancel()
 		err := n.load(ctx, own)
@@ -316,7 +318,7 @@
 		n.mu.Lock()
 		current := n.scheduler == own
 		if current {
-			n.scheduler, n.cancelTerm = nil, nil
+			n.scheduler, n.soleOwner, n.cancelTerm = nil, nil, nil
 		}
 		n.ownerHeardAt = time.Time{}
 		n.mu.Unlock()
--- a/node/serve.go
+++ b/node/serve.go
@@ -40,10 +40,8 @@
 // callers know, it was not.
 func (n *Node) Submit(ctx context.Context, caller routing.Caller, id string, record workload.Record) error {
 	err := n.serve(ctx, ownerCall{
-		id: id,
-		local: func(ctx context.Context, own *scheduler.Scheduler) error {
-			return own.Submit(ctx, id, record)
-		},
+		id:    id,
+		local: n.submitTo(id, record),
 		remote: func(ctx context.Context, address string, timeout time.Duration) error {
 			_, err := peer.Call[empty](ctx, n.client, address, submitPath, submitRequest{id, record, timeout, caller})
 			return err
@@ -61,6 +59,22 @@
 	return err
 }
 
+// submitTo returns a function that submits a job to a scheduler of this node once it may accept jobs.
+func (n *Node) submitTo(id string, record workload.Record) func(context.Context, *scheduler.Scheduler) error {
+	return func(ctx context.Context, own *scheduler.Scheduler) error {
+		n.mu.Lock()
+		current, sole := n.scheduler == own, n.soleOwner
+		n.mu.Unlock()
+		if !current {
+			return &NotOwnerError{}
+		}
+		if !waitFor(ctx, sole.acceptable, loadTimeout) {
+			return &NotOwnerError{}
+		}
+		return own.Submit(ctx, id, record)
+	}
+}
+
 // Cancel cancels a job and returns once that is in the store.
 func (n *Node) Cancel(ctx context.Context, caller routing.Caller, id string) error {
 	startedAt := time.Now()
@@ -244,7 +258,7 @@
 	return err
 }
 
-// loadTimeout bounds how long one try waits for the scheduler to load; serve retries.
+// loadTimeout bounds how long one try waits for the scheduler to load or to be acknowledged; serve retries.
 const loadTimeout = 400 * time.Millisecond
 
 // awaitLoaded waits until the scheduler has loaded. Calls are not carried out while loading from
@@ -258,15 +272,23 @@
 	if n.loadFailing.Load() {
 		return &scheduler.NotCarriedOutError{Reason: "loading the shard from the store fails"}
 	}
-	timer := time.NewTimer(loadTimeout)
+	if !waitFor(ctx, own.Loaded, loadTimeout) {
+		return &NotOwnerError{}
+	}
+	return nil
+}
+
+// waitFor waits until a channel is closed, and reports whether it is before a time limit or the end of ctx.
+func waitFor(ctx context.Context, done <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
-	case <-own.Loaded:
-		return nil
+	case <-done:
+		return true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return &NotOwnerError{}
+	return false
 }
 
 // serveAsOwner carries out a call from another node if this node owns the shard. It checks the
@@ -292,9 +314,7 @@
 }
 
 func (n *Node) answerSubmit(ctx context.Context, call submitRequest) (empty, error) {
-	return empty{}, n.serveAsOwner(ctx, call.Caller, call.Timeout, func(ctx context.Context, own *scheduler.Scheduler) error {
-		return own.Submit(ctx, call.ID, call.Record)
-	})
+	return empty{}, n.serveAsOwner(ctx, call.Caller, call.Timeout, n.submitTo(call.ID, call.Record))
 }
 
 func (n *Node) answerCancel(ctx context.Context, call jobRequest) (empty, error) {
--- a/node/sole_owner.go
+++ b/node/sole_owner.go
@@ -2,52 +2,117 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"chutereach/leadership"
 	"chutereach/peer"
+	"chutereach/scheduler"
 	"chutereach/wait"
 )
 
+// An owner that the store does not answer may have been replaced without noticing. It proves by the other nodes that
+// nobody has accepted a job in its place. The proof has two sides:
+//
+//   - A new owner accepts no job before some nodes have acknowledged a heartbeat of its term, or the proofs of all
+//     earlier owners have expired.
+//   - An owner asks all nodes. It has a proof if all but a few confirm that they do not own the shard and know of no
+//     later owner. A new owner and the nodes that have acknowledged it are more than those few, so one of them would
+//     have been among the nodes that confirmed.
+//
+// Nodes that are gone or cut off thus do not prevent a proof, unless they are many.
+
 const (
-	// soleOwnerTimeout bounds a round of questions. Callers wait for its end, so a node that does not answer must
-	// not hold them up for long.
+	// soleOwnerTimeout bounds a round of questions. Callers wait for its end, so nodes that do not answer must not
+	// hold them up for long.
 	soleOwnerTimeout = pingTimeout
-	// maxSoleOwnerPings bounds the questions per second to all nodes together, and soleOwnerConcurrency those under
-	// way. Asking takes an owner some 0.1 ms of processor time.
-	maxSoleOwnerPings    = 1000
-	soleOwnerConcurrency = 64
+	// maxSoleOwnerPings bounds the questions per second to all nodes together. One takes an owner some 0.1 ms of
+	// processor time.
+	maxSoleOwnerPings = 1000
 	// clockRateMargin is how much longer than an owner's own count a node must have been up by its clock.
 	clockRateMargin = 1.03
+	// maxDoubtfulNodes bounds the nodes that need not confirm, and minDoubtfulMembers is the number of members from
+	// which one may be missing. Fewer nodes would leave too few to acknowledge a new owner.
+	maxDoubtfulNodes   = 5
+	minDoubtfulMembers = 6
+	// proofLifetime is how long after its last applied transaction an owner can prove that it has not been replaced.
+	// It exceeds the longest outage observed, of 7 s. acceptanceDelay is how long a new owner waits for
+	// acknowledgements; it is longer, because the clocks of the two may differ.
+	proofLifetime   = 9 * time.Second
+	acceptanceDelay = 10 * time.Second
 )
 
-// soleOwner proves for an owner, without the store, that no other node has owned the shard since the owner's last
-// applied transaction. Every other node has to answer that it does not own the shard, is not taking it over and has
-// not heard of a later owner. Its process must have been up since that transaction: an earlier one may have owned the
-// shard. One round of questions serves all calls that wait for it.
-//
-// A node that has registered since the owner last heard of the members is not asked. It would have to take the shard
-// without reaching any other node.
+// doubtfulNodes returns how many of the other nodes need not confirm, given the number of members.
+func doubtfulNodes(members int) int {
+	if members < minDoubtfulMembers {
+		return 0
+	}
+	return min(maxDoubtfulNodes, members/2-1)
+}
+
+// acknowledgementsNeeded returns how many nodes must acknowledge a new owner. It is one more than doubtfulNodes, and
+// needed with one member less, as two nodes may know different numbers of members.
+func acknowledgementsNeeded(members int) int {
+	if members < minDoubtfulMembers-1 {
+		return 0
+	}
+	return min(maxDoubtfulNodes+1, members/2)
+}
+
+// soleOwner keeps the proofs for one term: that of the former owners, until this node may accept jobs, and that of
+// this owner.
 type soleOwner struct {
 	node   *Node
 	term   *leadership.Term
 	rounds wait.Rounds
 	// membersKnown is set once all members have been read in this term.
 	membersKnown atomic.Bool
+
+	mu           sync.Mutex
+	acknowledged map[string]bool // nodes that have acknowledged a heartbeat of this term
+	acceptable   chan struct{}   // closed once this node may accept jobs
+	accepting    bool            // acceptable is closed
 }
 
 func newSoleOwner(n *Node, term *leadership.Term) *soleOwner {
-	s := &soleOwner{node: n, term: term}
+	s := &soleOwner{node: n, term: term, acknowledged: map[string]bool{}, acceptable: make(chan struct{})}
 	s.rounds = wait.Rounds{Run: s.askAll, Interval: s.interval}
 	return s
 }
 
-// confirm returns nil if no other node has owned the shard from the last applied transaction of the term until a
-// moment after the call.
+// acknowledge records that a node has acknowledged a heartbeat of this term.
+func (s *soleOwner) acknowledge(node string, members int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acknowledged[node] = true
+	if len(s.acknowledged) >= acknowledgementsNeeded(members) {
+		s.accept()
+	}
+}
+
+// expireFormer lets this node accept jobs once the proofs of all earlier owners have expired.
+func (s *soleOwner) expireFormer(ctx context.Context, members int) {
+	if acknowledgementsNeeded(members) > 0 && wait.For(ctx, time.Until(s.term.FormerSentBefore().Add(acceptanceDelay))) != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accept()
+}
+
+// accept lets this node accept jobs. s.mu must be held.
+func (s *soleOwner) accept() {
+	if !s.accepting {
+		s.accepting = true
+		close(s.acceptable)
+	}
+}
+
+// confirm returns nil if no other node has accepted a job from the last applied transaction of the term until a moment
+// after the call. One round of questions serves all calls that wait for it.
 func (s *soleOwner) confirm(ctx context.Context) error { return s.rounds.Join(ctx) }
 
 // interval returns the minimum time between two rounds.
@@ -61,44 +126,90 @@
 	return s.node.others()
 }
 
-// askAll asks all other nodes. It fails as soon as one of them does not confirm.
+// askAll asks all other nodes. It returns as soon as enough of them have confirmed, or too many have not.
 func (s *soleOwner) askAll() error {
 	if !s.membersKnown.Load() {
 		return &MembersUnknownError{}
 	}
+	if since := s.term.SinceLastCommit(); since > proofLifetime {
+		return &ProofExpiredError{since}
+	}
 	ctx, cancel := context.WithTimeout(s.node.ctx, soleOwnerTimeout)
 	defer cancel()
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(soleOwnerConcurrency)
-	for _, member := range s.others() {
-		group.Go(func() error { return s.ask(ctx, member) })
+	others := s.others()
+	answers := make(chan error, len(others))
+	for _, member := range others {
+		go func() { answers <- s.ask(ctx, member) }()
 	}
-	return group.Wait()
+	doubtful := doubtfulNodes(len(others) + 1)
+	needed := len(others) - doubtful
+	doubts := 0
+	for range others {
+		if needed <= 0 {
+			return nil
+		}
+		err := <-answers
+		var replaced *scheduler.DeposedError
+		switch {
+		case err == nil:
+			needed--
+		case errors.As(err, &replaced):
+			return err
+		default:
+			doubts++
+		}
+		if doubts > doubtful {
+			return &OwnershipDoubtError{doubts, err}
+		}
+	}
+	return nil
 }
 
+// ask returns nil if a node confirms that it does not own the shard and has not heard of an owner later than this one,
+// and a DeposedError if it says the contrary. An earlier process of the node may have heard of one, so the process must
+// have been up since the last applied transaction.
 func (s *soleOwner) ask(ctx context.Context, member Member) error {
 	answer, err := peer.Call[pingResponse](ctx, s.node.client, member.Address, pingPath, empty{})
-	if err != nil {
-		return &OwnershipDoubtError{member.Node, err.Error()}
-	}
-	if answer.Owner.Token > s.term.Token() {
+	switch {
+	case err != nil:
+		return err
+	case answer.Owner.Token > s.term.Token():
 		s.node.learnOwner(answer.Owner)
-		return &OwnershipDoubtError{member.Node, "it knows a later owner"}
-	}
-	if answer.IsOwner {
-		return &OwnershipDoubtError{member.Node, "it owns the shard or is taking it over"}
+		return &scheduler.DeposedError{Reason: "node " + member.Node + " knows a later owner"}
+	case answer.IsOwner:
+		return &scheduler.DeposedError{Reason: "node " + member.Node + " owns the shard or is taking it over"}
 	}
 	if needed := time.Duration(clockRateMargin * float64(s.term.SinceLastCommit())); answer.UpFor < needed {
-		return &OwnershipDoubtError{member.Node, fmt.Sprintf("its process has been up for %v, less than the %v since the last transaction", answer.UpFor, needed)}
+		return &RecentStartError{member.Node, answer.UpFor, needed}
 	}
 	return nil
 }
 
-// OwnershipDoubtError reports that a node does not confirm that it has not owned the shard.
-type OwnershipDoubtError struct{ Node, Reason string }
+// OwnershipDoubtError reports that too many nodes do not confirm that they know of no later owner.
+type OwnershipDoubtError struct {
+	Doubts int
+	Last   error
+}
 
 func (e *OwnershipDoubtError) Error() string {
-	return fmt.Sprintf("node %s may have owned the shard: %s", e.Node, e.Reason)
+	return fmt.Sprintf("%d nodes do not confirm that there is no later owner, the last one: %v", e.Doubts, e.Last)
+}
+
+// RecentStartError reports that a node's process does not know what an earlier one may have known.
+type RecentStartError struct {
+	Node          string
+	UpFor, Needed time.Duration
+}
+
+func (e *RecentStartError) Error() string {
+	return fmt.Sprintf("node %s has been up for %v, less than the %v since the last transaction", e.Node, e.UpFor, e.Needed)
+}
+
+// ProofExpiredError reports that the last transaction of an owner is too long ago for a proof.
+type ProofExpiredError struct{ Since time.Duration }
+
+func (e *ProofExpiredError) Error() string {
+	return fmt.Sprintf("the last transaction was %v ago", e.Since)
 }
 
 // MembersUnknownError reports that an owner has not read all members yet.
--- a/node/sole_owner_test.go
+++ b/node/sole_owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -78,6 +79,78 @@
 	}
 }
 
+// Guards against an unknown outcome because a few nodes are gone, and against a false rejection because many are.
+func TestFewDoubtfulNodesDoNotPreventRejection(t *testing.T) {
+	const members = 12
+	const mayBeGone = 5
+	for gone := range mayBeGone + 3 {
+		t.Run(fmt.Sprintf("%d nodes ended", gone), func(t *testing.T) {
+			runInCell(t, members, func(c *cell) {
+				owner := c.owner()
+				c.failStore()
+				for range gone {
+					c.stop(c.runningNodeOtherThan(owner))
+				}
+				err := c.wantAnswerWithin(300*time.Millisecond, owner, "job")
+				if gone > mayBeGone {
+					wantError[*scheduler.NotCarriedOutError](t, "submission", err)
+				} else {
+					wantError[*scheduler.RejectedError](t, "submission", err)
+				}
+			})
+		})
+	}
+}
+
+func (c *cell) runningNodeOtherThan(excluded *member) *member {
+	for _, m := range c.nodes {
+		if m != excluded && !m.Stopped() {
+			return m
+		}
+	}
+	c.t.Fatal("no other node runs")
+	return nil
+}
+
+// Guards against jobs that are accepted in place of an owner whose proof does not reach the new owner: a node that is cut
+// off from the others takes the shard, and accepts jobs only after the proofs of the former owner have expired.
+func TestCutOffSuccessorAcceptsNoJobs(t *testing.T) {
+	runInCell(t, 8, func(c *cell) {
+		former := c.owner()
+		for _, w := range c.fleet.List() {
+			c.fleet.Crash(w.ID) // workers would tell the former owner of its successor
+		}
+		successor := c.nodeOtherThan(former)
+		c.partitionFrom(successor, successor)
+		for _, m := range c.nodes {
+			if m != successor {
+				m.storeCaller.SetFault(func(bool) memory.Fault { return memory.Fault{Reject: true} })
+			}
+		}
+		startedAt := time.Now()
+		for rejections := 0; time.Since(startedAt) < 15*time.Second; time.Sleep(500 * time.Millisecond) {
+			id := fmt.Sprintf("job-%v", time.Since(startedAt))
+			accepted, err := c.submit(successor, id) == nil, c.submit(former, id)
+			var rejected *scheduler.RejectedError
+			if errors.As(err, &rejected) {
+				rejections++
+				if accepted {
+					t.Errorf("%s: accepted by the successor, rejected by the former owner", id)
+				}
+			}
+			if since := time.Since(startedAt); since > 6*time.Second && since < 7*time.Second && (rejections == 0 || accepted) {
+				t.Errorf("after %v: %d rejections by the former owner, accepted by the successor: %v; want some and false", since, rejections, accepted)
+			}
+		}
+		if !successor.Owns() {
+			t.Error("the node that the store answers does not own the shard")
+		}
+		if err := c.submit(successor, "job"); err != nil {
+			t.Errorf("submission after the proofs have expired: %v", err)
+		}
+	})
+}
+
 // Guards against a false rejection by a replaced owner that has not noticed its replacement: it is cut off from the
 // store and the other nodes, and its successor has accepted the job.
 func TestCutOffOwnerDoesNotRejectAcceptedJobs(t *testing.T) {
--- a/scheduler/rejection.go
+++ b/scheduler/rejection.go
@@ -77,12 +77,13 @@
 	if s.confirmSoleOwner == nil {
 		return &StoreDownError{}
 	}
-	if err := s.confirmSoleOwner(ctx); err != nil {
-		return err
-	}
+	err := s.confirmSoleOwner(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.termOver()
+	if over := s.termOver(); over != nil {
+		return over
+	}
+	return err
 }
 
 // withoutProof returns the error for a submission whose rejection could not be proved.
