scheduler, rowstore: how long a final job is kept goes by the store's clock

Cause: prune compared the time at which the job became final by the clock of the owner of that time with the clock of this owner. Where clocks step or differ by keep-final (120 s), the state of the job was forgotten at once.

Change: rowstore passes on the store's clock (now_ms), which all owners share. An owner reads it when it loads the shard and every 30 s, and stores its time with a final job, on the safe side by the duration of the reading. Rows of earlier builds, and a store without a clock, count from when the owner learned of the job. Earlier builds still find the time that they use.

--- a/rowstore/memory/memory.go
+++ b/rowstore/memory/memory.go
@@ -25,11 +25,18 @@
 	version       uint64
 	changed       chan struct{} // closed and replaced when the history changes
 	commits       int
+	startedAt     time.Time
 }
 
+// epoch is the reading of a store's clock at its start. It is not 0, which would be an unknown time.
+const epoch = time.Hour
+
+// now returns the reading of the store's clock.
+func (s *Store) now() time.Duration { return epoch + time.Since(s.startedAt) }
+
 // New returns an empty store.
 func New() *Store {
-	return &Store{rows: map[rowstore.Key]rowstore.Row{}, changed: make(chan struct{})}
+	return &Store{rows: map[rowstore.Key]rowstore.Row{}, changed: make(chan struct{}), startedAt: time.Now()}
 }
 
 // Commits returns the number of transactions that were applied.
@@ -126,7 +133,7 @@
 func (s *Store) Read(_ context.Context, table, partition, from string, limit int) (rowstore.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	page := rowstore.Page{Version: s.version}
+	page := rowstore.Page{Version: s.version, Now: s.now()}
 	for key, row := range s.rows {
 		if key.Table == table && key.Partition == partition && key.Name >= from {
 			page.Rows = append(page.Rows, row)
@@ -167,7 +174,7 @@
 	if after < s.discardedUpTo {
 		return rowstore.Page{}, nil, &rowstore.HistoryLostError{After: after}
 	}
-	page := rowstore.Page{Version: s.version}
+	page := rowstore.Page{Version: s.version, Now: s.now()}
 	for _, row := range s.history {
 		if row.Table == table && row.Version > after {
 			page.Rows = append(page.Rows, row)
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -60,6 +60,9 @@
 	Rows    []Row
 	More    bool   // there are further rows after the last one
 	Version uint64 // the version of the store at the time of the response
+	// Now is the store's clock at the time of the response; 0 if it is not known. The clock is steady, and the same
+	// for all clients.
+	Now time.Duration
 	// Received holds the size and transfer time of the response, if it was sent over a
 	// network.
 	Received transfer.Received
@@ -91,6 +94,7 @@
 		if all.Version == 0 {
 			all.Version = page.Version
 		}
+		all.Now = page.Now
 		all.Rows = append(all.Rows, page.Rows...)
 		all.Received = all.Received.Plus(page.Received)
 		if !page.More || len(page.Rows) == 0 {
--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -129,7 +129,7 @@
 	if j.state.Final() {
 		return
 	}
-	j.state, j.finalAt = state, time.Now().UnixMilli()
+	j.state, j.finalAt = state, newFinalTime(s.storeClock)
 	delete(s.active, j.id)
 	close(j.done)
 	late := time.Until(j.deadline) < 0
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -180,7 +180,7 @@
 	roundsLeft int // rounds not done
 	state      workload.State
 	started    bool
-	finalAt    int64
+	finalAt    finalTime
 	arrived    time.Time
 	deadline   time.Time // completion objective
 
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chutereach/account"
+	"chutereach/clock"
 	"chutereach/fleet"
 	"chutereach/rowstore"
 	"chutereach/workload"
@@ -17,6 +18,7 @@
 // Load reads the state that former owners have stored. It must succeed before Run is called.
 func (s *Scheduler) Load(ctx context.Context) error {
 	var records, progress, bundles rowstore.Page
+	asked := clock.Now()
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
 		records, err = rowstore.ReadAll(groupCtx, s.store, recordTable, s.shard)
@@ -35,6 +37,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.storeClock = s.storeClock.withReading(progress.Now, asked, clock.Now())
 	latest, err := s.latestBundleEntries(bundles.Rows)
 	if err != nil {
 		return err
@@ -130,7 +133,7 @@
 		if p.State.Final() {
 			terms := account.Terms{Name: p.Account}
 			s.addFinal(&job{
-				id: id, record: workload.Record{Account: terms}, account: s.accountOf(terms), state: p.State, savedState: p.State, started: p.Started, finalAt: p.FinalAt,
+				id: id, record: workload.Record{Account: terms}, account: s.accountOf(terms), state: p.State, savedState: p.State, started: p.Started, finalAt: restoredFinalTime(p.FinalAtStoreMS, p.FinalAt),
 				generation: max(1, p.Generation), saved: max(1, p.Generation),
 			})
 		}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -7,7 +7,7 @@
 
 // progress returns the job's progress as it is stored.
 func (j *job) progress() workload.Progress {
-	p := workload.Progress{State: j.state, Started: j.started, FinalAt: j.finalAt, Generation: j.generation}
+	p := workload.Progress{State: j.state, Started: j.started, FinalAt: j.finalAt.byOwner, FinalAtStoreMS: j.finalAt.byStoreMS(), Generation: j.generation}
 	if j.state.Final() {
 		p.Account = j.record.Account.Name
 	}
@@ -55,7 +55,7 @@
 // restore applies stored progress to a new job. hosts returns the worker for an incarnation,
 // creating it if necessary.
 func (j *job) restore(p workload.Progress, hosts func(incarnation fleet.Incarnation, address string) *worker) {
-	j.state, j.savedState, j.started, j.finalAt = p.State, p.State, p.Started, p.FinalAt
+	j.state, j.savedState, j.started, j.finalAt = p.State, p.State, p.Started, restoredFinalTime(p.FinalAtStoreMS, p.FinalAt)
 	j.generation, j.saved = max(1, p.Generation), max(1, p.Generation)
 	for _, sp := range p.Steps {
 		if sp.Round >= len(j.rounds) || sp.Step >= len(j.rounds[sp.Round].steps) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -169,6 +169,7 @@
 	commitSlot        chan struct{} // semaphore of size 1, held during a transaction
 	deposed           error
 	paused            bool
+	storeClock        storeClock
 
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
@@ -239,6 +240,7 @@
 		return deposed
 	}
 	s.running.Go(func() { s.dispatchLoop(ctx) })
+	s.running.Go(func() { s.followStoreClock(ctx) })
 	err := s.commitLoop(ctx)
 	cancel(err)
 	s.running.Close()
@@ -337,7 +339,7 @@
 		if j.state.Final() && j.saved >= j.generation {
 			j.compact()
 		}
-		if !j.state.Final() || j.expired || j.hosted > 0 || j.mayBeInOlderBundle() || now.Sub(time.UnixMilli(j.finalAt)) < s.keepFinal {
+		if !j.state.Final() || j.expired || j.hosted > 0 || j.mayBeInOlderBundle() || !j.finalAt.isPast(s.keepFinal, s.storeClock) {
 			continue
 		}
 		j.expired = true
--- /dev/null
+++ b/scheduler/store_clock.go
@@ -0,0 +1,97 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"chutereach/clock"
+	"chutereach/wait"
+)
+
+const (
+	// storeClockInterval is the time between readings of the store's clock. At a rate that differs by 2%, the
+	// estimate is wrong by 0.6 s at most.
+	storeClockInterval = 30 * time.Second
+	storeClockTimeout  = time.Second
+)
+
+// storeClock is an estimate of the store's clock, which all owners share. Their own clocks may differ or step, so that
+// the time at which a job became final cannot be told from them. The zero value is a clock that is not known.
+type storeClock struct {
+	reading         time.Duration // 0 if the clock is not known
+	asked, answered clock.Instant // the store has read its clock in between
+}
+
+// withReading returns the estimate after the store has answered with a reading. A reading of 0 is none.
+func (c storeClock) withReading(reading time.Duration, asked, answered clock.Instant) storeClock {
+	if reading <= 0 {
+		return c
+	}
+	return storeClock{reading, asked, answered}
+}
+
+// earliest and latest return bounds of the store's time, or 0 if it is not known.
+func (c storeClock) earliest() time.Duration { return c.since(c.answered) }
+
+func (c storeClock) latest() time.Duration { return c.since(c.asked) }
+
+func (c storeClock) since(i clock.Instant) time.Duration {
+	if c.reading == 0 {
+		return 0
+	}
+	return c.reading + i.Since()
+}
+
+// finalTime is when a job became final.
+type finalTime struct {
+	byStore time.Duration // by the store's clock; 0 if that was not known
+	// byOwner is by the clock of the owner of that time, in Unix milliseconds. Earlier builds use only this.
+	byOwner int64
+	known   time.Time // when this owner learned of it
+}
+
+// newFinalTime returns the time of a job that becomes final now.
+func newFinalTime(store storeClock) finalTime {
+	return finalTime{store.latest(), time.Now().UnixMilli(), time.Now()}
+}
+
+// restoredFinalTime returns the time of a job of a former owner, as stored.
+func restoredFinalTime(byStoreMS, byOwner int64) finalTime {
+	return finalTime{time.Duration(byStoreMS) * time.Millisecond, byOwner, time.Now()}
+}
+
+// byStoreMS returns the time by the store's clock in milliseconds, as stored.
+func (f finalTime) byStoreMS() int64 { return f.byStore.Milliseconds() }
+
+// isPast reports whether a time has passed since the job became final. Without the store's clock, only the time counts
+// for which this owner has known of it.
+func (f finalTime) isPast(d time.Duration, store storeClock) bool {
+	if now := store.earliest(); now > 0 && f.byStore > 0 && now >= f.byStore {
+		return now-f.byStore >= d
+	}
+	return time.Since(f.known) >= d
+}
+
+// readStoreClock reads the store's clock. It keeps the former estimate if that fails.
+func (s *Scheduler) readStoreClock(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeClockTimeout)
+	defer cancel()
+	asked := clock.Now()
+	page, err := s.store.Read(ctx, progressTable, s.shard, "", 1)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeClock = s.storeClock.withReading(page.Now, asked, clock.Now())
+	return nil
+}
+
+// followStoreClock reads the store's clock from time to time until ctx is done.
+func (s *Scheduler) followStoreClock(ctx context.Context) {
+	for wait.For(ctx, storeClockInterval) == nil {
+		if err := s.readStoreClock(ctx); err != nil && ctx.Err() == nil {
+			s.log.Info().Err(err).Msg("cannot read the store's clock")
+		}
+	}
+}
--- a/scheduler/unknown_job.go
+++ b/scheduler/unknown_job.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"hash/fnv"
 	"strings"
-	"time"
 
 	"chutereach/account"
 	"chutereach/workload"
@@ -35,7 +34,7 @@
 		j = &job{id: name, record: workload.Record{Account: terms}, account: s.accountOf(terms), state: workload.Cancelled}
 		s.addFinal(j)
 	}
-	j.finalAt, j.expired = time.Now().UnixMilli(), false // a repeated cancellation is kept as long as the first one
+	j.finalAt, j.expired = newFinalTime(s.storeClock), false // a repeated cancellation is kept as long as the first one
 	s.markDirty(j)
 	saved := make(chan struct{})
 	j.onSaved(func() { close(saved) })
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -52,12 +52,15 @@
 	State   State          `cbor:"1,keyasint"`
 	Steps   []StepProgress `cbor:"2,keyasint,omitempty"`
 	Started bool           `cbor:"3,keyasint,omitempty"` // at least one task has been started
-	FinalAt int64          `cbor:"4,keyasint,omitempty"` // when the state became final, in Unix milliseconds
+	FinalAt int64          `cbor:"4,keyasint,omitempty"` // when the state became final, in Unix milliseconds of the owner's clock
 	// Generation increases with each change to the job; the row with the highest value is current.
 	Generation uint64 `cbor:"6,keyasint,omitempty"`
 	// Account is the name of the owning account. It is set once the state is final, because the
 	// Record is deleted then.
 	Account string `cbor:"7,keyasint,omitempty"`
+	// FinalAtStoreMS is when the state became final by the store's clock; 0 if unknown. Earlier builds have only
+	// FinalAt, and clocks of different owners may differ by any time.
+	FinalAtStoreMS int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // SetBit returns bits with the bit at index set, grown if necessary.
