leadership: a freeze of the owner is not dated as an outage of the store

Callers saw (by reading): after its process was frozen, an owner took the store for down until one call was answered, and turned submissions away.

Cause: an unanswered transaction counted as failing since its start, which may lie before the freeze.

Change: it counts as failing for the time in which an answer counts as missing at the most. That is when the failure is noticed, unless the process did not run.

--- a/leadership/commit.go
+++ b/leadership/commit.go
@@ -107,7 +107,7 @@
 		case <-ctx.Done():
 			return 0, ctx.Err()
 		case <-timer.C:
-			c.term.recordNoAnswer(c.startedAt)
+			c.term.recordNoAnswer(c.unansweredSince())
 			if c.sends == 0 {
 				c.send(ctx)
 				timer.Reset(c.term.answerTimeout)
@@ -154,7 +154,7 @@
 	case errors.As(got.err, &deposed):
 		return 0, got.err, true
 	case got.err != nil:
-		c.term.recordNoAnswer(c.startedAt)
+		c.term.recordNoAnswer(c.unansweredSince())
 		return 0, nil, false
 	}
 	c.term.recordAnswer()
@@ -170,6 +170,15 @@
 	return got.version, nil, true
 }
 
+// unansweredSince returns since when the store has failed to answer the transaction. It is at most answerTimeout ago:
+// the failure is noticed after that time at the latest, unless this process was frozen in between.
+func (c *commit) unansweredSince() clock.Instant {
+	if c.startedAt.Since() <= c.term.answerTimeout {
+		return c.startedAt
+	}
+	return clock.Now().Earlier(c.term.answerTimeout)
+}
+
 // presumedLost reports whether the last copy of the transaction is presumed lost, after a read
 // that took readTime found it not applied.
 func (c *commit) presumedLost(readTime time.Duration) bool {
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"chutereach/clock"
 	"chutereach/leadership"
 	"chutereach/peer/peertest"
 	"chutereach/rowstore"
@@ -172,6 +173,22 @@
 }
 
 // A pending transaction must be applied within 500 ms of the end of an outage.
+// Guards against an outage of the store that is dated from before a freeze of the process: the owner would reject
+// submissions as if the store had been down for as long, before it has called it again.
+func TestFreezeIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		term := take(t, memory.New().NewClient(), "a")
+		startedAt := clock.Now()
+		for _, frozen := range []time.Duration{0, 10 * time.Millisecond, 3 * time.Second, time.Minute} {
+			time.Sleep(frozen)
+			const longest = 60 * time.Millisecond // in which answers of this store count as missing
+			if got, want := term.UnansweredSince(startedAt).Since(), min(startedAt.Since(), longest); (got - want).Abs() > time.Millisecond {
+				t.Errorf("store counts as failing for %v after a freeze of %v, want %v", got, frozen, want)
+			}
+		}
+	})
+}
+
 func TestStoreRecoveryIsNoticed(t *testing.T) {
 	for _, outage := range []time.Duration{time.Second, 4200 * time.Millisecond, 9 * time.Second} {
 		t.Run(outage.String(), func(t *testing.T) {
