node: a configuration that arrives while the shard loads is not overwritten by an older one

Callers saw (by reading): quotas, queues and accounts of an older configuration at an owner until the next change.

Cause: after loading, the owner read the table in force and then passed it to its scheduler; a table that came into force in between was passed first.

Change: tables are read and passed on one at a time. TestNewerTableIsNotOverwritten fails without that.

--- a/node/node.go
+++ b/node/node.go
@@ -58,6 +58,8 @@
 	// startedAt is when this process became a node.
 	startedAt clock.Instant
 	routes    routing.Newest
+	// configurer passes the table in routes to the scheduler.
+	configurer configurer
 	// evacuations holds the data halls that the operator has evacuated.
 	evacuations evacuation.Newest
 
@@ -134,6 +136,7 @@
 	}
 	n.config.Scheduler.TimerLag = n.lag.Mean
 	n.config.Scheduler.Evacuations = n.evacuations.Current
+	n.configurer.current = n.routes.Current
 	n.routes.OnChange(n.tableChanged)
 	return n
 }
--- a/node/owner.go
+++ b/node/owner.go
@@ -370,9 +370,7 @@
 		stallLimit = min(maxStallLimit, 2*stallLimit)
 		if err == nil {
 			n.loadFailing.Store(false)
-			if table, ok := n.routes.Current(); ok {
-				configure(own, table)
-			}
+			n.configurer.apply(own)
 			return nil
 		}
 		n.loadFailing.Store(true)
--- a/node/table.go
+++ b/node/table.go
@@ -5,13 +5,14 @@
 	"sync"
 	"time"
 
+	"chutereach/account"
 	"chutereach/clock"
 	"chutereach/codec"
 	"chutereach/peer"
 	"chutereach/routing"
 	"chutereach/rowstore"
-	"chutereach/scheduler"
 	"chutereach/transfer"
+	"chutereach/workload"
 )
 
 const (
@@ -55,14 +56,30 @@
 	own := n.scheduler
 	n.mu.Unlock()
 	if own != nil {
-		configure(own, table)
+		n.configurer.apply(own)
 	}
 }
 
-// configure passes the configuration in force to a scheduler.
-func configure(own *scheduler.Scheduler, table routing.Table) {
-	own.SetAccounts(table.Directory())
-	own.SetQueues(table.Queues())
+// configurer passes the configuration in force to schedulers. It reads and passes on one table at a time, so that a
+// table that comes into force meanwhile is not overwritten by the one before it.
+type configurer struct {
+	mu      sync.Mutex
+	current func() (routing.Table, bool)
+}
+
+// configurable is a scheduler.
+type configurable interface {
+	SetAccounts(account.Directory)
+	SetQueues([]workload.Queue)
+}
+
+func (c *configurer) apply(own configurable) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if table, ok := c.current(); ok {
+		own.SetAccounts(table.Directory())
+		own.SetQueues(table.Queues())
+	}
 }
 
 // tableTrustPeriod is how long a table counts as the newest after a confirmation. The store
