--- a/proptest/proptest.go
+++ b/proptest/proptest.go
@@ -4,6 +4,7 @@
 
 import (
 	"flag"
+	"sync"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -12,10 +13,13 @@
 // seed must not be 0, for which rapid uses a random seed.
 const seed = "20261202"
 
+// setSeed sets the seed once, as tests may run in parallel.
+var setSeed = sync.OnceValue(func() error { return flag.Set("rapid.seed", seed) })
+
 // Check is rapid.Check with the fixed seed.
 func Check(t *testing.T, prop func(*rapid.T)) {
 	t.Helper()
-	if err := flag.Set("rapid.seed", seed); err != nil {
+	if err := setSeed(); err != nil {
 		t.Fatal(err)
 	}
 	rapid.Check(t, prop)
--- a/scheduler/crash_waves_test.go
+++ b/scheduler/crash_waves_test.go
@@ -91,6 +91,7 @@
 func TestRandomCrashes(t *testing.T) {
 	for seed := *crashSeedFirst; seed < *crashSeedFirst+*crashSeeds; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			withCell(t, 16, func(c *cell) { c.runRandomCrashes(rand.New(rand.NewPCG(seed, 7))) })
 		})
 	}
--- a/scheduler/fault_test.go
+++ b/scheduler/fault_test.go
@@ -262,6 +262,7 @@
 func TestSingleFaults(t *testing.T) {
 	for _, one := range faultCases {
 		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(4) {
 				runFaults(t, seed, fleettest.MaxLease, one)
 				runFaults(t, seed, shortLease, one)
@@ -274,6 +275,7 @@
 	for _, one := range faultCases {
 		for _, two := range faultCases {
 			t.Run(one.name+" and "+two.name, func(t *testing.T) {
+				t.Parallel()
 				runFaults(t, 11, fleettest.MaxLease, one, two)
 				runFaults(t, 12, shortLease, one, two)
 			})
--- a/scheduler/random_cancellations_test.go
+++ b/scheduler/random_cancellations_test.go
@@ -66,6 +66,7 @@
 // Other violations are logged only: a start that arrives late at a restarted worker, before its first answer shows
 // the owner that it has restarted, can run a finished task again.
 func TestRandomCancellations(t *testing.T) {
+	t.Parallel()
 	kinds := []disruptionKind{workerRestarts, workersRestart, ordersLate, startsLate} // more often than others
 	for kind := range disruptionKindCount {
 		kinds = append(kinds, kind)
--- a/scheduler/random_restarts_test.go
+++ b/scheduler/random_restarts_test.go
@@ -45,6 +45,7 @@
 // calls, store outages and clock steps. No task may run twice at a time, start after it is done or
 // exceed its attempts, and every job must end as its tasks do.
 func TestRandomRestartsAndFaults(t *testing.T) {
+	t.Parallel()
 	events := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
 		return event{
 			Kind:  eventKind(rapid.IntRange(0, int(eventKindCount)-1).Draw(t, "kind")),
@@ -77,6 +78,7 @@
 	}
 	for i := range 50 {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
 			withCell(t, 12, func(c *cell) { c.runEvents(events) })
 		})
 	}
--- a/scheduler/rejection.go
+++ b/scheduler/rejection.go
@@ -10,7 +10,7 @@
 
 // A rejected submission must never run, whichever node has accepted an earlier submission of the same job. An
 // owner may have been replaced without noticing, so it rejects a submission only with a proof that it has owned the shard
-// since the call: a transaction or, while the store does not answer, the word of all other nodes. Without a proof the
+// since the call: a transaction or, while the store does not answer, the word of the other nodes. Without a proof the
 // caller learns only that the call was not carried out.
 
 // confirmRejection logs the rejection of a submission and returns its error once it is proved that this node has owned
@@ -72,7 +72,8 @@
 	return s.confirmByPeers(ctx)
 }
 
-// confirmByPeers proves without the store that this node has owned the shard at a moment after the call.
+// confirmByPeers proves without the store that no other node has accepted a job since the last transaction of this
+// term, until a moment after the call.
 func (s *Scheduler) confirmByPeers(ctx context.Context) error {
 	if s.confirmSoleOwner == nil {
 		return &StoreDownError{}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -60,7 +60,7 @@
 	EvacuateWithin time.Duration
 	// Load selects the policies for work under hard load.
 	Load LoadPolicy
-	// ConfirmSoleOwner, if not nil, proves without the store that no other node has owned the shard from this
+	// ConfirmSoleOwner, if not nil, proves without the store that no other node has accepted a job from this
 	// term's last transaction until a moment after the call. It returns an error if there is no such proof.
 	ConfirmSoleOwner func(context.Context) error
 }
--- a/scheduler/unsteady_workers_test.go
+++ b/scheduler/unsteady_workers_test.go
@@ -90,6 +90,7 @@
 	for _, workers := range fleets {
 		for _, owner := range owners {
 			t.Run(workers.name+", "+owner.name, func(t *testing.T) {
+				t.Parallel()
 				withCell(t, 24, func(c *cell) {
 					if began := time.Now(); owner.lag != nil {
 						c.answerLag = func() time.Duration { return owner.lag(began) }
