--- a/node/messages.go
+++ b/node/messages.go
@@ -121,7 +121,7 @@
 	Caller  routing.Caller  `cbor:"4,keyasint"`
 }
 
-// jobRequest is a call about a job. Its Caller is zero if the job of any account is meant.
+// jobRequest is a call about a job. The Caller of a call to absentPath is zero, as that call is not made for an account.
 type jobRequest struct {
 	ID      string         `cbor:"1,keyasint"`
 	Timeout time.Duration  `cbor:"2,keyasint"`
--- a/node/serve.go
+++ b/node/serve.go
@@ -36,8 +36,8 @@
 
 // Submit passes a job to the owner and returns once it is in the store. Besides the scheduler's
 // errors it returns those of routing.Table.Recheck. After an UnconfirmedError the job may have been
-// accepted, and after a NotCarriedOutError an earlier submission of it may have been. After all other errors that
-// callers know, it was not.
+// accepted, and after a NotCarriedOutError an earlier submission of it may have been. All other errors of the scheduler
+// and of Recheck mean that it was not.
 func (n *Node) Submit(ctx context.Context, caller routing.Caller, id string, record workload.Record) error {
 	err := n.serve(ctx, ownerCall{
 		id:    id,
--- a/node/sole_owner.go
+++ b/node/sole_owner.go
@@ -14,16 +14,16 @@
 	"chutereach/wait"
 )
 
-// An owner that the store does not answer may have been replaced without noticing. It proves by the other nodes that
-// nobody has accepted a job in its place. The proof has two sides:
+// An owner that cannot reach the store may have been replaced without noticing. Before it rejects a submission, it
+// asks the other nodes whether a later owner may have accepted the job:
 //
-//   - A new owner accepts no job before some nodes have acknowledged a heartbeat of its term, or the proofs of all
-//     earlier owners have expired.
-//   - An owner asks all nodes. It has a proof if all but a few confirm that they do not own the shard and know of no
-//     later owner. A new owner and the nodes that have acknowledged it are more than those few, so one of them would
-//     have been among the nodes that confirmed.
+//   - A new owner accepts no job until enough nodes have acknowledged a heartbeat of its term, or until no earlier owner
+//     may use this proof any more (acceptanceDelay).
+//   - The proof holds if all nodes but a few (doubtfulNodes) confirm that they do not own the shard and know of no later
+//     owner.
 //
-// Nodes that are gone or cut off thus do not prevent a proof, unless they are many.
+// A new owner and the nodes that have acknowledged it outnumber the few that need not confirm, so at least one of them
+// would have been asked and reported the later term. The proof thus tolerates a few nodes that are down or unreachable.
 
 const (
 	// soleOwnerTimeout bounds a round of questions. Callers wait for its end, so nodes that do not answer must not
@@ -34,8 +34,8 @@
 	maxSoleOwnerPings = 1000
 	// clockRateMargin is how much longer than an owner's own count a node must have been up by its clock.
 	clockRateMargin = 1.03
-	// maxDoubtfulNodes bounds the nodes that need not confirm, and minDoubtfulMembers is the number of members from
-	// which one may be missing. Fewer nodes would leave too few to acknowledge a new owner.
+	// maxDoubtfulNodes is the maximum number of nodes that need not confirm. With fewer than minDoubtfulMembers members
+	// all must confirm, as too few nodes would be left to acknowledge a new owner.
 	maxDoubtfulNodes   = 5
 	minDoubtfulMembers = 6
 	// proofLifetime is how long after its last applied transaction an owner can prove that it has not been replaced.
@@ -53,8 +53,9 @@
 	return min(maxDoubtfulNodes, members/2-1)
 }
 
-// acknowledgementsNeeded returns how many nodes must acknowledge a new owner. It is one more than doubtfulNodes, and
-// needed with one member less, as two nodes may know different numbers of members.
+// acknowledgementsNeeded returns how many nodes must acknowledge a new owner before it accepts jobs. It exceeds
+// doubtfulNodes by one, and applies from one member fewer on, because a former owner may know one member more than the
+// new one.
 func acknowledgementsNeeded(members int) int {
 	if members < minDoubtfulMembers-1 {
 		return 0
@@ -62,8 +63,8 @@
 	return min(maxDoubtfulNodes+1, members/2)
 }
 
-// soleOwner keeps the proofs for one term: that of the former owners, until this node may accept jobs, and that of
-// this owner.
+// soleOwner tracks, for one term of this node, whether it may accept jobs already, and proves on request that no later
+// owner has.
 type soleOwner struct {
 	node   *Node
 	term   *leadership.Term
@@ -195,7 +196,8 @@
 	return fmt.Sprintf("%d nodes do not confirm that there is no later owner, the last one: %v", e.Doubts, e.Last)
 }
 
-// RecentStartError reports that a node's process does not know what an earlier one may have known.
+// RecentStartError reports that a node has restarted since the owner's last transaction. It may have acknowledged a later
+// owner before, and has forgotten that.
 type RecentStartError struct {
 	Node          string
 	UpFor, Needed time.Duration
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -37,9 +37,9 @@
 	// and unreachable. Entries expire after three missed heartbeats, 4.5 s with the platform's
 	// interval of 1.5 s.
 	listedAliveDelay = 6 * time.Second
-	// crashRetryDelay is how long after the loss of an attempt a step whose task has few starts left is placed
-	// again. Troubles that end workers come in bursts, and one must not use up all starts of a sound task. A job of
-	// which nothing runs must run again within 3 s.
+	// crashRetryDelay is the delay after the loss of an attempt before a task that may be given up soon is placed again.
+	// Workers end in bursts, and one burst must not use up all starts of a sound task. The delay is below the 3 s within
+	// which a job without running tasks must be started again if there is capacity.
 	crashRetryDelay = 2 * time.Second
 )
 
--- a/scheduler/crash_series_test.go
+++ b/scheduler/crash_series_test.go
@@ -14,7 +14,7 @@
 	// task its worker ends.
 	seriesDuration = 4 * time.Second
 	endAfterStart  = 40 * time.Millisecond
-	// maxIdleTime is how long a job of which nothing runs may wait for free capacity.
+	// maxIdleTime is the longest time for which a job may have no running task while there is free capacity.
 	maxIdleTime = 3 * time.Second
 )
 
--- a/scheduler/store_clock.go
+++ b/scheduler/store_clock.go
@@ -15,8 +15,8 @@
 	storeClockTimeout  = time.Second
 )
 
-// storeClock is an estimate of the store's clock, which all owners share. Their own clocks may differ or step, so that
-// the time at which a job became final cannot be told from them. The zero value is a clock that is not known.
+// storeClock estimates the current time of the store's clock. All owners use that clock to expire final jobs, because
+// their own clocks may differ or be stepped. The zero value means that the time is unknown.
 type storeClock struct {
 	reading         time.Duration // 0 if the clock is not known
 	asked, answered clock.Instant // the store has read its clock in between
@@ -42,7 +42,8 @@
 	return c.reading + i.Since()
 }
 
-// finalTime is when a job became final.
+// finalTime is the time at which a job became final. It is recorded by several clocks, because the store's may be unknown
+// and earlier builds use that of the owner.
 type finalTime struct {
 	byStore time.Duration // by the store's clock; 0 if that was not known
 	// byOwner is by the clock of the owner of that time, in Unix milliseconds. Earlier builds use only this.
@@ -63,8 +64,8 @@
 // byStoreMS returns the time by the store's clock in milliseconds, as stored.
 func (f finalTime) byStoreMS() int64 { return f.byStore.Milliseconds() }
 
-// isPast reports whether a time has passed since the job became final. Without the store's clock, only the time counts
-// for which this owner has known of it.
+// isPast reports whether d has elapsed since the job became final. If the store's time is unknown, it counts from when this
+// owner learned of the job, so that the job is kept too long rather than too short.
 func (f finalTime) isPast(d time.Duration, store storeClock) bool {
 	if now := store.earliest(); now > 0 && f.byStore > 0 && now >= f.byStore {
 		return now-f.byStore >= d
@@ -87,7 +88,7 @@
 	return nil
 }
 
-// followStoreClock reads the store's clock from time to time until ctx is done.
+// followStoreClock reads the store's clock every storeClockInterval until ctx is done, to bound the drift of the estimate.
 func (s *Scheduler) followStoreClock(ctx context.Context) {
 	for wait.For(ctx, storeClockInterval) == nil {
 		if err := s.readStoreClock(ctx); err != nil && ctx.Err() == nil {
