--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases. They use the standard library alone.
+# Builds the stand-ins of the cases, for the standard library alone.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
 GOTOOLCHAIN=local GOFLAGS=-mod=mod GOWORK=off go build -o ../../target/review-standin .
--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -57,8 +57,11 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	ending   bool
-	exits    int // that nobody asked for
-	tooLarge int // kills for memory over the limit
+	held     bool // not started again for now
+	killed   bool // by the case: the next end is not its own
+	down     bool // no process
+	exits    int  // that nobody asked for
+	tooLarge int  // kills for memory over the limit
 	peakMB   int
 }
 
@@ -207,6 +210,12 @@
 			n.mu.Unlock()
 			return
 		}
+		if n.held {
+			n.mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		n.down = false
 		log, _ := os.OpenFile(filepath.Join(n.bed.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		n.cmd = exec.Command(n.bed.program, "node")
 		n.cmd.Env = []string{"CHUTEREACH_SETTINGS=" + n.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + n.bed.dir, "LANG=C"}
@@ -223,7 +232,12 @@
 		close(ended)
 		log.Close()
 		n.mu.Lock()
-		if !n.ending {
+		n.down = true
+		switch {
+		case n.ending, n.held:
+		case n.killed:
+			n.killed = false
+		default:
 			n.exits++
 			n.bed.record.line("%s ended by itself: %v (resident at most %d MB)", n.name, err, n.peakMB)
 		}
@@ -232,6 +246,12 @@
 	}
 }
 
+func (n *node) isDown() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.down
+}
+
 func (n *node) watchMemory(process *os.Process, ended chan struct{}) {
 	for {
 		select {
@@ -298,6 +318,42 @@
 	})
 }
 
+// pauseSystem stops all nodes with SIGTERM and starts them again, as if the pause had lasted for a while: the store's clock
+// has gone on by then. No process lives through it that could tell.
+func (b *bed) pauseSystem(during time.Duration) error {
+	for _, n := range b.nodes {
+		n.mu.Lock()
+		n.held = true
+		n.cmd.Process.Signal(syscall.SIGTERM)
+		n.mu.Unlock()
+	}
+	for _, n := range b.nodes {
+		for !n.isDown() {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	b.record.line("all nodes are stopped, for %v by the store's clock", during)
+	b.store.mu.Lock()
+	b.store.offset += during.Milliseconds()
+	b.store.mu.Unlock()
+	for _, n := range b.nodes {
+		n.mu.Lock()
+		n.held = false
+		n.mu.Unlock()
+	}
+	return b.awaitReady()
+}
+
+// killOwner kills the node that owns the shard. It is started again as after any end.
+func (b *bed) killOwner() {
+	owner, _ := b.owner()
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	b.record.line("%s, which owns the shard, is killed", owner.name)
+	owner.killed = true
+	owner.cmd.Process.Kill()
+}
+
 // counts returns how often the nodes have ended by themselves, how often for memory, and on how many machines.
 func (b *bed) counts() (exits, tooLarge, machines int) {
 	for _, n := range b.nodes {
--- a/review/standin/jobs.go
+++ b/review/standin/jobs.go
@@ -128,3 +128,26 @@
 	b.record.line("of %d jobs %d were accepted, %d of these are lost", len(b.handed), accepted, lost)
 	return lost
 }
+
+// judgeSome is judge for a case with many jobs: it asks for the state of one in so many, and records the lost ones.
+func (b *bed) judgeSome(every int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var some []*handed
+	accepted := 0
+	for _, h := range b.handed {
+		if !h.accepted {
+			continue
+		}
+		if accepted%every == 0 {
+			some = append(some, h)
+		}
+		accepted++
+	}
+	b.record.line("%d of %d jobs were accepted; one in %d is asked for", accepted, len(b.handed), every)
+	b.handed = some
+	if b.judge() > 0 {
+		return exitBroken
+	}
+	return exitHeld
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 )
 
 var cases = map[string]func(*bed) int{
+	"expiry":    expiry,
 	"many-ends": manyEnds,
 	"large-job": largeJob,
 	"crashes":   crashes,
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -38,6 +38,7 @@
 type store struct {
 	record  *record
 	started time.Time
+	offset  int64 // of the store's clock, in milliseconds
 
 	txMu sync.Mutex // one partition takes transactions in turn
 
@@ -54,7 +55,21 @@
 	return &store{record: r, started: time.Now(), rows: map[rowKey]row{}, changed: make(chan struct{}), refused: map[string]int{}}
 }
 
-func (s *store) nowMS() int64 { return time.Since(s.started).Milliseconds() }
+func (s *store) nowMS() int64 { return s.offset + time.Since(s.started).Milliseconds() }
+
+// shardRows returns how many rows the system keeps, by table, and their size.
+func (s *store) shardRows() (map[string]int, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tables, size := map[string]int{}, 0
+	for k, r := range s.rows {
+		if k.Part != "" {
+			tables[k.Table]++
+			size += len(r.Value)
+		}
+	}
+	return tables, size
+}
 
 // put writes a row for the operator or a worker.
 func (s *store) put(table, key string, value any) {
