guard, daemon: the clients of a node are kept within a share of its memory and descriptors

Callers saw: while many clients stop short of the end of a request and stay, or send headers and bodies as fast as they can, the node runs out of memory or descriptors and ends; nobody gets an answer.

Cause: the front had no bound on connections and no bound on the bytes of all requests in hand. Nothing but the header had a time-out, so that a body, an idle connection or an answer that nobody reads kept its place for good. The kernel enlarged the buffers of each connection to megabytes. Headers could be 1 MB long, and their entries take up to some 30 times their text. An unread body was drained after the answer, for as long as its client liked. maxHeaderBytes of the operator's configuration was not used, headerTimeoutMs and idleTimeoutMs were not decoded. Connections to workers were allowed 0.8 of all descriptors, also of those kept for files.

Change: package guard. It gives each connection a place and charges each byte that is read of a request, by a weight for what it becomes, until the request has been answered. When places or memory run out, connections that wait for their clients make room, the longest waiting ones first, and a request that is complete is never given up. Bodies of an announced length are charged as a whole and in turn, so that whole requests do not take each other's memory; a quarter of the memory is kept for small requests. Who makes room gets no answer, since a 503 or 429 would say that a submission never runs. Limits follow from the node's memory and descriptors and the operator's configuration; section [callers] sets others. Workers, callers, other nodes, and what the node opens itself have shares of the sockets.

Why it works: what a client can make the process hold is bounded by the sum of charges and places, whatever it sends; and an ordinary client is the youngest of those that wait.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"chutereach/clock"
+	"chutereach/guard"
 	"chutereach/logs"
 	"chutereach/node"
 	"chutereach/peer"
@@ -42,7 +43,6 @@
 	// endNotice is how long the background work may go on after its cancellation before the log tells
 	// what runs. It ended within 10 ms in 293 exits beside faults of the links to the store.
 	endNotice   = 100 * time.Millisecond
-	headerWait  = 5 * time.Second
 	metricsPath = "/metrics"
 )
 
@@ -102,23 +102,18 @@
 	}
 }
 
-// workerShare is the share of a process's descriptors that connections to workers may take. The rest
-// is for callers, other nodes and the store.
-const workerShare = 0.8
-
-// workerConnections returns how many connections to workers are kept; 0: any number.
-func workerConnections(descriptors int) int { return int(workerShare * float64(descriptors)) }
-
 func (d *Daemon) listen(metrics *node.Metrics, entries, missed expvar.Var) (err error) {
 	if d.peers, err = peer.ListenPlain(d.settings.Self.Peer, d.node.Mux()); err != nil {
 		return &ListenError{"node.peer", err}
 	}
 	d.serving.Go(func() { d.peers.Serve() })
-	ingress := platform.NewIngress(d.node, logs.For(d.log, logs.Entry))
-	if d.front, err = d.serve("node.front", d.settings.Self.Front, countInHand(&d.inHand, ingress)); err != nil {
+	entry := logs.For(d.log, logs.Entry)
+	callers := guard.New(callerLimits(d.settings, d.node), entry)
+	ingress := platform.NewIngress(d.node, entry)
+	if d.front, err = d.serve("node.front", d.settings.Self.Front, callers, countInHand(&d.inHand, ingress)); err != nil {
 		return err
 	}
-	if _, err = d.serve("node.ready", d.settings.Self.Ready, platform.ReadyHandler(d.node.Ready)); err != nil {
+	if _, err = d.serve("node.ready", d.settings.Self.Ready, guard.New(checkLimits(), entry), platform.ReadyHandler(d.node.Ready)); err != nil {
 		return err
 	}
 	if d.settings.Self.Metrics == "" {
@@ -126,24 +121,25 @@
 	}
 	expvar.Publish("node", metrics.Var())
 	expvar.Publish("turned_away", ingress.Var())
+	expvar.Publish("callers", callers.Var())
 	expvar.Publish("accounts", expvar.Func(func() any { return d.node.AccountUsage() }))
 	expvar.Publish("scheduler", metrics.Scheduler.Var())
 	expvar.Publish("worker_entries_unusable", entries)
 	expvar.Publish("log_lines_left_out", missed)
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, expvar.Handler())
-	_, err = d.serve("node.metrics", d.settings.Self.Metrics, mux)
+	_, err = d.serve("node.metrics", d.settings.Self.Metrics, guard.New(checkLimits(), entry), mux)
 	return err
 }
 
-func (d *Daemon) serve(setting, address string, handler http.Handler) (*http.Server, error) {
+func (d *Daemon) serve(setting, address string, guarded *guard.Guard, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, &ListenError{setting, err}
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerWait}
+	server := guarded.Server(handler)
 	d.servers = append(d.servers, server)
-	d.serving.Go(func() { server.Serve(listener) })
+	d.serving.Go(func() { server.Serve(guarded.Listen(listener)) })
 	return server, nil
 }
 
@@ -285,10 +281,6 @@
 	debug.SetGCPercent(percent)
 }
 
-// memoryShare is the share of the machine's memory at which the collector spends
-// more time rather than more memory.
-const memoryShare = 0.7
-
 // Main runs a node with the arguments of a command line and returns the
 // process's exit code.
 func Main(args []string) int {
@@ -306,9 +298,7 @@
 		return 0
 	}
 	collectFor(false)
-	if set.Self.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(set.Self.Memory) * (1 << 20)))
-	}
+	guard.LimitHeap(set.Self.Memory)
 	writer, missed := logs.Bounded(os.Stdout, logLines)
 	defer writer.Close()
 	d, err := New(context.Background(), set, logs.New(writer, true, set.Level()), missed)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strings"
+	"time"
 
 	"chutereach/account"
 	"chutereach/workload"
@@ -20,10 +21,13 @@
 // Name returns the name that identifies the route across configurations.
 func (r Route) Name() string { return r.Queue.Name }
 
-// Limits bound what a caller may send.
+// Limits bound what a caller may send. A limit that is 0 is unknown.
 type Limits struct {
 	HeaderBytes int   `cbor:"1,keyasint,omitempty"`
 	BodyBytes   int64 `cbor:"2,keyasint,omitempty"`
+	// HeaderTimeout bounds the time for the header of a request, IdleTimeout that between two requests.
+	HeaderTimeout time.Duration `cbor:"3,keyasint,omitempty"`
+	IdleTimeout   time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Table holds the routes and the client accounts of one configuration. It is immutable.
--- a/settings/node.go
+++ b/settings/node.go
@@ -17,13 +17,14 @@
 	Config string `short:"c" long:"config" env:"CHUTEREACH_SETTINGS" no-ini:"true" description:"INI file with settings" value-name:"FILE"`
 	Check  bool   `long:"check" no-ini:"true" description:"check the settings, print those in effect, and exit"`
 
-	Self   NodeSelf   `group:"node" namespace:"node"`
-	Store  NodeStore  `group:"store" namespace:"store"`
-	Advice NodeAdvice `group:"advice" namespace:"advice"`
-	Times  NodeTimes  `group:"times" namespace:"times"`
-	Worker NodeWorker `group:"worker" namespace:"worker"`
-	Load   NodeLoad   `group:"load" namespace:"load"`
-	Log    NodeLog    `group:"log" namespace:"log"`
+	Self    NodeSelf   `group:"node" namespace:"node"`
+	Store   NodeStore  `group:"store" namespace:"store"`
+	Advice  NodeAdvice `group:"advice" namespace:"advice"`
+	Times   NodeTimes  `group:"times" namespace:"times"`
+	Worker  NodeWorker `group:"worker" namespace:"worker"`
+	Load    NodeLoad   `group:"load" namespace:"load"`
+	Callers Callers    `group:"callers" namespace:"callers" env-namespace:"CHUTEREACH_CALLERS"`
+	Log     NodeLog    `group:"log" namespace:"log"`
 
 	// Defaulted lists the platform options that the file lacks or leaves empty, so that
 	// their defaults apply.
@@ -214,6 +215,9 @@
 	case s.Worker.RemoteFactor < 1:
 		return s.optionError("worker", "remote-factor", fmt.Sprintf("must be at least 1, got %v", s.Worker.RemoteFactor))
 	}
+	if key, reason := s.Callers.check(); reason != "" {
+		return s.optionError("callers", key, reason)
+	}
 	return nil
 }
 
