peer, daemon: the requests that other nodes pass on have limits too

Callers saw: the owner of the shard gets the requests of the callers of all nodes. A few hundred of them at once, or connections that stop short of a request's end, take its memory and descriptors.

Cause: the interface for other nodes had no bound on connections or bytes and no time-out for bodies. Each node bounds its own callers, but their number grows with the number of nodes.

Change: a guard with a share of its own for the interface between nodes. A request that is cut off has an unknown outcome for the node that passed it on, which tries again and answers 504 at last. A connection may be idle for longer than its client keeps it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -103,7 +103,8 @@
 }
 
 func (d *Daemon) listen(metrics *node.Metrics, entries, missed expvar.Var) (err error) {
-	if d.peers, err = peer.ListenPlain(d.settings.Self.Peer, d.node.Mux()); err != nil {
+	peers := guard.New(peerLimits(d.settings), logs.For(d.log, logs.Node))
+	if d.peers, err = peer.ListenPlain(d.settings.Self.Peer, d.node.Mux(), peers); err != nil {
 		return &ListenError{"node.peer", err}
 	}
 	d.serving.Go(func() { d.peers.Serve() })
@@ -122,6 +123,7 @@
 	expvar.Publish("node", metrics.Var())
 	expvar.Publish("turned_away", ingress.Var())
 	expvar.Publish("callers", callers.Var())
+	expvar.Publish("peers", peers.Var())
 	expvar.Publish("accounts", expvar.Func(func() any { return d.node.AccountUsage() }))
 	expvar.Publish("scheduler", metrics.Scheduler.Var())
 	expvar.Publish("worker_entries_unusable", entries)
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -11,6 +11,7 @@
 const (
 	workerShare = 0.76
 	callerShare = 0.08
+	peerShare   = 0.08
 )
 
 // workerConnections returns how many connections to workers are kept; 0: any number.
@@ -34,6 +35,14 @@
 	}
 }
 
+// peerLimits returns the limits for other nodes, whose requests are mostly those of their callers. They may open a
+// connection that they use only later.
+func peerLimits(set *settings.Node) func() guard.Limits {
+	limits := guard.DefaultLimits().ForMachine(int64(set.Self.Memory)<<20, set.Self.Descriptors, peerShare)
+	limits.HeaderTimeout = limits.IdleTimeout
+	return func() guard.Limits { return limits }
+}
+
 // checkConnections are enough for the platform's checks of a node and for those who read its metrics.
 const checkConnections = 16
 
--- a/peer/plain.go
+++ b/peer/plain.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"chutereach/guard"
 )
 
 // Limits of plain connections between nodes.
@@ -22,13 +24,13 @@
 	server   *http.Server
 }
 
-// ListenPlain returns a PlainServer that listens on a TCP address.
-func ListenPlain(address string, mux http.Handler) (*PlainServer, error) {
+// ListenPlain returns a PlainServer that listens on a TCP address and takes what limits allows.
+func ListenPlain(address string, mux http.Handler, limits *guard.Guard) (*PlainServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, &ListenError{address, err}
 	}
-	return NewPlainServer(listener, mux), nil
+	return &PlainServer{limits.Listen(listener), limits.Server(mux)}, nil
 }
 
 // NewPlainServer returns a PlainServer that accepts connections from listener.
