box, api: the clients of a box are kept within a share of its memory and descriptors

Callers saw: 60 requests with bodies of up to 4 MiB, stopped short of their end or of many parameters, take a box 290 to 690 MiB; a thousand idle connections take all its descriptors. Ordinary callers get no answer once it ends.

Cause: as at a node: no bound on connections and on the bytes of all requests in hand, no time-out for bodies. An announced body was read up to the limit before it was refused, and the parameters of a job were decoded before the template was looked at.

Change: the same guard as at a node, with new settings box.memory and box.descriptors and the section [callers]; the collector keeps below the memory, if it is known. Bodies over 4 MiB are refused with 413, announced ones at once, and a job has at most 10,000 parameters. Error texts do not quote long requests. Metric callers of /debug/vars.

--- a/api/api.go
+++ b/api/api.go
@@ -3,6 +3,7 @@
 package api
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
@@ -16,6 +17,7 @@
 
 	"chutereach/cell"
 	"chutereach/config"
+	"chutereach/guard"
 	"chutereach/job"
 	"chutereach/publish"
 	"chutereach/route"
@@ -31,8 +33,8 @@
 	HeaderBox     = "Chutereach-Box"
 )
 
-// maxBodyBytes is the maximum size of a request's body.
-const maxBodyBytes = 4 << 20
+// MaxBodyBytes is the maximum size of a request's body.
+const MaxBodyBytes = 4 << 20
 
 // Server serves the API of one box.
 type Server struct {
@@ -105,13 +107,18 @@
 
 // JobRequest is the body of a request to create a job.
 type JobRequest struct {
-	Template string            `json:"template"`
-	Hall     string            `json:"hall,omitempty"`
-	Params   map[string]string `json:"params,omitempty"`
-	Tasks    int               `json:"tasks,omitempty"`
-	Start    time.Time         `json:"start,omitzero"`
+	Template string                       `json:"template"`
+	Hall     string                       `json:"hall,omitempty"`
+	Params   guard.Map[string, maxParams] `json:"params,omitempty"`
+	Tasks    int                          `json:"tasks,omitempty"`
+	Start    time.Time                    `json:"start,omitzero"`
 }
 
+// maxParams bounds the parameters of a job. Templates have far fewer.
+type maxParams struct{}
+
+func (maxParams) Max() int { return 10_000 }
+
 // JobCreated is the response to a JobRequest.
 type JobCreated struct {
 	ID      job.ID `json:"id"`
@@ -120,7 +127,7 @@
 
 func (s *Server) submit(w http.ResponseWriter, r *http.Request, a config.Account) {
 	var req JobRequest
-	if err := decode(w, r, &req); err != nil {
+	if err := decode(r, &req); err != nil {
 		writeError(w, err)
 		return
 	}
@@ -187,7 +194,7 @@
 
 func (s *Server) settle(w http.ResponseWriter, r *http.Request) {
 	var b cell.Settlement
-	if err := decode(w, r, &b); err != nil {
+	if err := decode(r, &b); err != nil {
 		writeError(w, err)
 		return
 	}
@@ -244,7 +251,7 @@
 
 func (s *Server) propose(w http.ResponseWriter, r *http.Request) {
 	var p publish.Proposal
-	if err := decode(w, r, &p); err != nil {
+	if err := decode(r, &p); err != nil {
 		writeError(w, err)
 		return
 	}
@@ -260,9 +267,9 @@
 		writeError(w, &NotFoundError{"route", r.PathValue("route")})
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := guard.ReadBody(r, MaxBodyBytes)
 	if err != nil {
-		writeError(w, &InvalidRequestError{err.Error()})
+		writeError(w, bodyError(err))
 		return
 	}
 	req := &route.Request{
@@ -336,12 +343,25 @@
 	return xid.New().String()
 }
 
+// bodyError returns the error for a caller whose request's body could not be read.
+func bodyError(err error) error {
+	var tooLarge *guard.BodyTooLargeError
+	if errors.As(err, &tooLarge) {
+		return tooLarge
+	}
+	return &InvalidRequestError{err.Error()}
+}
+
 // decode decodes a JSON body. It rejects unknown fields and trailing data.
-func decode(w http.ResponseWriter, r *http.Request, into any) error {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+func decode(r *http.Request, into any) error {
+	data, err := guard.ReadBody(r, MaxBodyBytes)
+	if err != nil {
+		return bodyError(err)
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	if err := d.Decode(into); err != nil {
-		return &InvalidRequestError{err.Error()}
+		return &InvalidRequestError{guard.Abridge(err.Error())}
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return &InvalidRequestError{"something follows the JSON value"}
--- a/api/errors.go
+++ b/api/errors.go
@@ -11,6 +11,7 @@
 	"chutereach/cell"
 	"chutereach/commit"
 	"chutereach/config"
+	"chutereach/guard"
 	"chutereach/hall"
 	"chutereach/job"
 	"chutereach/peer"
@@ -82,6 +83,7 @@
 var errorMappings = []errorMapping{
 	{isType[*UnauthorizedError], http.StatusUnauthorized, CodeUnauthorized},
 	{isType[*InvalidRequestError], http.StatusBadRequest, CodeInvalid},
+	{isType[*guard.BodyTooLargeError], http.StatusRequestEntityTooLarge, CodeInvalid},
 	{isType[*job.InvalidError], http.StatusBadRequest, CodeInvalid},
 	{isType[*config.InvalidError], http.StatusBadRequest, CodeInvalid},
 	{isType[*cell.NoUnitError], http.StatusBadRequest, CodeInvalid},
--- a/box/box.go
+++ b/box/box.go
@@ -16,7 +16,9 @@
 
 	"github.com/rs/zerolog"
 
+	"chutereach/api"
 	"chutereach/control"
+	"chutereach/guard"
 	"chutereach/keys"
 	"chutereach/logs"
 	"chutereach/peer"
@@ -29,10 +31,10 @@
 
 const (
 	eventCapacity   = 20_000
-	headerTimeout   = 5 * time.Second
-	idleTimeout     = 2 * time.Minute
-	maxHeaderBytes  = 64 << 10
 	shutdownTimeout = 2 * time.Minute
+	// callerShare is the share of the box's sockets that callers may take. The rest is for upstreams, whose
+	// requests are those of callers, other boxes and the platform.
+	callerShare = 0.4
 	// releaseTimeout bounds the release of units. If the table is unreachable, units
 	// cannot be released and their successors wait for the heartbeat to expire.
 	releaseTimeout = 5 * time.Second
@@ -49,6 +51,7 @@
 
 	http      net.Listener
 	server    *http.Server
+	callers   *guard.Guard
 	peers     *peer.Server
 	client    *peer.Client
 	current   atomic.Pointer[incarnation]
@@ -102,9 +105,9 @@
 		return nil, newListenError(set, "peer", set.Box.Peer, err)
 	}
 	b.client = peer.NewClient(b.tls)
-	b.server = &http.Server{
-		Handler: b.mux(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	limits := set.Callers.Limits(set.Box.Memory, set.Box.Descriptors, callerShare, api.MaxBodyBytes)
+	b.callers = guard.New(func() guard.Limits { return limits }, b.log)
+	b.server = b.callers.Server(b.mux())
 	return b, nil
 }
 
@@ -191,7 +194,7 @@
 // finishes the requests in progress, releases its units and leaves the cell.
 func (b *Box) Run(ctx context.Context) error {
 	failed := make(chan error, 2)
-	go func() { failed <- b.server.Serve(b.http) }()
+	go func() { failed <- b.server.Serve(b.callers.Listen(b.http)) }()
 	go func() { failed <- b.peers.Serve() }()
 	b.events.Add(timeline.Event{Kind: timeline.BoxStarted})
 	b.log.Info().Str("http", b.HTTP()).Str("peer", b.peers.Addr()).Msg("listening")
--- a/box/metrics.go
+++ b/box/metrics.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"chutereach/guard"
 	"chutereach/hall"
 )
 
@@ -47,6 +48,7 @@
 	Units       []hall.Summary `json:"units"`
 	Table       TableMetrics   `json:"table"`
 	Requests    RequestMetrics `json:"requests"`
+	Callers     guard.Usage    `json:"callers"`
 }
 
 // TableMetrics counts the transactions sent to the table.
@@ -77,6 +79,7 @@
 			inc.sender.Stats.Sent.Load(), inc.sender.Stats.Retries.Load(),
 			inc.sender.Stats.ConfirmedByRead.Load(), inc.sender.Stats.Conflicts.Load(),
 		},
+		Callers: inc.box.callers.Usage(),
 		Requests: RequestMetrics{
 			inc.router.Stats.Answered.Load(), inc.router.Stats.NotRun.Load(), inc.router.Stats.Unknown.Load(),
 			inc.router.Stats.Forwarded.Load(), inc.router.Stats.Retried.Load(), inc.router.Stats.Replayed.Load(), inc.router.Stats.Pulled.Load(),
--- a/cmd/chutereachd/main.go
+++ b/cmd/chutereachd/main.go
@@ -12,6 +12,7 @@
 
 	"chutereach/box"
 	"chutereach/daemon"
+	"chutereach/guard"
 	"chutereach/logs"
 	"chutereach/settings"
 )
@@ -47,6 +48,7 @@
 		fmt.Print(set.Print())
 		return 0
 	}
+	guard.LimitHeap(set.Box.Memory)
 	b, err := box.New(set, logs.New(os.Stderr, set.Log.JSON, set.Level()))
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "chutereachd: %v\n", err)
--- a/guard/list.go
+++ b/guard/list.go
@@ -13,7 +13,9 @@
 // TooManyError is returned when a value in a request has more than Max elements.
 type TooManyError struct{ Max int }
 
-func (e *TooManyError) Error() string { return fmt.Sprintf("list or map with more than %d elements", e.Max) }
+func (e *TooManyError) Error() string {
+	return fmt.Sprintf("list or map with more than %d elements", e.Max)
+}
 
 // List is a list that is decoded from JSON up to its bound. A list of short elements takes many times the
 // memory of its text.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,6 +27,7 @@
 	Platform Platform `group:"platform" namespace:"platform" env-namespace:"CHUTEREACH_PLATFORM"`
 	Keys     Keys     `group:"keys" namespace:"keys" env-namespace:"CHUTEREACH_KEYS"`
 	Operator Operator `group:"operator" namespace:"operator" env-namespace:"CHUTEREACH_OPERATOR"`
+	Callers  Callers  `group:"callers" namespace:"callers" env-namespace:"CHUTEREACH_CALLERS"`
 	Times    Times    `group:"times" namespace:"times" env-namespace:"CHUTEREACH_TIMES"`
 	Log      Log      `group:"log" namespace:"log" env-namespace:"CHUTEREACH_LOG"`
 
@@ -39,6 +40,9 @@
 	Hall string `long:"hall" ini-name:"hall" env:"HALL" default:"here" description:"data hall of this box"`
 	HTTP string `long:"http" ini-name:"http" env:"HTTP" default:"127.0.0.1:7480" description:"address for callers and operators"`
 	Peer string `long:"peer" ini-name:"peer" env:"PEER" default:"127.0.0.1:7490" description:"UDP address for other boxes"`
+	// Memory and Descriptors are what the process may use.
+	Memory      int `long:"memory" ini-name:"memory" env:"MEMORY" default:"0" description:"memory of this box in MiB, which the collector keeps below; 0: not known"`
+	Descriptors int `long:"descriptors" ini-name:"descriptors" env:"DESCRIPTORS" default:"0" description:"files and connections that this process may have open; 0: as many as the kernel allows"`
 }
 
 // Platform holds the address, the token and the rate limit of the platform, and the fleet
@@ -223,6 +227,15 @@
 	if s.Platform.Rate <= 0 {
 		return optionError("platform", "rate", fmt.Sprintf("must be greater than 0, got %v", s.Platform.Rate))
 	}
+	if s.Box.Memory < 0 {
+		return optionError("box", "memory", fmt.Sprintf("must not be negative, got %v", s.Box.Memory))
+	}
+	if s.Box.Descriptors < 0 {
+		return optionError("box", "descriptors", fmt.Sprintf("must not be negative, got %v", s.Box.Descriptors))
+	}
+	if key, reason := s.Callers.check(); reason != "" {
+		return optionError("callers", key, reason)
+	}
 	if s.Times.Beat < minHeartbeatInterval {
 		return optionError("times", "beat", fmt.Sprintf("must be at least %v, got %v", minHeartbeatInterval, s.Times.Beat))
 	}
