scheduler: loading bundles takes memory in proportion to the rows

Callers saw: after some 80 s of a slow store, a kill of the owner left the shard without one for good.

Cause: restoreBundles gave every bundle an entry for every job that is in any bundle, twice. With 2,968 bundles of 3,672 jobs, 1.9 MB in the store were over 284 MB in the process.

Class: state of a new owner that grows with a product of counts. The other loops of restore go over rows once.

Change: a bundle is restored with the jobs that it has entries for. A job needs all bundles that have an entry for it until it has a row of its own, since its record may be in another one than its latest progress; so nothing is deleted earlier than before.

--- a/scheduler/bundle.go
+++ b/scheduler/bundle.go
@@ -144,16 +144,31 @@
 	}
 }
 
-// latestBundleEntries decodes bundles and returns the entry with the latest progress of each job. An
-// entry that has no record gets the one of another entry for the job.
-func (s *Scheduler) latestBundleEntries(rows []rowstore.Row) (map[string]bundleEntry, error) {
+// storedBundles are the bundles of former owners.
+type storedBundles struct {
+	bundles []storedBundle
+	// latest are the entries with the latest progress of each job. One that has no record got that of another
+	// entry for the job.
+	latest map[string]bundleEntry
+}
+
+// storedBundle names the jobs that a bundle in the store has an entry for.
+type storedBundle struct {
+	name string
+	jobs []string
+}
+
+func decodeBundles(rows []rowstore.Row) (storedBundles, error) {
 	latest := map[string]bundleEntry{}
+	bundles := make([]storedBundle, 0, len(rows))
 	for _, row := range rows {
 		var entries []bundleEntry
 		if err := codec.Unmarshal(row.Value, &entries); err != nil {
-			return nil, &BundleError{row.Name, err}
+			return storedBundles{}, &BundleError{row.Name, err}
 		}
+		b := storedBundle{name: row.Name, jobs: make([]string, 0, len(entries))}
 		for _, entry := range entries {
+			b.jobs = append(b.jobs, entry.Job)
 			former, known := latest[entry.Job]
 			if entry.Record == nil {
 				entry.Record = former.Record
@@ -164,8 +179,9 @@
 			}
 			latest[entry.Job] = entry
 		}
+		bundles = append(bundles, b)
 	}
-	return latest, nil
+	return storedBundles{bundles, latest}, nil
 }
 
 // BundleError reports a bundle that cannot be decoded.
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -38,16 +36,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.storeClock = s.storeClock.withReading(progress.Now, asked, clock.Now())
-	latest, err := s.latestBundleEntries(bundles.Rows)
+	stored, err := decodeBundles(bundles.Rows)
 	if err != nil {
 		return err
 	}
-	return s.restore(records.Rows, progress.Rows, latest, bundles.Rows)
+	return s.restore(records.Rows, progress.Rows, stored)
 }
 
-func (s *Scheduler) restore(records, progress []rowstore.Row, latest map[string]bundleEntry, bundles []rowstore.Row) error {
+func (s *Scheduler) restore(records, progress []rowstore.Row, stored storedBundles) error {
 	now := time.Now()
-	bundled := slices.Collect(maps.Keys(latest))
+	latest := stored.latest
 	for _, row := range records {
 		record, err := workload.DecodeRecord(row.Name, row.Value)
 		if err != nil {
@@ -80,10 +78,10 @@
 			s.restoreProgress(id, entry.Progress)
 		}
 	}
-	s.restoreBundles(latest, bundled, bundles)
+	s.restoreBundles(stored)
 	s.countArrivals()
 	s.log.Info().Int("jobs", len(s.jobs)).Int("active", len(s.active)).Int("workers", len(s.workers)).
-		Int("bundles", len(bundles)).Msg("scheduler state loaded")
+		Int("bundles", len(stored.bundles)).Msg("scheduler state loaded")
 	return nil
 }
 
@@ -104,17 +102,18 @@
 }
 
 // restoreBundles keeps the former owner's bundles until each job whose latest row is in one of them
-// has been written to a row of its own. bundled are the IDs of all jobs with an entry in any of them.
-func (s *Scheduler) restoreBundles(latest map[string]bundleEntry, bundled []string, rows []rowstore.Row) {
-	for _, row := range rows {
-		b := &bundle{name: row.Name, jobs: map[string]*job{}}
-		for _, id := range bundled {
-			if j := s.jobs[id]; j != nil {
-				b.addEntry(j)
+// has been written to a row of its own. Until then the job needs all bundles that have an entry for it, as its
+// record may be in another one than its latest progress.
+func (s *Scheduler) restoreBundles(stored storedBundles) {
+	for _, row := range stored.bundles {
+		b := &bundle{name: row.name, jobs: map[string]*job{}}
+		for _, id := range row.jobs {
+			j := s.jobs[id]
+			if j == nil {
+				continue
 			}
-		}
-		for id := range latest {
-			if j := s.jobs[id]; j != nil {
+			b.addEntry(j)
+			if _, needed := stored.latest[id]; needed {
 				b.jobs[id] = j
 				j.inheritedBundles = append(j.inheritedBundles, b)
 			}
@@ -123,7 +122,7 @@
 			s.obsoleteBundles = append(s.obsoleteBundles, b)
 			continue
 		}
-		s.bundles[row.Name] = b
+		s.bundles[row.name] = b
 	}
 }
 
