scheduler: expired jobs are deleted also while changes are written in bundles

Cause: above 60 dirty jobs, changes are written in bundles, and expired jobs are left out of these. They stay among the dirty jobs, so that each further transaction writes bundles too: expired rows are never deleted, and bundles are never taken apart.

Class: a backlog that is only worked off below a threshold which it holds up itself.

Change: expired jobs do not count for the threshold, and up to 70 rows of them are deleted along with bundles.

--- a/scheduler/bundle.go
+++ b/scheduler/bundle.go
@@ -20,6 +20,9 @@
 	// the total size after which a transaction takes no more jobs.
 	maxBundleBytes            = 48 << 10
 	maxTransactionBundleBytes = 600 << 10
+	// maxBundleTransactionDeletes is how many rows are deleted by a transaction that writes bundles, which are
+	// at most 20.
+	maxBundleTransactionDeletes = maxJobEntries - 25
 	// maxUnbundledJobs is how many jobs are moved out of bundles after one transaction.
 	maxUnbundledJobs = 32
 )
@@ -54,9 +57,9 @@
 	return j.bundleEntries > 0
 }
 
-// bundleDirty moves dirty jobs into bundles and returns the rows to write. Jobs whose rows are
-// to be deleted, and those beyond the size limit, stay dirty.
-func (s *Scheduler) bundleDirty() ([]jobWrite, []rowstore.Put) {
+// bundleDirty moves dirty jobs into bundles and returns the rows to write and, in addition to some others, those to
+// delete. Jobs beyond the limits of a transaction stay dirty.
+func (s *Scheduler) bundleDirty(deletes []rowstore.Key) ([]jobWrite, []rowstore.Put, []rowstore.Key) {
 	var batch []jobWrite
 	var puts []rowstore.Put
 	var rest []*job
@@ -70,6 +73,13 @@
 		b, entries, size = nil, nil, 0
 	}
 	for _, j := range s.dirty {
+		if j.expired && len(deletes) < maxBundleTransactionDeletes {
+			j.queued, j.sent = false, true
+			batch = append(batch, jobWrite{job: j, generation: j.generation, state: j.state})
+			_, jobDeletes := s.rowChanges(j)
+			deletes = append(deletes, jobDeletes...)
+			continue
+		}
 		if j.expired || total > maxTransactionBundleBytes {
 			rest = append(rest, j)
 			continue
@@ -89,7 +99,7 @@
 	}
 	closeBundle()
 	s.dirty = rest
-	return batch, puts
+	return batch, puts, deletes
 }
 
 func (s *Scheduler) nextBundleName() string {
--- a/scheduler/bundle_test.go
+++ b/scheduler/bundle_test.go
@@ -100,3 +100,36 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// Guards against expired jobs that stay in the store because they are left out of bundles and nothing but bundles is
+// written while many jobs expire or change.
+func TestManyJobsExpireAtOnce(t *testing.T) {
+	const jobs = 150
+	for name, interval := range map[string]time.Duration{"without other jobs": 0, "beside other jobs": 20 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			withCell(t, 40, func(c *cell) {
+				o := c.startOwner()
+				time.Sleep(time.Second)
+				for i := range jobs {
+					c.submitAsync(o, fmt.Sprintf("early-%03d", i), c.queue, newRequest(1, 1000))
+				}
+				time.Sleep(10 * time.Second)
+				if interval > 0 { // jobs that still run when the early ones expire
+					time.Sleep(keepFinal - 20*time.Second)
+					for i := range 1500 {
+						c.submitAsync(o, fmt.Sprintf("late-%04d", i), c.queue, newRequest(1, 1000))
+						time.Sleep(interval)
+					}
+				}
+				time.Sleep(keepFinal + time.Minute)
+				if left := c.bundleCount(); left != 0 {
+					t.Errorf("%d bundles left in the store, want 0", left)
+				}
+				page, err := rowstore.ReadAll(c.ctx, c.store, "progress", testShard)
+				if err != nil || len(page.Rows) != 0 {
+					t.Errorf("%d rows of progress left in the store, error %v; want none", len(page.Rows), err)
+				}
+			})
+		})
+	}
+}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -131,7 +131,7 @@
 	for _, w := range s.workers {
 		w.advancePersisted()
 	}
-	if took < slowCommitThreshold && len(s.dirty)+maxUnbundledJobs <= bundleThreshold {
+	if took < slowCommitThreshold && s.changedJobs()+maxUnbundledJobs <= bundleThreshold {
 		s.unbundle()
 	}
 	if len(s.dirty) > 0 {
@@ -148,9 +148,8 @@
 	var batch []jobWrite
 	var puts []rowstore.Put
 	deletes := s.takeObsoleteBundles()
-	if len(s.dirty) > bundleThreshold {
-		batch, puts = s.bundleDirty()
-		return batch, puts, deletes
+	if s.changedJobs() > bundleThreshold {
+		return s.bundleDirty(deletes)
 	}
 	for len(batch) < len(s.dirty) && len(puts)+len(deletes) < maxJobEntries {
 		j := s.dirty[len(batch)]
@@ -163,6 +162,17 @@
 	return batch, puts, deletes
 }
 
+// changedJobs returns how many of the dirty jobs have a state to be written. Expired ones have none.
+func (s *Scheduler) changedJobs() int {
+	count := 0
+	for _, j := range s.dirty {
+		if !j.expired {
+			count++
+		}
+	}
+	return count
+}
+
 // takeObsoleteBundles dequeues bundles to be deleted, at most maxBundleDeletes.
 func (s *Scheduler) takeObsoleteBundles() []rowstore.Key {
 	count := min(len(s.obsoleteBundles), maxBundleDeletes)
