scheduler, platform: a report that lists not all ends says nothing of the tasks that it lacks

Callers saw: tasks run twice.

Cause: a worker lists 500 ends at once, and the others once these are acknowledged. handleMissing took each task that a report listed neither as running nor as ended for one that had never begun, or that had been lost.

Class: conclusions from what a bounded answer lacks. The store's pages say whether there is more; reports do not, so that one with 500 ends counts as incomplete.

The stand-in of the workers lists 500 ends at most now.

Change: fleet.Report says whether there may be more ends, and attempts that such a report lacks are not judged until a complete one.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,6 +107,9 @@
 	// acknowledged.
 	UndecodedRows int
 	UndecodedFrom uint64
+	// MoreEnds is whether the worker may have ended attempts beyond those in Ended. It lists them once these are
+	// acknowledged.
+	MoreEnds bool
 }
 
 // StartOrder asks a worker to start an attempt. Workers refuse it after Deadline.
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -283,6 +283,9 @@
 	return w != nil && !w.dead && w.info.Incarnation == incarnation && w.reported
 }
 
+// maxReportedEnds is how many ended attempts a report lists.
+const maxReportedEnds = 500
+
 func (f *Fleet) hold(w *worker, order fleet.HoldOrder) (fleet.Report, error) {
 	if err := f.checkToken(w, order.Token); err != nil {
 		return fleet.Report{}, err
@@ -295,7 +298,10 @@
 	if !f.responseLost {
 		clear(w.misdelivered)
 	}
-	report := fleet.Report{StartTime: w.info.StartTime, Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	listed := min(len(w.ended), maxReportedEnds)
+	report := fleet.Report{
+		StartTime: w.info.StartTime, Clock: w.clock(), Ended: slices.Clone(w.ended[:listed]), MoreEnds: listed == maxReportedEnds,
+	}
 	for name, r := range w.runs {
 		report.Running = append(report.Running, fleet.Attempt{Task: name, Number: r.number, Checkpoint: r.checkpoint(), Percent: r.percent()})
 	}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -45,7 +45,7 @@
 		}
 	}
 	for name, t := range w.tasks {
-		if !listed[name] && !w.mayBeUnread(now) {
+		if !listed[name] && !report.MoreEnds && !w.mayBeUnread(now) {
 			s.handleMissing(t, sent)
 		}
 	}
