guard: a large answer may take longer than the write time-out, as long as the client reads

Cause: the time-out covered a whole write, and the server passes a large answer on in one. The kernel's send buffers of 16 KiB, meant for callers' short answers, held for the interface between nodes and for boxes too.

Change: answers are written in parts of 16 KiB, each with the whole time-out, and the connection counts as waiting from the last part on. The send buffers are 256 KiB between nodes and 64 KiB at a box.

--- a/box/box.go
+++ b/box/box.go
@@ -35,6 +35,8 @@
 	// callerShare is the share of the box's sockets that callers may take. The rest is for upstreams, whose
 	// requests are those of callers, other boxes and the platform.
 	callerShare = 0.4
+	// sendBuffer is large enough for answers of upstreams over wide links.
+	sendBuffer = 64 << 10
 	// releaseTimeout bounds the release of units. If the table is unreachable, units
 	// cannot be released and their successors wait for the heartbeat to expire.
 	releaseTimeout = 5 * time.Second
@@ -106,6 +108,7 @@
 	}
 	b.client = peer.NewClient(b.tls)
 	limits := set.Callers.Limits(set.Box.Memory, set.Box.Descriptors, callerShare, api.MaxBodyBytes)
+	limits.SendBuffer = sendBuffer
 	b.callers = guard.New(func() guard.Limits { return limits }, b.log)
 	b.server = b.callers.Server(b.mux())
 	return b, nil
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -35,11 +35,14 @@
 	}
 }
 
+// peerSendBuffer is large enough for a configuration at the rate of a wide link.
+const peerSendBuffer = 256 << 10
+
 // peerLimits returns the limits for other nodes, whose requests are mostly those of their callers. They may open a
 // connection that they use only later.
 func peerLimits(set *settings.Node) func() guard.Limits {
 	limits := guard.DefaultLimits().ForMachine(int64(set.Self.Memory)<<20, set.Self.Descriptors, peerShare)
-	limits.HeaderTimeout = limits.IdleTimeout
+	limits.HeaderTimeout, limits.SendBuffer = limits.IdleTimeout, peerSendBuffer
 	return func() guard.Limits { return limits }
 }
 
--- a/guard/buffers.go
+++ b/guard/buffers.go
@@ -5,13 +5,9 @@
 	"syscall"
 )
 
-// socketBuffer is the size of the kernel's buffers of a connection, in each direction.
-const socketBuffer = 16 << 10
-
-// limitBuffers sets the size of the kernel's buffers of all connections of a listener, also of those that it has
-// not accepted yet. The kernel would enlarge them to several megabytes for a client that sends without pause.
-// An error leaves them as they are.
-func limitBuffers(listener net.Listener) {
+// setBuffers sets the sizes of the kernel's buffers of all connections of a listener, also of those that it has not
+// accepted yet. An error leaves them as they are.
+func setBuffers(listener net.Listener, limits Limits) {
 	raw, ok := listener.(syscall.Conn)
 	if !ok {
 		return
@@ -21,7 +17,7 @@
 		return
 	}
 	control.Control(func(descriptor uintptr) {
-		syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBuffer)
-		syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBuffer)
+		syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, limits.ReceiveBuffer)
+		syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, limits.SendBuffer)
 	})
 }
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -107,13 +107,27 @@
 	return nil
 }
 
+// maxWrite bounds what is written before the client's time for reading begins anew: a large answer over a slow link
+// takes longer than WriteTimeout.
+const maxWrite = 16 << 10
+
 // Write implements net.Conn.
 func (c *conn) Write(data []byte) (int, error) {
-	c.Conn.SetWriteDeadline(time.Now().Add(c.guard.limits().WriteTimeout))
+	timeout, written := c.guard.limits().WriteTimeout, 0
+	for {
+		n, err := c.writePart(data[written:min(written+maxWrite, len(data))], timeout)
+		written += n
+		if err != nil || written == len(data) {
+			return written, err
+		}
+	}
+}
+
+func (c *conn) writePart(data []byte, timeout time.Duration) (int, error) {
+	c.Conn.SetWriteDeadline(time.Now().Add(timeout))
 	c.change(serving, writing)
-	n, err := c.Conn.Write(data)
-	c.change(writing, serving)
-	return n, err
+	defer c.change(writing, serving)
+	return c.Conn.Write(data)
 }
 
 // change makes a connection enter a phase without a timeout if it is in another one.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -142,7 +142,7 @@
 // Listen returns a listener that accepts connections of listener as long as there is a place, or a connection
 // that can make room.
 func (g *Guard) Listen(inner net.Listener) net.Listener {
-	limitBuffers(inner)
+	setBuffers(inner, g.limits())
 	return &listener{inner, g}
 }
 
--- a/guard/limits.go
+++ b/guard/limits.go
@@ -20,6 +20,9 @@
 	IdleTimeout time.Duration // between two requests on a connection
 	// WriteTimeout bounds the time for which the client takes nothing of an answer.
 	WriteTimeout time.Duration
+	// ReceiveBuffer and SendBuffer are the sizes of the kernel's buffers of a connection in bytes. Its own
+	// would grow to several megabytes for a client that sends without pause, or that reads slowly.
+	ReceiveBuffer, SendBuffer int
 }
 
 // Shares of the machine's resources.
@@ -44,7 +47,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		HeaderBytes: 64 << 10, BodyBytes: 256 << 10, HeaderTimeout: 5 * time.Second, BodyTimeout: 30 * time.Second,
-		IdleTimeout: 2 * time.Minute, WriteTimeout: 10 * time.Second,
+		IdleTimeout: 2 * time.Minute, WriteTimeout: 10 * time.Second, ReceiveBuffer: 16 << 10, SendBuffer: 16 << 10,
 	}.ForMachine(0, 0, 1)
 }
 
