settings: a limit for callers that is 0 has its default

Cause: these tests make settings without a file, so that the time-outs of the guard were 0: each answer was late before it was written. A process that loads its settings has the defaults; its settings cannot be 0.

Change: what is 0 has its default in Callers.Limits, as for connections and memory.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -139,7 +139,7 @@
 	})
 }
 
-// Listen returns a listener that accepts connections of listener as long as there is a place, or a connection
+// Listen returns a listener that accepts connections of inner as long as there is a place, or a connection
 // that can make room.
 func (g *Guard) Listen(inner net.Listener) net.Listener {
 	setBuffers(inner, g.limits())
--- a/settings/callers.go
+++ b/settings/callers.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -19,16 +20,15 @@
 }
 
 // Limits returns the limits for requests with bodies of a size, on a machine with memory in MiB and a
-// number of descriptors of which callers may take a share.
+// number of descriptors of which callers may take a share. What is 0 has its default.
 func (c Callers) Limits(memory, descriptors int, share float64, body int64) guard.Limits {
 	l := guard.DefaultLimits().ForMachine(int64(memory)<<20, descriptors, share).WithRequestBytes(c.HeaderBytes, body)
-	l.HeaderTimeout, l.BodyTimeout, l.IdleTimeout, l.WriteTimeout = c.HeaderTimeout, c.BodyTimeout, c.IdleTimeout, c.WriteTimeout
-	if c.Connections > 0 {
-		l.Connections = c.Connections
-	}
-	if c.Memory > 0 {
-		l.Memory = int64(c.Memory) << 20
-	}
+	l.HeaderTimeout = cmp.Or(c.HeaderTimeout, l.HeaderTimeout)
+	l.BodyTimeout = cmp.Or(c.BodyTimeout, l.BodyTimeout)
+	l.IdleTimeout = cmp.Or(c.IdleTimeout, l.IdleTimeout)
+	l.WriteTimeout = cmp.Or(c.WriteTimeout, l.WriteTimeout)
+	l.Connections = cmp.Or(c.Connections, l.Connections)
+	l.Memory = cmp.Or(int64(c.Memory)<<20, l.Memory)
 	return l
 }
 
