--- a/guard/conn.go
+++ b/guard/conn.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// awaitBody says that the header of the current request is complete and its body is not.
+// awaitBody records that the header of the current request has been read and its body has not.
 func (c *conn) awaitBody() error {
 	limits := c.guard.limits()
 	c.guard.mu.Lock()
@@ -207,7 +207,7 @@
 	return c.guard.charge(c, limits, headerWeight*readAhead)
 }
 
-// discardBody says that the current request was answered. What is left of its body is of no use.
+// discardBody records that the current request was answered. What is left of its body is of no use.
 func (c *conn) discardBody() {
 	limits := c.guard.limits()
 	c.guard.mu.Lock()
@@ -218,7 +218,7 @@
 	}
 }
 
-// beServed says that the current request is complete.
+// beServed records that the current request is complete.
 func (c *conn) beServed() error {
 	limits := c.guard.limits()
 	c.guard.mu.Lock()
@@ -230,7 +230,7 @@
 	return nil
 }
 
-// becomeIdle says that the current request was answered.
+// becomeIdle records that the current request was answered.
 func (c *conn) becomeIdle() {
 	limits := c.guard.limits()
 	c.guard.mu.Lock()
@@ -239,7 +239,7 @@
 	c.release()
 }
 
-// end says that the server has done with the connection.
+// end records that the server has done with the connection.
 func (c *conn) end() {
 	c.Close()
 	c.guard.mu.Lock()
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -139,8 +139,8 @@
 	})
 }
 
-// Listen returns a listener that accepts connections of inner as long as there is a place, or a connection
-// that can make room.
+// Listen returns a listener that limits the connections accepted from inner. At the limit it closes a stalled or
+// idle connection in favour of a new one, or refuses the new one if all others are being served.
 func (g *Guard) Listen(inner net.Listener) net.Listener {
 	setBuffers(inner, g.limits())
 	return &listener{inner, g}
--- a/scheduler/bundle.go
+++ b/scheduler/bundle.go
@@ -20,8 +20,8 @@
 	// the total size after which a transaction takes no more jobs.
 	maxBundleBytes            = 48 << 10
 	maxTransactionBundleBytes = 600 << 10
-	// maxBundleTransactionDeletes is how many rows are deleted by a transaction that writes bundles, which are
-	// at most 20.
+	// maxBundleTransactionDeletes bounds the rows deleted by a transaction that also writes bundles. It leaves
+	// entries for the bundles, at most 20, and for the owner's row.
 	maxBundleTransactionDeletes = maxJobEntries - 25
 	// maxUnbundledJobs is how many jobs are moved out of bundles after one transaction.
 	maxUnbundledJobs = 32
