scheduler: logs and metrics tell sizes of jobs and causes of waits apart

Operators reported that the largest tenth of a queue's jobs was served too seldom. No line or metric told the sizes of jobs apart, nor why a step waited: missing tickets, full workers, capacity that is kept for others, the ends of other members of its gang, or an owner short of processor time.

The lines 'accepted' and 'job is final' have the size of the job among the last 200 of its queue (package sizeclass), the latter also its attempts and how long its steps waited for what. New lines 'steps wait', once a second, and 'job waits longer than its completion has value', new metric final_by_size. No decision changes: p.withheld is cleared for each candidate instead of before its use.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -231,6 +231,7 @@
 	survey := s.surveyCapacity(p, c)
 	eligibleShare := s.eligibleShare(st.job.record.Queue.Name)
 	expectedSlots := float64(survey.validSlots) + float64(totalTasks(survey.expired)) + eligibleShare*float64(totalTasks(survey.unasked))
+	st.advice.lacksCapacity = expectedSlots < float64(tasks)
 	switch {
 	case survey.validSlots >= tasks:
 		return nil
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -58,8 +58,8 @@
 		s.recordGangDemand(j, j.arrived)
 		s.recordSize(j)
 		s.markDirty(j)
-		s.log.Info().Str("job", id).Str("queue", record.Queue.Name).Str("account", record.Account.Name).
-			Int("steps", len(record.Request.Steps)).Bool("beyond", j.overShare).Msg("accepted")
+		j.describe(s.log.Info()).Str("account", record.Account.Name).Int("steps", len(record.Request.Steps)).
+			Float64("core_seconds", j.coreSeconds()).Dur("objective", j.deadline.Sub(j.arrived)).Bool("beyond", j.overShare).Msg("accepted")
 		s.metrics.admission("accepted")
 		wake(s.dispatchWake)
 	} else if !j.belongsTo(record.Account.Name) {
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -25,8 +25,10 @@
 			lastHousekeeping = now
 			s.prune(now)
 			s.clearListedWorkers(now)
+			s.logLoad()
 		}
 		took := time.Since(now)
+		s.passes.endPass(took)
 		s.mu.Unlock()
 		s.metrics.dispatchTimes.Record(took)
 		wait.For(ctx, max(minDispatchGap, dispatchIdleFactor*took))
@@ -77,6 +79,7 @@
 	if s.paused || s.ctx == nil || s.ctx.Err() != nil {
 		return
 	}
+	s.passes.beginPass()
 	list := s.candidates(now)
 	if len(list) == 0 {
 		s.metrics.adviceLeftOut.Set(0)
@@ -105,11 +108,13 @@
 	limit := adviceLimit{lateUrgent: s.load.SizeOrder}
 	for _, c := range list {
 		if s.heldByQuota(p, &c) {
+			s.recordWait(c, false, now)
 			continue
 		}
 		s.place(p, c)
 		s.logGranted(p, c)
 		s.recordWaitingGang(p, c)
+		s.recordWait(c, p.withheld, now)
 		s.requestAdviceWithin(&limit, p, c)
 	}
 	s.metrics.adviceLeftOut.Set(int64(limit.leftOut))
@@ -208,7 +213,11 @@
 		if st.done() || now.Before(st.retryAt) || !r.ready(st) {
 			continue
 		}
-		if !st.anyPlaceable() || st.spec.Gang && (!st.idle() || st.anyHeldByLoss()) {
+		if !st.anyPlaceable() {
+			continue
+		}
+		if st.spec.Gang && (!st.idle() || st.anyHeldByLoss()) {
+			s.countWait(st, waitEnds, now)
 			continue
 		}
 		verdict := urgency.Assess(workOf(st, now), now)
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -42,7 +42,6 @@
 		s.blockWorkersFor(p, c)
 		return
 	}
-	p.withheld = false
 	c.tasks = c.placeableTasks()
 	shares := s.slotsByWorker(p, c)
 	if c.step.spec.SameRack {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chutereach/overload"
+	"chutereach/sizeclass"
 	"chutereach/workload"
 )
 
@@ -84,6 +85,8 @@
 	onWorker map[*worker]int
 	// quotaHeldSince is when the account's quota began to hold the step back; zero if it does not.
 	quotaHeldSince time.Time
+	// waits is how long the step has waited for each cause.
+	waits waitTimes
 	// gangRoom records the step's use of room for gangs, for logging.
 	gangRoom gangRoomState
 	// lateness records when the step passed its latest start, to detect overload.
@@ -173,7 +176,10 @@
 	record    workload.Record
 	account   *accountState
 	overShare bool // it is over its account's share
-	hosted    int  // tasks that occupy capacity on workers
+	sizeClass sizeclass.Class
+	// expiryLogged is set once it has been logged that the job waits although its completion has no value.
+	expiryLogged bool
+	hosted       int // tasks that occupy capacity on workers
 	// idleSince is when its last task left its worker, initially its arrival.
 	idleSince  time.Time
 	rounds     []*round
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -25,6 +25,7 @@
 	commitJobs                                                   *expvar.Int
 	lanes, adviceService                                         *expvar.Map
 	ticketsReceived, ticketsUsed                                 *expvar.Int
+	finalsBySize                                                 *expvar.Map
 }
 
 // NewMetrics returns Metrics with all counters at zero.
@@ -39,6 +40,7 @@
 		overloadSeconds: new(expvar.Float), missedWork: new(expvar.Float),
 		lostWithWorker: new(expvar.Int), crashLimitReached: new(expvar.Int), suspectedSteps: new(expvar.Int), quotaHeldSteps: new(expvar.Int), quarantined: new(expvar.Int), workersRestarted: new(expvar.Int), unreadRows: new(expvar.Int), staleViews: new(expvar.Int),
 		lanes: new(expvar.Map), adviceService: new(expvar.Map), ticketsReceived: new(expvar.Int), ticketsUsed: new(expvar.Int),
+		finalsBySize: new(expvar.Map),
 	}
 }
 
@@ -50,6 +52,7 @@
 	all.Set("starts_refused", m.refusals)
 	all.Set("final", m.finals)
 	all.Set("final_late", m.late)
+	all.Set("final_by_size", m.finalsBySize)
 	all.Set("stops", m.stops)
 	all.Set("stops_overdue", m.overdueStops)
 	all.Set("unknown_jobs", m.unknownJobs)
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -7,6 +7,7 @@
 
 	"chutereach/overload"
 	"chutereach/resource"
+	"chutereach/sizeclass"
 	"chutereach/urgency"
 )
 
@@ -20,13 +21,14 @@
 	serial    uint64
 	updatedAt time.Time // time of the last call
 	services  map[string]*serviceLoad
-	means     map[string]*queueMean // by queue
-	arrivals  uint64                // jobs recorded in means
+	sizes     map[string]*queueSizes // by queue
+	arrivals  uint64                 // jobs recorded in sizes
 }
 
-// queueMean is the mean size of a queue's jobs.
-type queueMean struct {
+// queueSizes describes the sizes of a queue's jobs.
+type queueSizes struct {
 	overload.MeanSize
+	recent      sizeclass.Distribution
 	lastArrival uint64 // sizeOrder.arrivals as of the last arrival
 }
 
@@ -36,8 +38,8 @@
 	maxPassGap = 500 * time.Millisecond
 	// maxSlack bounds the slack of a step in the mean, so that one wrong estimate does not determine it.
 	maxSlack = time.Minute
-	// maxQueueMeans is the maximum number of queues with a mean size.
-	maxQueueMeans = 1024
+	// maxQueueSizes is the maximum number of queues whose sizes are described.
+	maxQueueSizes = 1024
 )
 
 // serviceLoad is the load of a service.
@@ -58,7 +60,7 @@
 }
 
 func newSizeOrder() sizeOrder {
-	return sizeOrder{services: map[string]*serviceLoad{}, means: map[string]*queueMean{}}
+	return sizeOrder{services: map[string]*serviceLoad{}, sizes: map[string]*queueSizes{}}
 }
 
 // overloads returns the number of services whose overload has been logged and not yet ended.
@@ -249,7 +251,7 @@
 	if !st.orderedBySize(c.urgency) || st.hasNoDeadline() && now.After(c.urgency.LatestStart) {
 		return 0
 	}
-	load, mean := s.sizeOrder.services[j.record.Queue.Service], s.sizeOrder.means[j.record.Queue.Name]
+	load, mean := s.sizeOrder.services[j.record.Queue.Service], s.sizeOrder.sizes[j.record.Queue.Name]
 	if load == nil || mean == nil || !load.monitor.Overloaded() || st.hasNoDeadline() {
 		return meanSize
 	}
@@ -260,33 +262,33 @@
 	return mean.Relative(overload.SizeOf(r.work, load.capacity))
 }
 
-// recordSize counts a job that has arrived in the mean size of its queue. Jobs that have no deadline
-// are not ordered by their size.
+// recordSize counts a job that has arrived among the sizes of its queue, and classifies it by them. Jobs
+// that have no deadline are not ordered by their size and do not count in the mean.
 func (s *Scheduler) recordSize(j *job) {
 	o, queue := &s.sizeOrder, j.record.Queue
-	load := o.services[queue.Service]
-	if !s.load.SizeOrder || !load.hasCapacity() || j.record.Request.Scheduled() {
-		return
-	}
-	mean := o.means[queue.Name]
-	if mean == nil {
-		mean = &queueMean{}
-		o.means[queue.Name] = mean
+	sizes := o.sizes[queue.Name]
+	if sizes == nil {
+		sizes = &queueSizes{}
+		o.sizes[queue.Name] = sizes
 	}
 	o.arrivals++
-	mean.lastArrival = o.arrivals
-	mean.MeanSize = mean.WithArrival(overload.SizeOf(j.rounds[0].remainingWork(load.capacity), load.capacity))
-	if len(o.means) > maxQueueMeans {
-		delete(o.means, o.leastRecentlyUsedQueue())
+	sizes.lastArrival = o.arrivals
+	sizes.recent = sizes.recent.WithArrival(j.coreSeconds())
+	j.sizeClass = sizes.recent.ClassOf(j.coreSeconds())
+	if load := o.services[queue.Service]; s.load.SizeOrder && load.hasCapacity() && !j.record.Request.Scheduled() {
+		sizes.MeanSize = sizes.WithArrival(overload.SizeOf(j.rounds[0].remainingWork(load.capacity), load.capacity))
+	}
+	if len(o.sizes) > maxQueueSizes {
+		delete(o.sizes, o.leastRecentlyUsedQueue())
 	}
 }
 
 // leastRecentlyUsedQueue returns the queue whose last arrival is the longest ago.
 func (o *sizeOrder) leastRecentlyUsedQueue() string {
 	oldest, first := "", uint64(math.MaxUint64)
-	for queue, mean := range o.means {
-		if mean.lastArrival < first {
-			oldest, first = queue, mean.lastArrival
+	for queue, sizes := range o.sizes {
+		if sizes.lastArrival < first {
+			oldest, first = queue, sizes.lastArrival
 		}
 	}
 	return oldest
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -13,7 +13,7 @@
 // place places as many of a step's tasks as possible.
 func (s *Scheduler) place(p *pass, c candidate) {
 	st := c.step
-	p.gangRoom.kept = false
+	p.withheld, p.gangRoom.kept = false, false
 	if st.spec.Gang || st.spec.SameRack {
 		s.placeAllOrNothing(p, c)
 		return
@@ -25,7 +25,6 @@
 	if st.lastFullPass >= p.lastGrowth[st.job.record.Queue.Service] {
 		return
 	}
-	p.withheld = false
 	tasks := c.placeableTasks()
 	for i, t := range tasks {
 		w := s.bestWorker(p, c, t)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -156,6 +156,7 @@
 	formerLeaseExpiry time.Time
 	stoppingStrays    map[string]bool    // stray attempts with a stop call in flight, as TASK#WORKER
 	passSerial        uint64             // number of dispatch passes
+	passes            passSummary        // of the passes since they were last logged
 	eligibleShares    map[string]float64 // share of workers that may run a step, by queue
 	sizeOrder         sizeOrder
 	bundles           map[string]*bundle
--- a/scheduler/tickets.go
+++ b/scheduler/tickets.go
@@ -24,6 +24,7 @@
 	byWorker      map[*worker]*workerTicket // tickets by worker
 	callsInFlight int                       // advice calls
 	nextCheck     time.Time                 // no calls before this time
+	lacksCapacity bool                      // the last survey expected too little capacity for the waiting tasks
 }
 
 // invalidate invalidates a ticket that a worker has refused.
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// expiryFactor is the multiple of a job's objective after which its completion has no value.
-	expiryFactor = 3
+	// ExpiryFactor is the multiple of a job's objective after which its completion has no value.
+	ExpiryFactor = 3
 	// preemptLead is how long before its latest start a step may preempt other work, which
 	// covers the time to ask for advice and to stop tasks. The share estimateMargin of the
 	// estimated work is added, since estimates can be wrong by a factor of two.
@@ -101,7 +101,7 @@
 			return UrgentInTime
 		}
 		return InTime
-	case now.After(w.Arrived.Add(expiryFactor * w.Deadline.Sub(w.Arrived))):
+	case now.After(w.Arrived.Add(ExpiryFactor * w.Deadline.Sub(w.Arrived))):
 		return Expired
 	case urgent:
 		return UrgentLate
