scheduler: waiting gangs claim free capacity instead of whole workers

Operators saw too little of the largest tenth of a queue's gangs served.

Cause: up to three waiting gangs kept others off whole workers, so many as would hold the gang if they were idle, and waited until all tasks there had ended. Gangs that waited for their first advice, and gangs of priority 0, used up the three places without keeping anything.

Change: a gang claims what is free now on each worker, or else the next slot there, as gang-room = needed did already for whole workers; one mechanism replaces two. Smaller tasks may use what a claim leaves. Only gangs that claim something count, four at most.

Two of the subtests of TestClaimsOfWaitingGang are new. TestLargestGangsStarve still fails.

--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -70,9 +70,6 @@
 	deadline       time.Time
 }
 
-// maxBlockingGangs is the maximum number of waiting gangs for which workers are kept free.
-const maxBlockingGangs = 3
-
 // dispatch runs a dispatch pass: it places waiting tasks in order of urgency, and requests
 // advice for steps with tasks left. The lock is held.
 func (s *Scheduler) dispatch(now time.Time) {
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -39,7 +39,7 @@
 // and for steps that prefer a single rack.
 func (s *Scheduler) placeAllOrNothing(p *pass, c candidate) {
 	if c.step.lastFullPass >= p.lastGrowth[c.step.job.record.Queue.Service] {
-		s.blockWorkersFor(p, c)
+		p.claimWorkersFor(c)
 		return
 	}
 	c.tasks = c.placeableTasks()
@@ -50,7 +50,7 @@
 	if shares = p.limitToGangRoom(c, sortIfSufficient(shares, len(c.tasks))); shares == nil {
 		c.step.recordNoCapacity(p)
 		s.preempt(p, c, len(c.tasks))
-		s.blockWorkersFor(p, c)
+		p.claimWorkersFor(c)
 		return
 	}
 	if c.step.suspected && !reserveForTrial(p, c, shares) {
@@ -126,32 +126,3 @@
 	}
 	return racks[best]
 }
-
-// blockWorkersFor keeps other steps off workers that could run a waiting gang, so that smaller
-// tasks do not starve it. In-time steps of priority 0 may still use them.
-func (s *Scheduler) blockWorkersFor(p *pass, c candidate) {
-	if p.blockingGangs >= maxBlockingGangs || !c.urgency.InTime() {
-		return
-	}
-	if p.gangRoom.bounded {
-		p.claimWorkersFor(c)
-		return
-	}
-	var eligible []*worker
-	for _, w := range p.pools[c.step.job.record.Queue.Service] {
-		mayRun := !c.step.job.record.Queue.Advice.Enabled() || c.step.advice.byWorker[w] != nil
-		if mayRun && c.step.allows(w) && !p.blocked[w] {
-			eligible = append(eligible, w)
-		}
-	}
-	slices.SortFunc(eligible, func(a, b *worker) int { return cmp.Compare(b.free().CPU, a.free().CPU) })
-	left := len(c.placeableTasks())
-	for _, w := range eligible {
-		if left <= 0 {
-			break
-		}
-		left -= c.step.fitCount(w.info.Capacity, w)
-		p.blocked[w] = true
-	}
-	p.blockingGangs++
-}
--- a/scheduler/gangroom.go
+++ b/scheduler/gangroom.go
@@ -15,9 +15,10 @@
 
 // gangRoom is the capacity that a pass keeps for waiting gangs.
 type gangRoom struct {
-	bounded bool // whether LoadPolicy.BoundedGangRoom is set; if not, the other fields are unused
-	waiting []waitingGang
-	claims  map[*worker]claim
+	claims    map[*worker]claim
+	claimants map[*step]bool // gangs with claims
+	bounded   bool           // whether LoadPolicy.BoundedGangRoom is set; if not, the other fields are unused
+	waiting   []waitingGang
 	// kept is set if room for a gang was kept from the current candidate.
 	kept bool
 }
@@ -212,13 +213,17 @@
 	return true
 }
 
-// claimWorkersFor claims capacity for a waiting gang on the eligible workers with the most free CPU,
-// as much as its tasks need, so that smaller tasks do not starve it. A gang that waits for its first
-// advice claims nothing, and neither does one of priority 0, which preempts instead of waiting.
-// In-time steps of priority 0 may still use the capacity.
+// maxClaimants is the maximum number of waiting gangs that claim capacity.
+const maxClaimants = 4
+
+// claimWorkersFor claims capacity for a waiting gang on the eligible workers with the most free CPU, so that
+// smaller tasks do not starve it: what is free there, or else the next slot that becomes free. Claims on
+// whole workers would have to wait until all of their tasks have ended. A gang that waits for its first advice
+// claims nothing, and neither does one of priority 0, which preempts instead of waiting. In-time steps of
+// priority 0 may still use the capacity.
 func (p *pass) claimWorkersFor(c candidate) {
 	st, g := c.step, &p.gangRoom
-	if st.job.topPriority() {
+	if st.job.topPriority() || !c.urgency.InTime() || len(g.claimants) >= maxClaimants {
 		return
 	}
 	var eligible []*worker
@@ -232,19 +237,18 @@
 	}
 	slices.SortStableFunc(eligible, func(a, b *worker) int { return cmp.Compare(b.free().CPU, a.free().CPU) })
 	if g.claims == nil {
-		g.claims = map[*worker]claim{}
+		g.claims, g.claimants = map[*worker]claim{}, map[*step]bool{}
 	}
 	left := len(c.placeableTasks())
 	for _, w := range eligible {
 		if left <= 0 {
 			break
 		}
-		if count := min(left, st.fitCount(w.info.Capacity, w)); count > 0 {
-			g.claims[w] = claim{st, st.need().Times(int64(count))}
-			left -= count
-		}
+		count := min(left, max(1, st.fitCount(w.free(), w)))
+		g.claims[w] = claim{st, st.need().Times(int64(count))}
+		left -= count
 	}
-	p.blockingGangs++
+	g.claimants[st] = true
 }
 
 // claimed reports whether a task of the step would take capacity of a worker that is claimed for
--- a/scheduler/gangroom_test.go
+++ b/scheduler/gangroom_test.go
@@ -132,6 +132,17 @@
 	})
 }
 
+// claimedFrom returns the number of workers that are kept from a candidate.
+func (f *roomFixture) claimedFrom(c candidate) int {
+	claimed := 0
+	for _, w := range f.workers {
+		if !f.pass.mayPlace(c, w) {
+			claimed++
+		}
+	}
+	return claimed
+}
+
 // Guards against idle workers: a waiting gang claims only the capacity that its tasks need, and nothing
 // before its first advice or with priority 0.
 func TestClaimsOfWaitingGang(t *testing.T) {
@@ -152,24 +163,41 @@
 			if test.advised {
 				f.advise(gang, f.workers, nil)
 			}
-			f.blockWorkersFor(f.pass, gang)
-			batch := f.candidate("batch", 2, 1, 3500, false)
-			claimed := 0
-			for _, w := range f.workers {
-				if !f.pass.mayPlace(batch, w) {
-					claimed++
-				}
-			}
-			if claimed != test.claimed {
+			f.pass.claimWorkersFor(gang)
+			if claimed := f.claimedFrom(f.candidate("batch", 2, 1, 3500, false)); claimed != test.claimed {
 				t.Errorf("%d workers are kept from a batch, want %d", claimed, test.claimed)
 			}
 		})
 	}
+	t.Run("free capacity of more workers", func(t *testing.T) {
+		f := newRoomFixture(t, repeat(20, 20_000)...) // one slot of 9 CPUs is free on each worker, of three
+		gang := f.candidate("gang", 1, 6, 9000, true)
+		f.advise(gang, f.workers, nil)
+		f.pass.claimWorkersFor(gang)
+		if claimed := f.claimedFrom(f.candidate("batch", 2, 1, 3500, false)); claimed != 6 {
+			t.Errorf("%d workers are kept from a batch, want 6", claimed)
+		}
+	})
+	t.Run("beside gangs that claim nothing", func(t *testing.T) {
+		f := newRoomFixture(t, repeat(20, 16_000)...)
+		for i := range 2 * maxClaimants {
+			lookup := f.candidate(fmt.Sprint("lookup-", i), 0, 2, 18_000, true)
+			f.advise(lookup, f.workers, nil)
+			f.pass.claimWorkersFor(lookup)
+			f.pass.claimWorkersFor(f.candidate(fmt.Sprint("unadvised-", i), 1, 2, 18_000, true))
+		}
+		gang := f.candidate("gang", 1, 5, 18_000, true)
+		f.advise(gang, f.workers, nil)
+		f.pass.claimWorkersFor(gang)
+		if claimed := f.claimedFrom(f.candidate("batch", 2, 1, 3500, false)); claimed != 5 {
+			t.Errorf("%d workers are kept from a batch, want 5", claimed)
+		}
+	})
 	t.Run("beside a claim that fits", func(t *testing.T) {
 		f := newRoomFixture(t, 0)
 		gang := f.candidate("gang", 1, 1, 18_000, true)
 		f.advise(gang, f.workers, nil)
-		f.blockWorkersFor(f.pass, gang)
+		f.pass.claimWorkersFor(gang)
 		if small := f.candidate("small", 2, 1, 14_000, false); !f.pass.mayPlace(small, f.workers[0]) {
 			t.Error("a task that leaves the claimed capacity is kept off the worker")
 		}
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -19,12 +19,10 @@
 	serial          uint64
 	lastGrowth      map[string]uint64         // serial of the last pass in which a worker gained capacity, by service
 	pools           map[string][]*worker      // usable workers by service, sorted by descending free CPU
-	blocked         map[*worker]bool          // blocked for a waiting gang
 	includeUnlisted bool                      // unlisted workers may still be alive
-	blockingGangs   int                       // waiting gangs with blocked workers
 	withheld        bool                      // a worker was withheld from the current candidate
 	waitingGangs    []*step                   // gangs that steps may defer to
-	gangRoom        gangRoom                  // replaces waitingGangs and blocked if it is bounded
+	gangRoom        gangRoom                  // replaces waitingGangs if it is bounded
 	headroom        map[string]headroom.Slots // by service
 	standingCounts  map[string]poolCounts     // by service
 	// quotaReservedFor is the gang that the rest of an account's quota is reserved for.
@@ -38,7 +36,7 @@
 func newPass(now time.Time, serial uint64, includeUnlisted bool, times WorkerTimes, halls evacuation.View) *pass {
 	return &pass{
 		now: now, serial: serial, includeUnlisted: includeUnlisted, workerTimes: times, halls: halls, pools: map[string][]*worker{}, lastGrowth: map[string]uint64{},
-		headroom: map[string]headroom.Slots{}, blocked: map[*worker]bool{}, standingCounts: map[string]poolCounts{}, quotaReservedFor: map[*accountState]*step{},
+		headroom: map[string]headroom.Slots{}, standingCounts: map[string]poolCounts{}, quotaReservedFor: map[*accountState]*step{},
 		quotaPreemptionTried: map[*accountState]bool{},
 	}
 }
@@ -103,7 +101,7 @@
 		return true
 	}
 	return c.urgency.Rank != urgency.UrgentInTime &&
-		(w.reserved.excludes(c.step, p.now) || p.blocked[w] || p.gangRoom.claimed(c.step, w))
+		(w.reserved.excludes(c.step, p.now) || p.gangRoom.claimed(c.step, w))
 }
 
 // maxWaitingGangs limits the waiting gangs that steps may defer to.
