scheduler: a gang that claims capacity renews its tickets together

Cause: only expired tickets were renewed, and a ticket counted as valid if it outlasted a call that names 24 workers. A call of a large gang names 83 and takes 0.86 s of the 2 s for which tickets are valid, so those that it had expired while it asked for the others. With too few free slots a gang renewed nothing, and had no tickets when slots became free. What is right for the mean gang, whose workers fit into one call, starves large ones.

Change: a gang that claims capacity asks about all workers known to be eligible in one round, also while it still gathers capacity, and tickets must outlast the largest call.

Three of the seven cases of TestGangRenewsTicketsTogether failed before.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -134,9 +135,9 @@
 // package platform).
 func (s *Scheduler) surveyCapacity(p *pass, c candidate) capacitySurvey {
 	st := c.step
-	validUntil := p.now.Add(st.job.record.Queue.Advice.Latency(minWorkersPerCall) + ticketMargin)
-	if !st.spec.Gang {
-		validUntil = p.now.Add(expectedStartDelay)
+	validUntil := p.now.Add(expectedStartDelay)
+	if st.spec.Gang {
+		validUntil = p.now.Add(st.renewalTime())
 	}
 	var survey capacitySurvey
 	for _, ticket := range st.advice.tickets {
@@ -228,6 +229,9 @@
 // gang that fits nowhere yet: it first learns which workers it could wait for.
 func (s *Scheduler) workersToAsk(p *pass, c candidate) []*worker {
 	st, tasks := c.step, len(c.tasks)
+	if p.gangRoom.claimants[st] {
+		return s.workersToAskTogether(p, c)
+	}
 	survey := s.surveyCapacity(p, c)
 	eligibleShare := s.eligibleShare(st.job.record.Queue.Name)
 	expectedSlots := float64(survey.validSlots) + float64(totalTasks(survey.expired)) + eligibleShare*float64(totalTasks(survey.unasked))
@@ -255,6 +259,48 @@
 	return named
 }
 
+// workersToAskTogether returns the workers to ask about for a gang that claims capacity: all that are known to
+// be eligible. If only expired tickets were renewed, some of a large gang's tickets would be expired at any time,
+// as a call takes about half as long as they are valid. They are also renewed while there is too little
+// capacity, because the claims gather it.
+func (s *Scheduler) workersToAskTogether(p *pass, c candidate) []*worker {
+	st := c.step
+	if st.eligibleSlots() < gangCapacityFactor*len(c.tasks) {
+		if unasked := s.mostFreeUnasked(p, c); len(unasked) > 0 {
+			st.advice.lacksCapacity = false
+			return unasked
+		}
+	}
+	validUntil := p.now.Add(st.renewalTime())
+	var eligible []*worker
+	validSlots, expiredSlots := 0, 0
+	for _, ticket := range st.advice.tickets {
+		w := ticket.worker
+		if w.usableSerial != p.serial || !st.allows(w) {
+			continue
+		}
+		eligible = append(eligible, w)
+		if slots := p.obtainableSlots(c, w); ticket.validAt(validUntil) {
+			validSlots += slots
+		} else {
+			expiredSlots += slots
+		}
+	}
+	st.advice.lacksCapacity = validSlots+expiredSlots < len(c.tasks)
+	if validSlots >= len(c.tasks) || expiredSlots == 0 {
+		return nil
+	}
+	slices.SortFunc(eligible, func(a, b *worker) int { return cmp.Compare(b.free().CPU, a.free().CPU) })
+	return eligible[:min(len(eligible), maxAdviceWorkers)]
+}
+
+// renewalTime returns how long the largest call for the step takes. A gang needs all of its tickets at once, so
+// those that it has must outlast the call for the others.
+func (st *step) renewalTime() time.Duration {
+	policy := st.job.record.Queue.Advice
+	return policy.Latency(workersPerCall(policy)) + ticketMargin
+}
+
 // fillCall adds workers to an expensive call that names few, since most of its cost is fixed and
 // workers may gain capacity while their tickets are valid. Eligible workers that need a new
 // ticket come first, then workers not asked about yet, by free CPU. Without this, 1,070 calls of
