scheduler: large gangs that are late no longer wait behind all work in time

Operators saw too little of the largest tenth of a queue's gangs served.

Cause: a gang that has passed its latest start is placed on what all work in time leaves, claims no capacity and preempts nothing. Smaller late jobs fit there by chance; the chance that all tasks of a gang fit at once falls with their number. While as much work arrives as the workers can do, large gangs waited until arrivals ended. Under overload the order by size makes large jobs late first. What is right on the mean starves the tail.

Change: the first late gang of each service, of those that are not of usual size, is placed like work in time; three of them while the service is overloaded. Within accounts' shares, and not once completion has no value.

--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -195,6 +195,7 @@
 			list = s.roundCandidates(list, r, now)
 		}
 	}
+	s.promoteLateGangs(list)
 	sortByUrgency(list)
 	return list
 }
--- /dev/null
+++ b/scheduler/late_gang_test.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"chutereach/sizeclass"
+	"chutereach/urgency"
+)
+
+// Guards against large gangs that wait behind all work in time once they are late, and against other late work, or
+// more than a few gangs, that come before it.
+func TestLateGangsArePromoted(t *testing.T) {
+	gang := func(class sizeclass.Class) *job { return &job{sizeClass: class} }
+	cases := []struct {
+		name       string
+		late       []*job
+		priority   int
+		overloaded bool
+		lateBy     time.Duration
+		promoted   int
+	}{
+		{"one", []*job{gang(sizeclass.Largest)}, 1, false, time.Second, 1},
+		{"of unknown size", []*job{gang(sizeclass.Unknown)}, 1, false, time.Second, 1},
+		{"several", []*job{gang(sizeclass.Largest), gang(sizeclass.Large), gang(sizeclass.Large), gang(sizeclass.Large)}, 1, false, time.Second, maxPromoted},
+		{"several under overload", []*job{gang(sizeclass.Largest), gang(sizeclass.Large), gang(sizeclass.Large), gang(sizeclass.Large)}, 1, true, time.Second, maxPromotedUnderOverload},
+		{"of usual size", []*job{gang(sizeclass.Usual)}, 1, false, time.Second, 0},
+		{"over its account's share", []*job{{sizeClass: sizeclass.Largest, overShare: true}}, 1, false, time.Second, 0},
+		{"batches", []*job{gang(sizeclass.Largest)}, 2, false, time.Second, 0},
+		{"expired", []*job{gang(sizeclass.Largest)}, 1, false, time.Minute, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			r := newOverloadReplay(t, true, 4)
+			r.pass()
+			if test.overloaded {
+				r.add(2, 200, 16_000, 2*time.Second, 0)
+				r.overload(t)
+			}
+			inTime := r.add(1, 2, 1000, time.Second, 0)
+			inTime.deadline = r.now.Add(2 * time.Second)
+			for _, like := range test.late {
+				j := r.add(test.priority, 10, 1000, time.Second, 0)
+				j.sizeClass, j.overShare = like.sizeClass, like.overShare
+				j.arrived, j.deadline = r.now.Add(-10*time.Second-test.lateBy), r.now.Add(-test.lateBy)
+			}
+			promoted := 0
+			list := r.candidates(r.now)
+			for _, c := range list {
+				if c.urgency.Promoted {
+					promoted++
+				}
+			}
+			if promoted != test.promoted {
+				t.Errorf("%d gangs are promoted, want %d", promoted, test.promoted)
+			}
+			if first := list[0].urgency; test.promoted > 0 && (!first.Promoted || first.Rank != urgency.InTime || !first.MayPreempt) {
+				t.Errorf("the first step is %+v, want a promoted gang that may preempt", first)
+			}
+		})
+	}
+}
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -133,7 +133,7 @@
 // orderedBySize reports whether the step is ordered by size under overload: it can meet its deadline, and
 // its queue does not have priority 0.
 func (st *step) orderedBySize(v urgency.Assessment) bool {
-	return v.Rank == urgency.InTime && !st.job.topPriority()
+	return v.Rank == urgency.InTime && !v.Promoted && !st.job.topPriority()
 }
 
 // measureUse measures the capacity and use of each service's usable workers.
@@ -169,7 +169,7 @@
 // pass. Steps that were late when they began to wait, or when this owner loaded them, do not count.
 func (s *Scheduler) countMissed(c candidate) {
 	st, j := c.step, c.step.job
-	if c.urgency.InTime() {
+	if c.urgency.InTime() && !c.urgency.Promoted {
 		st.lateness.inTimeSerial = s.sizeOrder.serial
 		return
 	}
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -54,6 +54,8 @@
 	Rank Rank
 	// LatestStart is the latest time at which the critical path can start and meet the deadline.
 	LatestStart time.Time
+	// Promoted is set if the step is late and has the rank of work that can meet its deadline.
+	Promoted bool
 	// MayPreempt is set if the step may preempt work of lesser queues.
 	MayPreempt bool
 	// Deferrable is set if the step may be held back although there is room, because its job
@@ -73,6 +75,12 @@
 	RelativeSize float64
 }
 
+// WithPromotion returns the assessment of a late step that is placed like one that can meet its deadline.
+func (v Assessment) WithPromotion() Assessment {
+	v.Rank, v.Promoted, v.MayPreempt = InTime, true, true
+	return v
+}
+
 // InTime reports whether the step can meet its deadline.
 func (v Assessment) InTime() bool { return v.Rank <= InTime }
 
