--- a/scheduler/gangroom.go
+++ b/scheduler/gangroom.go
@@ -17,7 +17,7 @@
 type gangRoom struct {
 	claims    map[*worker]claim
 	claimants map[*step]bool // gangs with claims
-	bounded   bool           // whether LoadPolicy.BoundedGangRoom is set; if not, the other fields are unused
+	bounded   bool           // whether LoadPolicy.BoundedGangRoom is set; if not, the fields below are unused
 	waiting   []waitingGang
 	// kept is set if room for a gang was kept from the current candidate.
 	kept bool
