--- a/scheduler/size_replay_test.go
+++ b/scheduler/size_replay_test.go
@@ -56,6 +56,9 @@
 	return !j.ended.IsZero() && j.ended.Before(j.arrived.Add(urgency.ExpiryFactor*j.deadline.Sub(j.arrived)))
 }
 
+// replayInterval is the time between two passes, longer than that of an owner so that the replay is short.
+const replayInterval = 4 * dispatchInterval
+
 // replayedStop is how long a worker takes to stop a task.
 const replayedStop = 200 * time.Millisecond
 
@@ -154,11 +157,11 @@
 	end, last := r.now.Add(span), r.now.Add(span+time.Minute)
 	owed := make([]float64, len(r.kinds)) // core-seconds to submit
 	for r.now.Before(last) && (r.now.Before(end) || len(r.active) > 0) {
-		time.Sleep(dispatchInterval)
+		time.Sleep(replayInterval)
 		r.mu.Lock()
 		r.now = time.Now()
 		for i, k := range r.kinds {
-			owed[i] += load * k.load * 16 * float64(len(r.workers)) * dispatchInterval.Seconds()
+			owed[i] += load * k.load * 16 * float64(len(r.workers)) * replayInterval.Seconds()
 			for owed[i] > 0 && r.now.Before(end) {
 				owed[i] -= r.submit(k)
 			}
