scheduler: a test's late job arrives before its deadline

TestSizesOfJobs failed once, in a run of the package without the race detector: its late job had a deadline 1 ms before now. If the test took less than that from the arrival on, the objective was negative and the job counted as too late.

--- a/scheduler/waits_test.go
+++ b/scheduler/waits_test.go
@@ -76,7 +76,7 @@
 		r.add(2, 1+i, 1000, time.Second, 0)
 	}
 	largest, usual, late := r.add(2, 1000, 1000, time.Second, 0), r.add(2, 1, 1000, time.Second, 0), r.add(2, 1000, 1000, time.Second, 0)
-	late.deadline = time.Now().Add(-time.Millisecond)
+	late.arrived, late.deadline = r.now.Add(-10*time.Second), r.now.Add(-time.Second)
 	for _, j := range []*job{largest, usual, late} {
 		r.finish(j, workload.Completed, "done")
 	}
