--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -259,10 +259,10 @@
 	return named
 }
 
-// workersToAskTogether returns the workers to ask about for a gang that claims capacity: all that are known to
-// be eligible. If only expired tickets were renewed, some of a large gang's tickets would be expired at any time,
-// as a call takes about half as long as they are valid. They are also renewed while there is too little
-// capacity, because the claims gather it.
+// workersToAskTogether returns the workers to ask about for a gang that claims capacity, so that all of its tickets
+// are valid at the same time. A call may take half as long as a ticket is valid: if only expired tickets were
+// renewed, others would expire during the call. Tickets are renewed even if there is too little capacity now,
+// because the claims accumulate capacity during the call.
 func (s *Scheduler) workersToAskTogether(p *pass, c candidate) []*worker {
 	st := c.step
 	if st.eligibleSlots() < gangCapacityFactor*len(c.tasks) {
@@ -294,8 +294,7 @@
 	return eligible[:min(len(eligible), maxAdviceWorkers)]
 }
 
-// renewalTime returns how long the largest call for the step takes. A gang needs all of its tickets at once, so
-// those that it has must outlast the call for the others.
+// renewalTime returns how long a ticket must still be valid to outlast the largest call for the step.
 func (st *step) renewalTime() time.Duration {
 	policy := st.job.record.Queue.Advice
 	return policy.Latency(workersPerCall(policy)) + ticketMargin
--- a/scheduler/gangroom.go
+++ b/scheduler/gangroom.go
@@ -217,9 +217,9 @@
 const maxClaimants = 4
 
 // claimWorkersFor claims capacity for a waiting gang on the eligible workers with the most free CPU, so that
-// smaller tasks do not starve it: what is free there, or else the next slot that becomes free. Claims on
-// whole workers would have to wait until all of their tasks have ended. A gang that waits for its first advice
-// claims nothing, and neither does one of priority 0, which preempts instead of waiting. In-time steps of
+// smaller tasks do not starve it. On each worker it claims the slots that are free, or one slot if none is, since
+// waiting for whole workers to drain would take until their longest task ends. A gang that waits for its first
+// advice claims nothing, and neither does one of priority 0, which preempts instead of waiting. In-time steps of
 // priority 0 may still use the capacity.
 func (p *pass) claimWorkersFor(c candidate) {
 	st, g := c.step, &p.gangRoom
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -177,7 +177,7 @@
 	account   *accountState
 	overShare bool // it is over its account's share
 	sizeClass sizeclass.Class
-	// expiryLogged is set once it has been logged that the job waits although its completion has no value.
+	// expiryLogged is whether the log has the line that the job waits although its completion has no value.
 	expiryLogged bool
 	hosted       int // tasks that occupy capacity on workers
 	// idleSince is when its last task left its worker, initially its arrival.
--- a/scheduler/late_gang.go
+++ b/scheduler/late_gang.go
@@ -8,15 +8,17 @@
 )
 
 const (
-	// maxPromoted is the maximum number of late gangs of one service that are placed like work in time, and
-	// maxPromotedUnderOverload that of an overloaded service, whose large jobs the order by size puts last.
+	// maxPromoted is the maximum number of late gangs that a pass promotes in each service. Each promotion
+	// delays work that could still be in time. maxPromotedUnderOverload applies to overloaded services,
+	// where the order by size places large jobs last, so that more of them become late.
 	maxPromoted              = 1
 	maxPromotedUnderOverload = 3
 )
 
-// promoteLateGangs gives the first late gangs of each service the rank of work that can meet its deadline. Late
-// work is placed on the capacity that other work leaves, and the more tasks a gang has, the less often all of
-// them fit there at once. Gangs of usual size fit often enough.
+// promoteLateGangs promotes the most urgent late gangs of each service to the rank of work that can meet its
+// deadline. Without it, large gangs starve while capacity is short: late work gets only the capacity that is left,
+// and the more tasks a gang has, the less likely it is that all of them fit there at once. Gangs of usual
+// size fit often enough.
 func (s *Scheduler) promoteLateGangs(list []candidate) {
 	late := map[string][]*candidate{}
 	for i := range list {
@@ -38,7 +40,8 @@
 	}
 }
 
-// mayBePromoted reports whether the candidate is a late gang that may starve, within its account's share.
+// mayBePromoted reports whether the candidate is a late gang that is large or of unknown size and within its
+// account's fair share.
 func (c *candidate) mayBePromoted() bool {
 	return c.step.spec.Gang && c.urgency.Rank == urgency.Late && !c.urgency.OverShare && c.step.job.sizeClass != sizeclass.Usual
 }
--- a/scheduler/late_gang_test.go
+++ b/scheduler/late_gang_test.go
@@ -8,8 +8,8 @@
 	"chutereach/urgency"
 )
 
-// Guards against large gangs that wait behind all work in time once they are late, and against other late work, or
-// more than a few gangs, that come before it.
+// Guards against large gangs that starve once they are late, and against promoting other late work, or so many
+// gangs that work in time is late for them.
 func TestLateGangsArePromoted(t *testing.T) {
 	gang := func(class sizeclass.Class) *job { return &job{sizeClass: class} }
 	cases := []struct {
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -25,7 +25,7 @@
 	arrivals  uint64                 // jobs recorded in sizes
 }
 
-// queueSizes describes the sizes of a queue's jobs.
+// queueSizes holds the mean size of a queue's jobs and the sizes of its recent jobs.
 type queueSizes struct {
 	overload.MeanSize
 	recent      sizeclass.Distribution
@@ -38,7 +38,7 @@
 	maxPassGap = 500 * time.Millisecond
 	// maxSlack bounds the slack of a step in the mean, so that one wrong estimate does not determine it.
 	maxSlack = time.Minute
-	// maxQueueSizes is the maximum number of queues whose sizes are described.
+	// maxQueueSizes is the maximum number of queues with a queueSizes.
 	maxQueueSizes = 1024
 )
 
@@ -262,8 +262,8 @@
 	return mean.Relative(overload.SizeOf(r.work, load.capacity))
 }
 
-// recordSize counts a job that has arrived among the sizes of its queue, and classifies it by them. Jobs
-// that have no deadline are not ordered by their size and do not count in the mean.
+// recordSize adds a job that has arrived to the sizes of its queue and sets its size class. Scheduled jobs do
+// not count in the mean size, as they are not ordered by size.
 func (s *Scheduler) recordSize(j *job) {
 	o, queue := &s.sizeOrder, j.record.Queue
 	sizes := o.sizes[queue.Name]
--- a/scheduler/pass_summary.go
+++ b/scheduler/pass_summary.go
@@ -8,30 +8,30 @@
 	"chutereach/resource"
 )
 
-// passSummary sums up the dispatch passes since the last line about them.
+// passSummary aggregates the dispatch passes between two log lines "steps wait".
 type passSummary struct {
 	passes  int
 	took    time.Duration
 	longest time.Duration
-	// waiting and largestWaiting count the steps that waited in the last pass, and those of the largest
-	// jobs, by cause.
+	// waiting is the number of steps that waited in the last pass, by cause, and largestWaiting that of
+	// the steps of jobs in class sizeclass.Largest.
 	waiting, largestWaiting [waitCauses]int
 }
 
-// beginPass forgets the steps that waited in the previous pass.
+// beginPass resets the numbers of waiting steps, which are those of one pass.
 func (p *passSummary) beginPass() {
 	p.waiting, p.largestWaiting = [waitCauses]int{}, [waitCauses]int{}
 }
 
-// endPass adds a pass.
+// endPass adds the duration of a pass.
 func (p *passSummary) endPass(took time.Duration) {
 	p.passes++
 	p.took += took
 	p.longest = max(p.longest, took)
 }
 
-// logLoad logs what the steps that wait are short of, and how much of the workers is in use, if any step
-// waits. The lock is held.
+// logLoad logs the summary, together with the use of the workers and of the nodes for advice, and begins a new
+// one. It logs nothing if no step waited in the last pass. The lock is held.
 func (s *Scheduler) logLoad() {
 	summary := s.passes
 	s.passes = passSummary{}
@@ -66,7 +66,7 @@
 		Msg("steps wait")
 }
 
-// countsByCause returns the counts above 0 for a log line.
+// countsByCause returns a dictionary of the nonzero counts for a log line.
 func countsByCause(counts [waitCauses]int) *zerolog.Event {
 	dict := zerolog.Dict()
 	for cause, count := range counts {
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -26,14 +26,15 @@
 
 var waitCauseNames = [waitCauses]string{"advice", "capacity", "withheld", "quota", "ends"}
 
-// waitTimes is how long a step has waited for each cause, as seen by dispatch passes.
+// waitTimes is how long a step has waited, by cause. The time between two dispatch passes counts for the
+// cause that the second one finds.
 type waitTimes struct {
 	seen    time.Time // last pass in which the step waited
 	byCause [waitCauses]time.Duration
 }
 
-// With returns the times after a pass in which the step waited. A longer gap between passes, as
-// during a takeover, has no known cause.
+// With returns the times after a pass in which the step waited. The time since the last such pass is
+// left out if it exceeds maxPassGap: the step may not have waited all of it.
 func (w waitTimes) With(cause waitCause, now time.Time) waitTimes {
 	if elapsed := now.Sub(w.seen); elapsed <= maxPassGap {
 		w.byCause[cause] += elapsed
@@ -42,7 +43,8 @@
 	return w
 }
 
-// recordWait records why a candidate still waits after a pass has tried to place it.
+// recordWait records why tasks of a candidate remain waiting, if any do, after a pass has tried to place
+// them. withheld is whether capacity was kept from it for other steps. The lock is held.
 func (s *Scheduler) recordWait(c candidate, withheld bool, now time.Time) {
 	st := c.step
 	if !st.anyPlaceable() {
@@ -53,7 +55,7 @@
 	case !st.quotaHeldSince.IsZero():
 		cause = waitQuota
 	case st.job.record.Queue.Advice.Enabled() && !st.advice.lacksCapacity:
-		// waitAdvice
+		// There would be capacity, so tickets are missing.
 	case withheld:
 		cause = waitWithheld
 	default:
@@ -66,7 +68,7 @@
 	}
 }
 
-// countWait counts a step that waits in this pass.
+// countWait adds a waiting step to the wait times of the step and to the summary of the current pass.
 func (s *Scheduler) countWait(st *step, cause waitCause, now time.Time) {
 	st.waits = st.waits.With(cause, now)
 	s.passes.waiting[cause]++
@@ -75,7 +77,8 @@
 	}
 }
 
-// coreSeconds returns the work of the job's first round by the caller's estimates.
+// coreSeconds returns the work of one round of the job by the caller's estimates. Tasks that run
+// indefinitely have no amount of work.
 func (j *job) coreSeconds() float64 {
 	total := 0.0
 	for _, st := range j.rounds[0].steps {
@@ -86,7 +89,8 @@
 	return total
 }
 
-// classifyRestored classifies the active jobs that former owners have accepted.
+// classifyRestored classifies the active jobs that former owners have accepted, in the order of their
+// arrival. A new owner has no record of earlier jobs to compare them with.
 func (s *Scheduler) classifyRestored() {
 	list := make([]*job, 0, len(s.active))
 	for _, j := range s.active {
@@ -98,8 +102,8 @@
 	}
 }
 
-// describe adds to a log line what tells large jobs from small ones: the size of the job, how many
-// attempts its tasks had, and how long its steps waited for each cause in this term.
+// describe adds the job's ID, queue and size to a log line, the most attempts that a task of it had, and how
+// long its steps have waited in this term, by cause.
 func (j *job) describe(event *zerolog.Event) *zerolog.Event {
 	tasks, attempts := 0, 0
 	var waited [waitCauses]time.Duration
@@ -124,7 +128,8 @@
 		Int("attempts", attempts).Dict("waited", spans)
 }
 
-// servedOutcome returns the outcome of a final job for the metric by size.
+// servedOutcome returns whether a completed job was in time, late or too late to have value, or else its
+// final state, as named in the metric final_by_size.
 func (j *job) servedOutcome(state workload.State, now time.Time) string {
 	switch {
 	case state != workload.Completed:
@@ -137,7 +142,7 @@
 	return "late"
 }
 
-// finalBySize counts a final job by its size and outcome.
+// finalBySize counts a final job by size class and outcome.
 func (m *Metrics) finalBySize(class sizeclass.Class, outcome string) {
 	m.finalsBySize.Add(class.String()+"_"+outcome, 1)
 }
--- a/sizeclass/sizeclass.go
+++ b/sizeclass/sizeclass.go
@@ -2,11 +2,11 @@
 
 import "slices"
 
-// Class is the size of a job among the recent jobs of its queue.
+// Class is the class of a job by its size.
 type Class int
 
 const (
-	Unknown Class = iota // too few jobs to compare with
+	Unknown Class = iota // the size is unknown, or there are too few jobs to compare with
 	Usual
 	Large   // in the fifth below the largest tenth
 	Largest // in the largest tenth
@@ -17,10 +17,10 @@
 func (c Class) String() string { return names[c] }
 
 const (
-	// window is the number of recent jobs that a job is compared with, and minJobs the least number.
+	// window is the maximum number of recent jobs that a job is compared with, and minJobs the minimum.
 	window  = 200
 	minJobs = 20
-	// largestShare and largeShare are the shares of jobs that are at least as large as one of the class.
+	// A job is in a class if at most this share of the recent jobs is at least as large.
 	largestShare = 0.1
 	largeShare   = 0.3
 )
