--- a/scheduler/size_replay_test.go
+++ b/scheduler/size_replay_test.go
@@ -20,9 +20,9 @@
 	"chutereach/workload"
 )
 
-// sizeReplay replays gangs, batches and lookups on a service whose policy allows each step on some
-// workers only. Tasks start when they are granted and end after their estimate; calls for advice and
-// stops take their time. It must run in a synctest bubble.
+// sizeReplay simulates a service that receives gangs, batches and lookups, without a network. An advice policy
+// allows each step on some workers only. Tasks start when they are granted and end after their estimate.
+// Calls for advice and stops take time, so it must run in a synctest bubble.
 type sizeReplay struct {
 	*overloadReplay
 	rng     *rand.Rand
@@ -31,7 +31,7 @@
 	saved   map[*task]time.Duration // work that a task had done when it was stopped
 }
 
-// replayedKind is a kind of jobs, of one step each.
+// replayedKind describes the jobs of a queue, which have one step each.
 type replayedKind struct {
 	queue         workload.Queue
 	gang          bool
@@ -44,25 +44,27 @@
 	eligibleShare float64 // of the workers that may run a step
 }
 
-// replayedJob is a job with its work in core-seconds and when it was completed.
+// replayedJob is a job of the replay.
 type replayedJob struct {
 	*job
-	work  float64
-	ended time.Time
+	work  float64   // in core-seconds
+	ended time.Time // zero until it is completed
 }
 
-// served reports whether the job was completed while that had value.
+// served reports whether the job was completed in time, or late but while its completion still had value.
 func (j *replayedJob) served() bool {
 	return !j.ended.IsZero() && j.ended.Before(j.arrived.Add(urgency.ExpiryFactor*j.deadline.Sub(j.arrived)))
 }
 
-// replayInterval is the time between two passes, longer than that of an owner so that the replay is short.
+// replayInterval is the time between two dispatch passes. It is longer than dispatchInterval because the passes
+// take most of the test's processor time.
 const replayInterval = 4 * dispatchInterval
 
 // replayedStop is how long a worker takes to stop a task.
 const replayedStop = 200 * time.Millisecond
 
-// stoppingClient confirms stops and answers no requests for reports.
+// stoppingClient confirms each stop after replayedStop. Requests for reports fail, because the replay itself ends
+// the tasks.
 type stoppingClient struct{ fleet.Client }
 
 func (stoppingClient) Stop(context.Context, fleet.Worker, fleet.StopOrder) (fleet.Clock, error) {
@@ -74,7 +76,8 @@
 	return fleet.Report{}, &fleet.NoResponseError{}
 }
 
-// hashingAdvisor takes as long as the policy says. Whether a worker may run a step depends on their names.
+// hashingAdvisor takes as long for an answer as the queue's policy says. A hash of step and worker decides whether
+// the worker is eligible, so that answers never change.
 type hashingAdvisor struct{ kinds []replayedKind }
 
 func (a hashingAdvisor) Advise(_ context.Context, step string, workers []string) (fleet.Advice, error) {
@@ -128,7 +131,7 @@
 	return r
 }
 
-// logNormal returns a factor with mean 1.
+// logNormal returns a random log-normal factor with mean 1.
 func (r *sizeReplay) logNormal(spread float64) float64 {
 	return math.Exp(spread*r.rng.NormFloat64() - spread*spread/2)
 }
@@ -151,8 +154,8 @@
 	return coreSeconds
 }
 
-// run replays arrivals with the given multiple of the work that the workers can do, and then continues until
-// all jobs are done or a minute has passed.
+// run submits jobs for a time span and then goes on until all are completed, for at most another minute. load is
+// the submitted work as a multiple of the CPU capacity of the workers.
 func (r *sizeReplay) run(span time.Duration, load float64) {
 	end, last := r.now.Add(span), r.now.Add(span+time.Minute)
 	owed := make([]float64, len(r.kinds)) // core-seconds to submit
@@ -173,7 +176,7 @@
 	time.Sleep(5 * time.Second) // until no call is in flight
 }
 
-// advance starts, stops and ends the tasks that are due.
+// advance updates the states of all tasks: granted ones start, and stopped or finished ones leave their workers.
 func (r *sizeReplay) advance() {
 	for _, w := range r.workers {
 		w.lastReportAt = r.now
@@ -202,7 +205,8 @@
 	}
 }
 
-// servedShares returns the served share of a queue's jobs, of the largest tenth and of the fifth below it.
+// servedShares returns which share of a queue's jobs was served: of all, of the largest tenth by work, and of the
+// fifth below it.
 func (r *sizeReplay) servedShares(queue string) (all, largest, large float64) {
 	var jobs []*replayedJob
 	for _, j := range r.arrived {
@@ -224,8 +228,8 @@
 	return share(jobs), share(jobs[:tenth]), share(jobs[tenth : 3*tenth])
 }
 
-// Guards against large gangs that starve: under overload, the largest tenth of a queue's jobs, and the fifth below
-// it, are served at least half as often as all.
+// Guards against large gangs that starve under overload: the largest tenth of a queue's jobs, and the fifth below
+// it, must be served at least half as often as all of its jobs.
 func TestLargestGangsStarve(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newSizeReplay(t, 1)
