Review: the scripts name the record that they write

The stand-in made up the name record.txt from a folder that run.sh gave as ".", so run.sh did not show where the record is. It now gives the path of record.txt beside itself, and can be called from any folder.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
-# Plays the case; TROUBLE=0 without the disruption. Exit code: 1 broken, 0 held, 2 could not run.
-cd "$(dirname "$0")" || exit 2
-[ -x ../../target/review-2/kit2 ] && [ -x ../../target/chutereachd ] || exit 2
-exec ../../target/review-2/kit2 grey . ../../target/chutereachd
+# Plays the case and writes record.txt beside this script: what was sent, answered and run.
+# TROUBLE=0 leaves the disruption out. Exit code: 1 the rule is broken, 0 it held, 2 the case could not run.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+[ -x target/review-2/kit2 ] && [ -x target/chutereachd ] || exit 2
+exec target/review-2/kit2 grey "$here/record.txt" target/chutereachd
--- a/review/kit-2/main_test.go
+++ b/review/kit-2/main_test.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"sort"
 	"sync"
 	"testing"
@@ -103,16 +102,17 @@
 // platform's protocol, which a test of the project keeps out of all others.
 func TestMain(*testing.M) {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "use: kit2 CASE FOLDER PROGRAM")
+		fmt.Fprintln(os.Stderr, "use: kit2 CASE RECORD PROGRAM")
 		os.Exit(notRun)
 	}
 	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
 }
 
-func play(name, folder, program string) (code int) {
+// play plays a case, writes what was sent, answered and run to the file record, and returns the exit code.
+func play(name, record, program string) (code int) {
 	temp, err := os.MkdirTemp("", "kit2-")
 	check(err)
-	c := &Case{rec: newRecord(filepath.Join(folder, "record.txt")), temp: temp, program: program, trouble: os.Getenv("TROUBLE") != "0", given: map[string]bool{}}
+	c := &Case{rec: newRecord(record), temp: temp, program: program, trouble: os.Getenv("TROUBLE") != "0", given: map[string]bool{}}
 	defer func() {
 		c.stopAll()
 		if os.Getenv("KEEP") == "" {
