--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -56,6 +56,8 @@
 	LatestStart time.Time
 	// Promoted is set if the step is late and has the rank of work that can meet its deadline.
 	Promoted bool
+	// LastChance is set if the step is late and has to start soon, or its completion will have no value.
+	LastChance bool
 	// MayPreempt is set if the step may preempt work of lesser queues.
 	MayPreempt bool
 	// Deferrable is set if the step may be held back although there is room, because its job
@@ -95,10 +97,20 @@
 	}
 	margin := time.Duration(estimateMargin * float64(w.CriticalPath))
 	v.MayPreempt = v.Rank <= InTime && (w.Priority == 0 || now.Add(preemptLead+margin).After(v.LatestStart))
+	v.LastChance = (v.Rank == Late || v.Rank == UrgentLate) && w.completesBeforeExpiry(now) && !w.completesBeforeExpiry(now.Add(preemptLead+margin))
 	v.DefersToGangs = v.Deferrable && w.Priority > 0 && now.Add(yieldLead+margin).Before(v.LatestStart)
 	return v
 }
 
+// expiry returns the time from which the completion of the step's job has no value.
+func (w Step) expiry() time.Time { return w.Arrived.Add(ExpiryFactor * w.Deadline.Sub(w.Arrived)) }
+
+// completesBeforeExpiry reports whether the critical path can be completed before the expiry if it starts
+// at the given time.
+func (w Step) completesBeforeExpiry(start time.Time) bool {
+	return !start.Add(w.CriticalPath).After(w.expiry())
+}
+
 func rank(w Step, now time.Time) Rank {
 	urgent := w.Priority == 0
 	switch {
@@ -109,7 +121,7 @@
 			return UrgentInTime
 		}
 		return InTime
-	case now.After(w.Arrived.Add(ExpiryFactor * w.Deadline.Sub(w.Arrived))):
+	case now.After(w.expiry()):
 		return Expired
 	case urgent:
 		return UrgentLate
--- a/urgency/urgency_test.go
+++ b/urgency/urgency_test.go
@@ -76,6 +76,37 @@
 	})
 }
 
+// Guards against late work that counts as urgent while it can still wait, or when it is too late for it to have value.
+func TestLastChance(t *testing.T) {
+	lookup, gang, short := work(0, 1.2, 0.6), work(1, 10, 4), work(1, 3, 8)
+	untimed := gang
+	untimed.NoDeadline = true
+	cases := []struct {
+		name       string
+		work       urgency.Step
+		now        float64
+		lastChance bool
+	}{
+		{"in time", gang, 5.9, false},
+		{"just late", gang, 6.1, false},
+		{"late with time left", gang, 22.4, false},
+		{"close to the last useful start", gang, 22.6, true},
+		{"at the last useful start", gang, 26, true},
+		{"too late for any value", gang, 26.1, false},
+		{"expired", gang, 30.1, false},
+		{"a late lookup", lookup, 1.5, true},
+		{"late on arrival", short, 0, true},
+		{"without a deadline", untimed, 24, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			if got := urgency.Assess(test.work, at(test.now)); got.LastChance != test.lastChance {
+				t.Errorf("got %+v, want last chance %v", got, test.lastChance)
+			}
+		})
+	}
+}
+
 func TestCompare(t *testing.T) {
 	ordered := []urgency.Assessment{
 		urgency.Assess(work(0, 1.2, 0.6), start), urgency.Assess(work(1, 5, 4), start), urgency.Assess(work(2, 18, 3.4), start),
