scheduler, workload: a job keeps its size class when its owner is replaced

A new owner classified the jobs that its predecessor had left by comparing them with each other. Most of those are large while capacity is short, so that it took many large gangs for usual ones, which are not promoted when they are late.

The class is now in the job's row, in a field that earlier builds ignore. The sizes of restored jobs no longer count among the recent ones, so that a new owner has no class for new jobs until enough have arrived; it treats those like large ones. Jobs of earlier builds have no class either.

TestSizesAfterTakeover fails on the code before, adapted to its field: restored jobs are of unknown class instead of the largest.

--- a/scheduler/end.go
+++ b/scheduler/end.go
@@ -136,7 +136,7 @@
 	j.describe(s.log.Info()).Str("state", string(state)).Str("why", why).
 		Dur("age", time.Since(j.arrived)).Bool("late", late).Msg("job is final")
 	s.metrics.final(state, late, time.Since(j.arrived))
-	s.metrics.finalBySize(j.sizeClass, j.servedOutcome(state, time.Now()))
+	s.metrics.finalBySize(j.record.Size, j.servedOutcome(state, time.Now()))
 	j.eachTask(func(t *task) {
 		if t.hosted() && t.state != taskDone {
 			s.stop(t, "its job is "+string(state))
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"chutereach/overload"
-	"chutereach/sizeclass"
 	"chutereach/workload"
 )
 
@@ -176,7 +175,6 @@
 	record    workload.Record
 	account   *accountState
 	overShare bool // it is over its account's share
-	sizeClass sizeclass.Class
 	// expiryLogged is whether the log has the line that the job waits although its completion has no value.
 	expiryLogged bool
 	hosted       int // tasks that occupy capacity on workers
--- a/scheduler/late_gang.go
+++ b/scheduler/late_gang.go
@@ -44,5 +44,5 @@
 // mayBePromoted reports whether the candidate is a late gang at its last chance that is large or of unknown size
 // and within its account's fair share.
 func (c *candidate) mayBePromoted() bool {
-	return c.step.spec.Gang && c.urgency.Rank == urgency.Late && c.urgency.LastChance && !c.urgency.OverShare && c.step.job.sizeClass != sizeclass.Usual
+	return c.step.spec.Gang && c.urgency.Rank == urgency.Late && c.urgency.LastChance && !c.urgency.OverShare && c.step.job.record.Size != sizeclass.Usual
 }
--- a/scheduler/late_gang_test.go
+++ b/scheduler/late_gang_test.go
@@ -6,6 +6,7 @@
 
 	"chutereach/sizeclass"
 	"chutereach/urgency"
+	"chutereach/workload"
 )
 
 // Guards against large gangs that starve once they are late, and against promoting other late work, or so many
@@ -16,7 +17,7 @@
 		work       = time.Second
 		lastChance = (urgency.ExpiryFactor-1)*objective - work - 500*time.Millisecond // after the deadline
 	)
-	gang := func(class sizeclass.Class) *job { return &job{sizeClass: class} }
+	gang := func(class sizeclass.Class) *job { return &job{record: workload.Record{Size: class}} }
 	several := []*job{
 		gang(sizeclass.Largest), gang(sizeclass.Large), gang(sizeclass.Large), gang(sizeclass.Large), gang(sizeclass.Large), gang(sizeclass.Large),
 	}
@@ -36,7 +37,7 @@
 		{"just late under overload", several, 1, true, time.Second, 0},
 		{"that would be completed too late", []*job{gang(sizeclass.Largest)}, 1, false, lastChance + time.Second, 0},
 		{"of usual size", []*job{gang(sizeclass.Usual)}, 1, false, lastChance, 0},
-		{"over its account's share", []*job{{sizeClass: sizeclass.Largest, overShare: true}}, 1, false, lastChance, 0},
+		{"over its account's share", []*job{{record: workload.Record{Size: sizeclass.Largest}, overShare: true}}, 1, false, lastChance, 0},
 		{"batches", []*job{gang(sizeclass.Largest)}, 2, false, lastChance, 0},
 		{"expired", []*job{gang(sizeclass.Largest)}, 1, false, time.Minute, 0},
 	}
@@ -52,7 +53,7 @@
 			inTime.deadline = r.now.Add(2 * time.Second)
 			for _, like := range test.late {
 				j := r.add(test.priority, 10, 1000, work, 0)
-				j.sizeClass, j.overShare = like.sizeClass, like.overShare
+				j.record.Size, j.overShare = like.record.Size, like.overShare
 				j.arrived, j.deadline = r.now.Add(-objective-test.lateBy), r.now.Add(-test.lateBy)
 			}
 			promoted := 0
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -80,7 +80,6 @@
 	}
 	s.restoreBundles(stored)
 	s.countArrivals()
-	s.classifyRestored()
 	s.log.Info().Int("jobs", len(s.jobs)).Int("active", len(s.active)).Int("workers", len(s.workers)).
 		Int("bundles", len(stored.bundles)).Msg("scheduler state loaded")
 	return nil
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -262,7 +262,7 @@
 	return mean.Relative(overload.SizeOf(r.work, load.capacity))
 }
 
-// recordSize adds a job that has arrived to the sizes of its queue and sets its size class. Scheduled jobs do
+// recordSize adds a job that has arrived to the sizes of its queue and classifies it. Scheduled jobs do
 // not count in the mean size, as they are not ordered by size.
 func (s *Scheduler) recordSize(j *job) {
 	o, queue := &s.sizeOrder, j.record.Queue
@@ -274,7 +274,7 @@
 	o.arrivals++
 	sizes.lastArrival = o.arrivals
 	sizes.recent = sizes.recent.WithArrival(j.coreSeconds())
-	j.sizeClass = sizes.recent.ClassOf(j.coreSeconds())
+	j.record.Size = sizes.recent.ClassOf(j.coreSeconds())
 	if load := o.services[queue.Service]; s.load.SizeOrder && load.hasCapacity() && !j.record.Request.Scheduled() {
 		sizes.MeanSize = sizes.WithArrival(overload.SizeOf(j.rounds[0].remainingWork(load.capacity), load.capacity))
 	}
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -72,7 +70,7 @@
 func (s *Scheduler) countWait(st *step, cause waitCause, now time.Time) {
 	st.waits = st.waits.With(cause, now)
 	s.passes.waiting[cause]++
-	if st.job.sizeClass == sizeclass.Largest {
+	if st.job.record.Size == sizeclass.Largest {
 		s.passes.largestWaiting[cause]++
 	}
 }
@@ -89,19 +87,6 @@
 	return total
 }
 
-// classifyRestored classifies the active jobs that former owners have accepted, in the order of their
-// arrival. A new owner has no record of earlier jobs to compare them with.
-func (s *Scheduler) classifyRestored() {
-	list := make([]*job, 0, len(s.active))
-	for _, j := range s.active {
-		list = append(list, j)
-	}
-	slices.SortFunc(list, func(a, b *job) int { return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.id, b.id)) })
-	for _, j := range list {
-		s.recordSize(j)
-	}
-}
-
 // describe adds the job's ID, queue and size to a log line, the most attempts that a task of it had, and how
 // long its steps have waited in this term, by cause.
 func (j *job) describe(event *zerolog.Event) *zerolog.Event {
@@ -124,7 +109,7 @@
 			spans.Dur(waitCauseNames[cause], span.Round(time.Millisecond))
 		}
 	}
-	return event.Str("job", j.id).Str("queue", j.record.Queue.Name).Stringer("size", j.sizeClass).Int("tasks", tasks).
+	return event.Str("job", j.id).Str("queue", j.record.Queue.Name).Stringer("size", j.record.Size).Int("tasks", tasks).
 		Int("attempts", attempts).Dict("waited", spans)
 }
 
--- a/scheduler/waits_test.go
+++ b/scheduler/waits_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/rs/zerolog"
 
+	"chutereach/rowstore"
+	"chutereach/sizeclass"
 	"chutereach/workload"
 )
 
@@ -86,3 +88,29 @@
 		}
 	}
 }
+
+// Guards against large jobs that a new owner takes for usual ones, because most jobs that its predecessor has left
+// are large.
+func TestSizesAfterTakeover(t *testing.T) {
+	before := newOverloadReplay(t, true, 1)
+	for range 100 {
+		before.add(1, 10, 1000, time.Second, 0)
+	}
+	var rows []rowstore.Row
+	for i := range 30 {
+		j := before.add(1, 100+i, 1000, time.Second, 0)
+		rows = append(rows, rowstore.Row{Key: rowstore.Key{Name: j.id}, Value: j.record.Encode()})
+	}
+	after := newOverloadReplay(t, true, 1)
+	if err := after.restore(rows, nil, storedBundles{}); err != nil {
+		t.Fatal(err)
+	}
+	if len(after.active) != len(rows) {
+		t.Fatalf("%d jobs are loaded, want %d", len(after.active), len(rows))
+	}
+	for id, j := range after.active {
+		if want := before.jobs[id].record.Size; j.record.Size != want || want == sizeclass.Usual {
+			t.Errorf("job %s is %v, was %v", id, j.record.Size, want)
+		}
+	}
+}
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -5,6 +5,7 @@
 
 	"chutereach/account"
 	"chutereach/codec"
+	"chutereach/sizeclass"
 )
 
 // State is the state of a job as reported to clients.
@@ -85,6 +86,9 @@
 	// Account holds the terms of the owning account at the time of acceptance. They remain in
 	// force if a later configuration removes the account. Empty for a job without an account.
 	Account account.Terms `cbor:"4,keyasint,omitempty"`
+	// Size is the class of the job among those of its queue at the time of acceptance. Later owners do not
+	// know the other jobs.
+	Size sizeclass.Class `cbor:"5,keyasint,omitempty"`
 }
 
 // RowError reports a stored row of a job that cannot be decoded.
