scheduler: test that promoted gangs get room with either policy

The postmortem of large gangs that starve lists that gang-room = needed has no test of promoted gangs. A gang of tasks of 18 of a worker's 32 CPUs waits beside batches that fill the workers; with either policy it has to be done before its completion loses its value.

--- a/scheduler/late_gang_test.go
+++ b/scheduler/late_gang_test.go
@@ -72,3 +72,31 @@
 		})
 	}
 }
+
+// Guards against gangs that find no room at their last chance, with either policy for the room of gangs.
+func TestPromotedGangGetsRoom(t *testing.T) {
+	const objective, work = 10 * time.Second, time.Second
+	for name, bounded := range map[string]bool{"all": false, "needed": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newOverloadReplay(t, false, 4)
+			r.load.BoundedGangRoom = bounded
+			var gang *job
+			for pass := range 240 {
+				if pass%2 == 0 {
+					r.add(2, 1, 9000, work, 0)
+				}
+				if pass == 80 {
+					gang = r.add(1, 4, 18_000, work, 0)
+					gang.record.Size = sizeclass.Largest
+					expiry := r.now.Add(4 * time.Second)
+					gang.arrived = expiry.Add(-urgency.ExpiryFactor * objective)
+					gang.deadline = gang.arrived.Add(objective)
+				}
+				r.pass()
+			}
+			if gang.roundsLeft > 0 {
+				t.Error("the gang is not done before its completion has no value")
+			}
+		})
+	}
+}
