scheduler, urgency: overdue gangs are promoted, before their last chance

Cause: large jobs have long objectives, so that their last chance comes a minute after their latest start. The capacity that becomes free until then goes to work in time and to small gangs, and callers have stopped asking.

A gang is now promoted once it has been late for a quarter of the time until its last useful start.

TestLateGangsArePromoted and TestOverdue check the time; TestLargestGangsStarve is unchanged and passes.

--- a/scheduler/late_gang.go
+++ b/scheduler/late_gang.go
@@ -18,8 +18,8 @@
 // promoteLateGangs promotes the most urgent late gangs of each service to the rank of work that can meet its
 // deadline. Without it, large gangs starve while capacity is short: late work gets only the capacity that is left,
 // and the more tasks a gang has, the less likely it is that all of them fit there at once. Gangs of usual
-// size fit often enough. A gang is promoted only shortly before its completion loses all value, since capacity
-// often becomes free before that, and work in time is worth more.
+// size fit often enough. A gang is promoted only once it is overdue, since capacity often becomes free before
+// that, and work in time is worth more.
 func (s *Scheduler) promoteLateGangs(list []candidate) {
 	late := map[string][]*candidate{}
 	for i := range list {
@@ -41,8 +41,8 @@
 	}
 }
 
-// mayBePromoted reports whether the candidate is a late gang at its last chance that is large or of unknown size
-// and within its account's fair share.
+// mayBePromoted reports whether the candidate is an overdue gang that is large or of unknown size and within its
+// account's fair share.
 func (c *candidate) mayBePromoted() bool {
-	return c.step.spec.Gang && c.urgency.Rank == urgency.Late && c.urgency.LastChance && !c.urgency.OverShare && c.step.job.record.Size != sizeclass.Usual
+	return c.step.spec.Gang && c.urgency.Rank == urgency.Late && c.urgency.Overdue && !c.urgency.OverShare && c.step.job.record.Size != sizeclass.Usual
 }
--- a/scheduler/late_gang_test.go
+++ b/scheduler/late_gang_test.go
@@ -13,9 +13,10 @@
 // gangs or so early that work in time is late for them.
 func TestLateGangsArePromoted(t *testing.T) {
 	const (
-		objective  = 10 * time.Second
-		work       = time.Second
-		lastChance = (urgency.ExpiryFactor-1)*objective - work - 500*time.Millisecond // after the deadline
+		objective = 10 * time.Second
+		work      = time.Second
+		// after the deadline
+		overdue, tooLate = 5 * time.Second, (urgency.ExpiryFactor-1)*objective - work/2
 	)
 	gang := func(class sizeclass.Class) *job { return &job{record: workload.Record{Size: class}} }
 	several := []*job{
@@ -29,16 +30,16 @@
 		lateBy     time.Duration
 		promoted   int
 	}{
-		{"one", []*job{gang(sizeclass.Largest)}, 1, false, lastChance, 1},
-		{"of unknown size", []*job{gang(sizeclass.Unknown)}, 1, false, lastChance, 1},
-		{"several", several, 1, false, lastChance, maxPromoted},
-		{"several under overload", several, 1, true, lastChance, maxPromotedUnderOverload},
+		{"one", []*job{gang(sizeclass.Largest)}, 1, false, overdue, 1},
+		{"of unknown size", []*job{gang(sizeclass.Unknown)}, 1, false, overdue, 1},
+		{"several", several, 1, false, overdue, maxPromoted},
+		{"several under overload", several, 1, true, overdue, maxPromotedUnderOverload},
 		{"just late", []*job{gang(sizeclass.Largest)}, 1, false, time.Second, 0},
 		{"just late under overload", several, 1, true, time.Second, 0},
-		{"that would be completed too late", []*job{gang(sizeclass.Largest)}, 1, false, lastChance + time.Second, 0},
-		{"of usual size", []*job{gang(sizeclass.Usual)}, 1, false, lastChance, 0},
-		{"over its account's share", []*job{{record: workload.Record{Size: sizeclass.Largest}, overShare: true}}, 1, false, lastChance, 0},
-		{"batches", []*job{gang(sizeclass.Largest)}, 2, false, lastChance, 0},
+		{"that would be completed too late", []*job{gang(sizeclass.Largest)}, 1, false, tooLate, 0},
+		{"of usual size", []*job{gang(sizeclass.Usual)}, 1, false, overdue, 0},
+		{"over its account's share", []*job{{record: workload.Record{Size: sizeclass.Largest}, overShare: true}}, 1, false, overdue, 0},
+		{"batches", []*job{gang(sizeclass.Largest)}, 2, false, overdue, 0},
 		{"expired", []*job{gang(sizeclass.Largest)}, 1, false, time.Minute, 0},
 	}
 	for _, test := range cases {
@@ -73,7 +74,7 @@
 	}
 }
 
-// Guards against gangs that find no room at their last chance, with either policy for the room of gangs.
+// Guards against overdue gangs that find no room, with either policy for the room of gangs.
 func TestPromotedGangGetsRoom(t *testing.T) {
 	const objective, work = 10 * time.Second, time.Second
 	for name, bounded := range map[string]bool{"all": false, "needed": true} {
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -27,6 +27,9 @@
 	// yieldLead is how long before its latest start, plus the same margin, a step stops
 	// leaving room to others.
 	yieldLead = 3 * time.Second
+	// overdueShare is the share of the time between the latest start and the last useful one for which a step is
+	// late before it is overdue. Much of what is late gets free capacity by then.
+	overdueShare = 0.25
 	// maxIdle is how long a job without running tasks may be held back. A job must not be
 	// idle for 3 s while there is room for it.
 	maxIdle = 2 * time.Second
@@ -56,8 +59,9 @@
 	LatestStart time.Time
 	// Promoted is set if the step is late and has the rank of work that can meet its deadline.
 	Promoted bool
-	// LastChance is set if the step is late and has to start soon, or its completion will have no value.
-	LastChance bool
+	// Overdue is set if the step has been late for the share overdueShare of the time that it has until its
+	// completion has no value, and can still be completed before that.
+	Overdue bool
 	// MayPreempt is set if the step may preempt work of lesser queues.
 	MayPreempt bool
 	// Deferrable is set if the step may be held back although there is room, because its job
@@ -97,7 +101,7 @@
 	}
 	margin := time.Duration(estimateMargin * float64(w.CriticalPath))
 	v.MayPreempt = v.Rank <= InTime && (w.Priority == 0 || now.Add(preemptLead+margin).After(v.LatestStart))
-	v.LastChance = (v.Rank == Late || v.Rank == UrgentLate) && w.completesBeforeExpiry(now) && !w.completesBeforeExpiry(now.Add(preemptLead+margin))
+	v.Overdue = (v.Rank == Late || v.Rank == UrgentLate) && !now.Before(w.overdueStart()) && !now.After(w.lastUsefulStart())
 	v.DefersToGangs = v.Deferrable && w.Priority > 0 && now.Add(yieldLead+margin).Before(v.LatestStart)
 	return v
 }
@@ -105,10 +109,13 @@
 // expiry returns the time from which the completion of the step's job has no value.
 func (w Step) expiry() time.Time { return w.Arrived.Add(ExpiryFactor * w.Deadline.Sub(w.Arrived)) }
 
-// completesBeforeExpiry reports whether the critical path can be completed before the expiry if it starts
-// at the given time.
-func (w Step) completesBeforeExpiry(start time.Time) bool {
-	return !start.Add(w.CriticalPath).After(w.expiry())
+// lastUsefulStart returns the latest time at which the critical path can start and be completed before the expiry.
+func (w Step) lastUsefulStart() time.Time { return w.expiry().Add(-w.CriticalPath) }
+
+// overdueStart returns the time from which a step that still waits is overdue.
+func (w Step) overdueStart() time.Time {
+	latest := w.Deadline.Add(-w.CriticalPath)
+	return latest.Add(time.Duration(overdueShare * float64(w.lastUsefulStart().Sub(latest))))
 }
 
 func rank(w Step, now time.Time) Rank {
--- a/urgency/urgency_test.go
+++ b/urgency/urgency_test.go
@@ -76,21 +76,21 @@
 	})
 }
 
-// Guards against late work that counts as urgent while it can still wait, or when it is too late for it to have value.
-func TestLastChance(t *testing.T) {
+// Guards against late work that is promoted while it can still wait, or when it is too late for it to have value.
+func TestOverdue(t *testing.T) {
 	lookup, gang, short := work(0, 1.2, 0.6), work(1, 10, 4), work(1, 3, 8)
 	untimed := gang
 	untimed.NoDeadline = true
 	cases := []struct {
-		name       string
-		work       urgency.Step
-		now        float64
-		lastChance bool
+		name    string
+		work    urgency.Step
+		now     float64
+		overdue bool
 	}{
 		{"in time", gang, 5.9, false},
 		{"just late", gang, 6.1, false},
-		{"late with time left", gang, 22.4, false},
-		{"close to the last useful start", gang, 22.6, true},
+		{"late for less than a quarter of its time", gang, 10.9, false},
+		{"late for more than a quarter of its time", gang, 11.1, true},
 		{"at the last useful start", gang, 26, true},
 		{"too late for any value", gang, 26.1, false},
 		{"expired", gang, 30.1, false},
@@ -100,8 +100,8 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			if got := urgency.Assess(test.work, at(test.now)); got.LastChance != test.lastChance {
-				t.Errorf("got %+v, want last chance %v", got, test.lastChance)
+			if got := urgency.Assess(test.work, at(test.now)); got.Overdue != test.overdue {
+				t.Errorf("got %+v, want overdue %v", got, test.overdue)
 			}
 		})
 	}
