--- a/review/kit-3/cases_test.go
+++ b/review/kit-3/cases_test.go
@@ -10,7 +10,7 @@
 )
 
 // cases are the cases by name.
-var cases = map[string]func(){"crashes": crashes, "owners": owners}
+var cases = map[string]func(){"crashes": crashes, "owners": owners, "waiting": waiting}
 
 const (
 	nodeCount   = 6
@@ -42,7 +42,7 @@
 		f.add("", "sala-a", "a", fmt.Sprintf("r1-%d", i/6))
 	}
 	for i := range nodeCount {
-		newNode(i, address).start()
+		newNode(i, address, "").start()
 	}
 	waitReady(20 * time.Second)
 	time.Sleep(3 * time.Second)
@@ -50,7 +50,9 @@
 }
 
 // submit hands a job in, at one node after another, until it is accepted.
-func submit(id, body string) {
+func submit(id, body string) { submitTo(prefix, id, body) }
+
+func submitTo(prefix, id, body string) {
 	for try := range 10 {
 		n := nodes[try%len(nodes)]
 		status, text := n.call("POST", prefix+id, body, 3*time.Second)
@@ -224,3 +226,92 @@
 		n.start()
 	}()
 }
+
+const (
+	watchers     = 160
+	watchPrefix  = "/watch/"
+	lostRack     = "r1-7"
+	batchSeconds = 30
+)
+
+// waiting has one rack of workers lost for good, on which 160 small jobs that last need to run. Beside them come batch jobs that
+// the other workers can run.
+func waiting() {
+	s := newStore()
+	address, _ := s.listen()
+	queue := func(name, path string, priority int, decision, period float64) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "pathPrefix": path, "service": "desk", "priority": priority, "attempts": 4, "stretch": 4.0, "targetLatencyMs": 3000,
+			"advice": map[string]any{"decisionMs": decision, "periodMs": period, "validMs": ticketLife.Milliseconds()},
+		}
+	}
+	const decision, period = 140, 2
+	s.put("op", "config", map[string]any{
+		"version": 7, "routes": []any{queue("watch", watchPrefix, 1, decision, period), queue("claims", prefix, 2, decision, period)},
+		"services": []any{map[string]any{"name": "desk", "admissionCheck": false}}, "limits": map[string]any{},
+	})
+	f := newFleet(s)
+	f.advice = &advice{cost: func(string) (time.Duration, time.Duration) {
+		return decision * time.Millisecond, period * time.Millisecond
+	}}
+	f.plan = func(task string, _ int, _ string) (time.Duration, string) {
+		if strings.HasPrefix(task, "a") {
+			return time.Hour, "done"
+		}
+		return 900 * time.Millisecond, "done"
+	}
+	var rack []*worker
+	for i := range workerCount {
+		label := fmt.Sprintf("r1-%d", i/6)
+		w := f.add("", "sala-a", "a", label)
+		if label == lostRack {
+			rack = append(rack, w)
+		}
+	}
+	for i := range nodeCount {
+		newNode(i, address, f.advice.listen()).start()
+	}
+	waitReady(20 * time.Second)
+	time.Sleep(3 * time.Second)
+	for i := range watchers {
+		submitTo(watchPrefix, fmt.Sprintf("a%015x", i), fmt.Sprintf(`{"spec":"watch","phases":[{"count":1,"cpu":400,"memMb":64,"estimateMs":500,"longRunning":true,"constraints":%q}]}`, lostRack))
+	}
+	time.Sleep(12 * time.Second)
+	f.mu.Lock()
+	running := len(f.runs)
+	f.mu.Unlock()
+	record("%d tasks that last have been started", running)
+	if running < watchers {
+		cannotRun("%d of %d tasks that last run", running, watchers)
+	}
+	if trouble {
+		for _, w := range rack {
+			record("worker %s is lost for good", w.id)
+			w.crash()
+		}
+	}
+	time.Sleep(8 * time.Second)
+	jobs := 2 * batchSeconds
+	for i := range jobs {
+		submitTo(prefix, fmt.Sprintf("b%015x", i), `{"spec":"claim","phases":[{"count":2,"cpu":900,"memMb":64,"estimateMs":900}]}`)
+		time.Sleep(500 * time.Millisecond)
+	}
+	time.Sleep(finishTime)
+	started, states := map[string]bool{}, map[string]int{}
+	f.mu.Lock()
+	for _, r := range f.runs {
+		started[r.task[:16]] = true
+	}
+	f.mu.Unlock()
+	never := 0
+	for i := range jobs {
+		id := fmt.Sprintf("b%015x", i)
+		got := state(id)
+		states[got]++
+		if !started[id] && got != "completed" {
+			never++
+		}
+	}
+	record("batch jobs by state: %v; calls for advice: %d", states, f.advice.calls.Load())
+	verdict(never > 0, "%d of %d accepted batch jobs have started no task %v after the last was handed in, beside %d idle workers (%v)", never, jobs, finishTime, workerCount-len(rack), states)
+}
--- a/review/kit-3/node_test.go
+++ b/review/kit-3/node_test.go
@@ -69,6 +69,7 @@
 // node is a process of the system.
 type node struct {
 	name, front, ready, peer, settings string
+	advice                             string // address of the advice service; empty: none
 	memory                             int
 
 	mu      sync.Mutex
@@ -95,8 +96,8 @@
 	return ""
 }
 
-func newNode(index int, store string) *node {
-	n := &node{name: fmt.Sprintf("edge-%d", index), front: freeAddress(), ready: freeAddress(), peer: freeAddress(), memory: 284}
+func newNode(index int, store, advice string) *node {
+	n := &node{name: fmt.Sprintf("edge-%d", index), advice: advice, front: freeAddress(), ready: freeAddress(), peer: freeAddress(), memory: 284}
 	n.settings = filepath.Join(folder, n.name+".ini")
 	n.writeSettings(store)
 	nodes = append(nodes, n)
@@ -123,7 +124,7 @@
 partition-writes = 200
 
 [advice]
-address =
+address = %s
 
 [times]
 longest-lease = 6000ms
@@ -137,7 +138,7 @@
 
 [load]
 order = size
-`, n.name, n.front, n.ready, n.peer, n.memory, store)
+`, n.name, n.front, n.ready, n.peer, n.memory, store, n.advice)
 	temp := n.settings + ".new"
 	if err := os.WriteFile(temp, []byte(text), 0o600); err != nil {
 		cannotRun("%v", err)
--- a/review/kit-3/worker_test.go
+++ b/review/kit-3/worker_test.go
@@ -20,6 +20,7 @@
 	plan func(task string, attempt int, spec string) (time.Duration, string)
 	// started, if not nil, is called with each start.
 	started func(w *worker, r *run)
+	advice  *advice // nil if starts need no ticket
 	number  int
 }
 
@@ -158,6 +159,7 @@
 	Deadline   int64  `json:"deadlineMs"`
 	Token      uint64 `json:"fencingToken"`
 	Checkpoint string `json:"checkpoint"`
+	Ticket     string `json:"ticket"`
 	Seen       uint64 `json:"lastSeen"`
 	Wait       int64  `json:"waitMs"`
 }
@@ -243,6 +245,10 @@
 		w.refuse(rw, "old")
 		return
 	}
+	if w.fleet.advice != nil && !w.fleet.advice.accepts(o.Ticket, o.Task, w.id) {
+		w.refuse(rw, "ticket")
+		return
+	}
 	work, how := time.Second, "done"
 	if w.fleet.plan != nil {
 		work, how = w.fleet.plan(o.Task, o.Attempt, o.Spec)
