--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,3 +4,5 @@
 set -eu
 cd "$(dirname "$0")/kit-3"
 GOTOOLCHAIN=local GOWORK=off go test -c -o ../../target/review-3/kit3 .
+cd ../kit-4
+GOTOOLCHAIN=local GOWORK=off go test -c -o ../../target/review-3/kit4 .
