scheduler: log until when tasks on a silent worker are in doubt

The line "worker does not answer" did not tell how many attempts are in doubt, nor for how long: an owner that has never reached the worker waits 8.3 s, one that has at most 3.3 s. With attempts, reached and lease_left the log tells a wait that each owner begins anew from one for advice or room.

--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -185,7 +185,8 @@
 			w.brokeOpenCall = w.unresponsiveSince.Sub(result.sent) > openCallTime+s.lateness()
 			s.recordWorkerEnd(w, w.unresponsiveSince)
 		}
-		s.log.Warn().Str("worker", w.info.ID).Err(err).Msg("worker does not answer")
+		s.log.Warn().Str("worker", w.info.ID).Int("attempts", len(w.tasks)).Bool("reached", !w.lastReportAt.IsZero()).
+			Dur("lease_left", time.Until(w.leaseExpiry)).Err(err).Msg("worker does not answer")
 	}
 	if time.Now().After(w.leaseExpiry) {
 		s.expireAttempts(w, "lease expired")
