scheduler, leadership, node: lease bounds of silent workers outlive their owner

A new owner kept the attempts on each worker that it did not reach until the longest lease that its predecessor may have granted had expired, 8.3 s after the takeover, also if no owner before it had reached the worker either. So a series of owners never came to the end of the wait.

An owner now stores until when tasks can run on a worker out of reach, by the store's clock, and extends no lease for which the store may have such a bound before it is withdrawn. The row of the owner has the lowest token since which all owners keep bounds; bounds from before an owner of an earlier build, which extends leases without withdrawing any, are not used. At a handover the owner stops extending leases and tells its successor, which then waits for one lease only.

--- a/leadership/commit.go
+++ b/leadership/commit.go
@@ -55,6 +55,7 @@
 func (r *Term) Commit(ctx context.Context, puts []rowstore.Put, deletes []rowstore.Key) error {
 	next := r.row
 	next.Sequence++
+	r.started.Store(next.Sequence)
 	c := &commit{
 		term: r, nextRow: next, startedAt: clock.Now(), large: isLarge(puts), results: make(chan result, maxSends+maxReads),
 		transaction: rowstore.Transaction{
@@ -69,6 +70,7 @@
 	}
 	r.version, r.row = version, next
 	r.confirmed.Store(version)
+	r.applied.Store(next.Sequence)
 	return nil
 }
 
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -32,6 +32,17 @@
 	Address  string `cbor:"2,keyasint"` // for calls from other nodes
 	Term     string `cbor:"3,keyasint"` // unique ID of the term
 	Sequence uint64 `cbor:"4,keyasint"` // number of the owner's transactions in this term
+	// BoundsSince is the lowest token as of which all owners up to this one have kept lease bounds (package
+	// leases). Builds that keep none write rows without it.
+	BoundsSince uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// boundsSinceAfter returns BoundsSince for the row of the next owner. Its token is above the version of this row.
+func (r ObservedRow) boundsSinceAfter() uint64 {
+	if r.BoundsSince != 0 {
+		return r.BoundsSince
+	}
+	return r.Version + 1
 }
 
 // ObservedRow is an owner's row as read from the store. Version 0 means that the shard has never had
@@ -42,6 +53,47 @@
 	// FirstSeen is when the row was first seen at this version, by the reader's clock. The owner sent
 	// its last applied transaction before then.
 	FirstSeen time.Time
+	// Release is the owner's release of its leases, if it has handed the shard over at this version.
+	Release Release
+}
+
+// Release tells a successor that the owner extends no leases until a transaction with a higher Sequence has been applied. The
+// zero value is none.
+type Release struct {
+	Term     string `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
+	// Leases is how long leases may last from then on that are longer than those of this owner, as those of earlier owners.
+	Leases time.Duration `cbor:"3,keyasint,omitempty"`
+	// receivedAt is when the successor received the release, by its own clock.
+	receivedAt time.Time
+}
+
+// WithLeases returns the release with a time for which leases may last.
+func (r Release) WithLeases(last time.Duration) Release {
+	r.Leases = max(0, last)
+	return r
+}
+
+// WithReceipt returns the release as received at a time of the successor's clock.
+func (r Release) WithReceipt(at time.Time) Release {
+	r.receivedAt = at
+	return r
+}
+
+// ReceivedAt returns when the successor received the release.
+func (r Release) ReceivedAt() time.Time { return r.receivedAt }
+
+// covers reports whether the release holds for an owner's row: its owner has not resumed extending leases since.
+func (r Release) covers(row Row) bool {
+	return r.Term != "" && r.Term == row.Term && row.Sequence <= r.Sequence
+}
+
+// WithRelease returns the row with the release of its owner, if that covers it.
+func (r ObservedRow) WithRelease(release Release) ObservedRow {
+	if release.covers(r.Row) {
+		r.Release = release
+	}
+	return r
 }
 
 func ownerKey(shard string) rowstore.Key {
@@ -85,14 +137,19 @@
 // Term is one node's ownership of a shard. Commit must not be called concurrently; the other
 // methods are safe for concurrent use.
 type Term struct {
-	store   rowstore.Store
-	shard   string
-	token   uint64
-	row     Row
-	version uint64
+	store       rowstore.Store
+	shard       string
+	id          string // Row.Term
+	token       uint64
+	boundsSince uint64 // Row.BoundsSince
+	row         Row
+	version     uint64
 	// confirmed is a copy of version for concurrent readers.
 	confirmed        atomic.Uint64
 	formerSentBefore time.Time // upper bound of when the previous owner sent its last applied transaction
+	formerRelease    Release   // of the previous owner's leases; zero if it has not released them
+	// started and applied are the numbers of the last transaction that was started, and that is known to be applied.
+	started, applied atomic.Uint64
 	// answerTimeout is how long a transaction may go unanswered before the owner's row is read to
 	// learn its outcome.
 	answerTimeout time.Duration
@@ -112,8 +169,10 @@
 func Acquire(ctx context.Context, store rowstore.Store, shard, node, address string, seen ObservedRow) (*Term, error) {
 	term := &Term{
 		store: store, shard: shard, version: seen.Version, formerSentBefore: seen.FirstSeen, answerTimeout: minAnswerTimeout, largeStall: maxLargeStall,
-		row: Row{Node: node, Address: address, Term: xid.New().String()},
+		formerRelease: seen.Release,
+		row:           Row{Node: node, Address: address, Term: xid.New().String(), BoundsSince: seen.boundsSinceAfter()},
 	}
+	term.id, term.boundsSince = term.row.Term, term.row.BoundsSince
 	if err := term.Commit(ctx, nil, nil); err != nil {
 		return nil, err
 	}
@@ -135,6 +194,19 @@
 // applied transaction.
 func (r *Term) FormerSentBefore() time.Time { return r.formerSentBefore }
 
+// BoundsSince returns the lowest token as of which all owners, up to this one, have kept lease bounds.
+func (r *Term) BoundsSince() uint64 { return r.boundsSince }
+
+// FormerRelease returns the previous owner's release of its leases, or the zero value.
+func (r *Term) FormerRelease() Release { return r.formerRelease }
+
+// Release returns a release of this owner's leases. The owner must extend none from before the call until Resumed.
+func (r *Term) Release() Release { return Release{Term: r.id, Sequence: r.started.Load()} }
+
+// Resumed reports whether a transaction that began after a release has been applied. The release covers the owner's row no
+// longer then.
+func (r *Term) Resumed(release Release) bool { return r.applied.Load() > release.Sequence }
+
 // SinceLastCommit returns the time since the last applied transaction was first sent, including time
 // during which the machine was suspended. A successor may have acquired the shard in that time,
 // and computes the expiry of leases from the last transaction that it saw.
--- a/node/handover.go
+++ b/node/handover.go
@@ -102,18 +102,28 @@
 	if err == nil {
 		defer release()
 	}
-	err = n.callSuccessor(ctx, successor, takeoverRequest{From: n.config.Self.Node, StoreTimeout: h.probeTimeout})
+	err = n.callSuccessor(ctx, successor, takeoverRequest{From: n.config.Self.Node, StoreTimeout: h.probeTimeout, Release: own.StopExtendingLeases()})
 	n.log.Info().Str("successor", successor.Node).Str("why", h.why).Dur("lag", n.lag.Mean()).
 		Bool("machine_slow", n.speed.slow()).Err(err).Msg("handing the shard over")
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	replaced := err == nil || isNotOwner(err)
+	if !replaced && isNotTaken(err) {
+		own.ResumeExtendingLeases()
+	}
 	if replaced && n.scheduler == own && n.cancelTerm != nil {
 		n.cancelTerm()
 	}
 	return replaced || n.scheduler != own
 }
 
+// isNotTaken reports whether a successor that failed with err has not taken the shard and will not.
+func isNotTaken(err error) bool {
+	var failure *peer.Failure
+	var unreachable *peer.UnreachableError
+	return errors.As(err, &failure) || errors.As(err, &unreachable)
+}
+
 // isNotOwner reports whether a peer has answered with NotOwnerError.
 func isNotOwner(err error) bool {
 	var failure *peer.Failure
@@ -124,6 +134,7 @@
 // fails unless the store answers this node quickly: if the store is slow for every node, a
 // handover does not help.
 func (n *Node) answerTakeover(_ context.Context, call takeoverRequest) (empty, error) {
+	release := call.Release.WithReceipt(time.Now())
 	look := call.StoreTimeout
 	if look <= 0 {
 		look = storeProbeTimeout
@@ -133,15 +144,15 @@
 	}
 	var err error
 	for range maxTakeoverAttempts {
-		if err = n.takeOverFrom(n.ctx, call.From); err == nil {
+		if err = n.takeOverFrom(n.ctx, call.From, release); err == nil {
 			break
 		}
 	}
 	return empty{}, err
 }
 
-// takeOverFrom takes the shard from a node that hands it over.
-func (n *Node) takeOverFrom(parent context.Context, from string) error {
+// takeOverFrom takes the shard from a node that hands it over and has released its leases.
+func (n *Node) takeOverFrom(parent context.Context, from string, release leadership.Release) error {
 	ctx, cancel := context.WithTimeout(parent, storeTimeout)
 	defer cancel()
 	seen, err := leadership.ReadOwner(ctx, n.platform.Store, n.config.Scheduler.Shard)
@@ -151,7 +162,7 @@
 	if seen.Version != 0 && seen.Node != from && seen.Node != n.config.Self.Node {
 		return &NotOwnerError{}
 	}
-	return n.takeOwnership(parent, seen, "handed over by "+from)
+	return n.takeOwnership(parent, seen.WithRelease(release), "handed over by "+from)
 }
 
 // probeStore reads the owner's row, and fails if that takes longer than within.
--- a/node/messages.go
+++ b/node/messages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chutereach/codec"
+	"chutereach/leadership"
 	"chutereach/peer"
 	"chutereach/routing"
 	"chutereach/scheduler"
@@ -114,6 +115,8 @@
 	Probe bool   `cbor:"2,keyasint,omitempty"` // only check whether a takeover is possible
 	// StoreTimeout is the time within which the store must answer the successor; 0: storeProbeTimeout.
 	StoreTimeout time.Duration `cbor:"3,keyasint,omitempty"`
+	// Release is the caller's release of its leases. Earlier builds send none.
+	Release leadership.Release `cbor:"4,keyasint,omitempty"`
 }
 
 type submitRequest struct {
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -17,6 +17,7 @@
 	"chutereach/fleet/fleettest"
 	"chutereach/leadership"
 	"chutereach/resource"
+	"chutereach/rowstore"
 	"chutereach/rowstore/memory"
 	"chutereach/scheduler"
 	"chutereach/workload"
@@ -43,6 +44,8 @@
 	evacuateWithin time.Duration
 	// answerLag, if not nil, returns how late an owner processes an answer of a worker that arrives now.
 	answerLag func() time.Duration
+	// blockedForNext is the worker whose calls get no answer at the owners that start next, until blockWorker.
+	blockedForNext string
 	// newestToken is the token of the owner started last.
 	newestToken atomic.Uint64
 }
@@ -188,14 +191,21 @@
 
 // startOwner takes the shard over with a new term and runs its owner.
 func (c *cell) startOwner() *owner {
+	c.t.Helper()
+	return c.startOwnerOf(func(store rowstore.Store) rowstore.Store { return store })
+}
+
+// startOwnerOf does the same for an owner of a build that sees and writes the store through a view.
+func (c *cell) startOwnerOf(build func(rowstore.Store) rowstore.Store) *owner {
 	c.t.Helper()
 	caller := c.store.NewClient()
+	view := build(caller)
 	for {
 		seen, err := leadership.ReadOwner(c.ctx, caller, testShard)
 		if err != nil {
 			c.t.Fatal(err)
 		}
-		term, err := leadership.Acquire(c.ctx, caller, testShard, "node", "address", seen)
+		term, err := leadership.Acquire(c.ctx, view, testShard, "node", "address", seen)
 		var deposed *leadership.DeposedError
 		if errors.As(err, &deposed) {
 			continue // the previous owner wrote to the row in between
@@ -203,14 +213,15 @@
 		if err != nil {
 			c.t.Fatal(err)
 		}
-		return c.runOwner(caller, term)
+		return c.runOwner(caller, view, term)
 	}
 }
 
-func (c *cell) runOwner(caller *memory.Client, term *leadership.Term) *owner {
+// runOwner runs the owner of a term. Its calls to the store go through view, and then through caller.
+func (c *cell) runOwner(caller *memory.Client, view rowstore.Store, term *leadership.Term) *owner {
 	c.t.Helper()
 	ctx, kill := context.WithCancel(c.ctx)
-	client := &pausableClient{Client: c.fleet, resumed: make(chan struct{})}
+	client := &pausableClient{Client: c.fleet, resumed: make(chan struct{}), blocked: c.blockedForNext}
 	if c.answerLag != nil {
 		client.Client = lateClient{c.fleet, c.answerLag}
 	}
@@ -222,7 +233,7 @@
 		config.EvacuateWithin, config.Evacuations = c.evacuateWithin, c.followEvacuations(ctx, caller)
 	}
 	o := &owner{
-		Scheduler: scheduler.New(config, caller, client, term, scheduler.NewMetrics(), zerolog.Nop()),
+		Scheduler: scheduler.New(config, view, client, term, scheduler.NewMetrics(), zerolog.Nop()),
 		caller:    caller, client: client, kill: kill, runResult: make(chan error, 1),
 	}
 	if err := o.Load(ctx); err != nil {
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -125,6 +125,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.commitTook = took
+	s.markLeaseBoundsSaved(tx.leases)
 	for _, w := range tx.writes {
 		s.markSaved(w)
 	}
@@ -138,7 +140,7 @@
 	if took < slowCommitThreshold && s.changedJobs()+maxUnbundledJobs <= bundleThreshold {
 		s.unbundle()
 	}
-	if len(s.dirty) > 0 || len(s.orphanParts) > 0 {
+	if len(s.dirty) > 0 || s.leaseBounds.changed || len(s.orphanParts) > 0 {
 		wake(s.commitWake)
 	}
 	return nil
@@ -150,6 +152,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	tx := s.newTransaction()
+	s.takeLeaseBounds(tx)
 	if s.writeLimit == 0 {
 		s.takeObsoleteBundles(tx)
 		s.takeOrphanParts(tx)
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -116,8 +116,8 @@
 }
 
 // holdOrder returns the next order for a worker and the time at which it is sent. An order does not
-// extend the lease while the store has not confirmed the term recently, nor after an unanswered
-// call, so that the known lease expiry remains an upper bound.
+// extend the lease while the store has not confirmed the term recently, while it has a bound of the lease, nor after an
+// unanswered call, so that the known lease expiry remains an upper bound.
 func (s *Scheduler) holdOrder(w *worker) (fleet.HoldOrder, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,14 +130,15 @@
 		order.Wait = min(order.Wait, trialWait)
 	}
 	first := w.lastReportAt.IsZero()
-	if first || w.unresponsive || len(w.pendingEnds) > 0 {
+	if first || w.unresponsive || w.awaitsTransaction() {
 		order.Wait = 0
 	}
 	remaining := leaseExtensionWindow - s.term.SinceLastCommit()
-	if remaining < 0 {
+	extends := remaining >= 0 && s.mayExtendLease(w)
+	if !extends {
 		order.Wait = min(order.Wait, unconfirmedWait)
 	}
-	if w.unresponsive || first || remaining < 0 {
+	if w.unresponsive || first || !extends {
 		return order, now
 	}
 	if remaining > finalExtensionMargin && remaining < holdWait {
@@ -178,6 +179,8 @@
 		return true
 	}
 	s.markTokenStale(w.info.ID)
+	// A single call may have been lost. Withdrawing the bound of a worker that answers again takes two transactions.
+	w.silent = w.silent || w.unresponsive || !fleet.IsConnectionClosed(err) && s.storeIsQuick()
 	if !w.unresponsive {
 		s.recordCallResult(false)
 		w.unresponsive, w.unresponsiveSince, w.connectionClosed = true, time.Now(), fleet.IsConnectionClosed(err)
@@ -188,6 +191,7 @@
 		s.log.Warn().Str("worker", w.info.ID).Int("attempts", len(w.tasks)).Bool("reached", !w.lastReportAt.IsZero()).
 			Dur("lease_left", time.Until(w.leaseExpiry)).Err(err).Msg("worker does not answer")
 	}
+	s.reviewLeaseBound(w)
 	if time.Now().After(w.leaseExpiry) {
 		s.expireAttempts(w, "lease expired")
 		if !w.discovered {
@@ -221,6 +225,7 @@
 	s.log.Info().Str("worker", w.info.ID).Str("why", why).Strs("lost", attemptNames(w.lostAttempts)).Bool("leaving", w.leaving).
 		Dur("silent", time.Since(w.lastReportAt)).Msg("worker incarnation ended")
 	s.countLost(w)
+	s.reviewLeaseBound(w)
 	if w.cancel != nil {
 		w.cancel()
 	}
@@ -231,8 +236,11 @@
 	wake(s.dispatchWake)
 }
 
-// awaitPersisted waits up to persistTimeout until the processed ends are stored. A call before that
-// would return the same ends at once.
+// awaitsTransaction reports whether processed ends of the worker are not stored yet, or its lease bound is not withdrawn yet.
+func (w *worker) awaitsTransaction() bool { return len(w.pendingEnds) > 0 || w.extensionBlocked }
+
+// awaitPersisted waits up to persistTimeout until the processed ends are stored and the worker's lease bound is withdrawn. A
+// call before that would return the same ends at once, or not extend the lease.
 func (s *Scheduler) awaitPersisted(ctx context.Context, w *worker) {
 	timer := time.NewTimer(persistTimeout)
 	defer timer.Stop()
@@ -245,9 +253,9 @@
 		case <-w.persistedWake:
 		}
 		s.mu.Lock()
-		remaining := len(w.pendingEnds)
+		waits := w.awaitsTransaction()
 		s.mu.Unlock()
-		if remaining == 0 {
+		if !waits {
 			return
 		}
 	}
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -218,6 +218,7 @@
 			s.moveAttempt(next, t)
 		}
 	}
+	next.extensionBlocked = next.extensionBlocked || former.extensionBlocked
 	s.endIncarnation(former, "worker restarted")
 }
 
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -12,9 +12,15 @@
 // withLastingTask runs a test in a cell with short leases and one long-running task, and passes
 // it the task's worker.
 func withLastingTask(t *testing.T, test func(c *cell, o *owner, host string)) {
+	t.Helper()
+	withLastingTaskAndLease(t, shortLease, test)
+}
+
+// withLastingTaskAndLease is withLastingTask with leases of another length.
+func withLastingTaskAndLease(t *testing.T, lease time.Duration, test func(c *cell, o *owner, host string)) {
 	t.Helper()
 	withCell(t, 4, func(c *cell) {
-		c.lease = shortLease
+		c.lease = lease
 		o := c.startOwner()
 		time.Sleep(500 * time.Millisecond)
 		lasting := newRequest(1, 2000)
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -15,7 +15,7 @@
 
 // Load reads the state that former owners have stored. It must succeed before Run is called.
 func (s *Scheduler) Load(ctx context.Context) error {
-	var records, progress, bundles, parts rowstore.Page
+	var records, progress, bundles, parts, bounds rowstore.Page
 	asked := clock.Now()
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
@@ -34,6 +34,10 @@
 		parts, err = rowstore.ReadAll(groupCtx, s.store, partTable, s.shard)
 		return err
 	})
+	group.Go(func() (err error) {
+		bounds, err = rowstore.ReadAll(groupCtx, s.store, leaseTable, s.shard)
+		return err
+	})
 	if err := group.Wait(); err != nil {
 		return err
 	}
@@ -44,7 +48,11 @@
 	if err != nil {
 		return err
 	}
-	return s.restore(records.Rows, progress.Rows, parts.Rows, stored)
+	if err := s.restore(records.Rows, progress.Rows, parts.Rows, stored); err != nil {
+		return err
+	}
+	s.restoreLeaseBounds(bounds.Rows)
+	return nil
 }
 
 func (s *Scheduler) restore(records, progress, parts []rowstore.Row, stored storedBundles) error {
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -12,21 +12,21 @@
 
 // Metrics holds the counters and latency histograms shared by all schedulers of a process.
 type Metrics struct {
-	admissions, outcomes, refusals, finals, unknownJobs          *expvar.Map
-	stops, overdueStops, grants, adviceFailed, late              *expvar.Int
-	preempted, lostWithWorker, crashLimitReached, suspectedSteps *expvar.Int
-	quotaHeldSteps, quarantined, workersRestarted                *expvar.Int
-	unreadRows, staleViews                                       *expvar.Int
-	gangsWaiting, stepsWithheld                                  *expvar.Int
-	rejectedTransactions, jobMemory                              *expvar.Int
-	overloaded, overloads, adviceLeftOut                         *expvar.Int
-	overloadSeconds, missedWork                                  *expvar.Float
-	commitTimes, startTimes, adviceTimes                         *histogram.Durations
-	completedTimes, dispatchTimes                                *histogram.Durations
-	commitJobs                                                   *expvar.Int
-	lanes, adviceService                                         *expvar.Map
-	ticketsReceived, ticketsUsed                                 *expvar.Int
-	finalsBySize                                                 *expvar.Map
+	admissions, outcomes, refusals, finals, unknownJobs                 *expvar.Map
+	stops, overdueStops, grants, adviceFailed, late                     *expvar.Int
+	preempted, lostWithWorker, crashLimitReached, suspectedSteps        *expvar.Int
+	quotaHeldSteps, quarantined, workersRestarted, inheritedLeaseBounds *expvar.Int
+	unreadRows, staleViews                                              *expvar.Int
+	gangsWaiting, stepsWithheld                                         *expvar.Int
+	rejectedTransactions, jobMemory                                     *expvar.Int
+	overloaded, overloads, adviceLeftOut                                *expvar.Int
+	overloadSeconds, missedWork                                         *expvar.Float
+	commitTimes, startTimes, adviceTimes                                *histogram.Durations
+	completedTimes, dispatchTimes                                       *histogram.Durations
+	commitJobs                                                          *expvar.Int
+	lanes, adviceService                                                *expvar.Map
+	ticketsReceived, ticketsUsed                                        *expvar.Int
+	finalsBySize                                                        *expvar.Map
 }
 
 // NewMetrics returns Metrics with all counters at zero.
@@ -40,7 +40,7 @@
 		rejectedTransactions: new(expvar.Int), jobMemory: new(expvar.Int),
 		overloaded: new(expvar.Int), overloads: new(expvar.Int), adviceLeftOut: new(expvar.Int),
 		overloadSeconds: new(expvar.Float), missedWork: new(expvar.Float),
-		lostWithWorker: new(expvar.Int), crashLimitReached: new(expvar.Int), suspectedSteps: new(expvar.Int), quotaHeldSteps: new(expvar.Int), quarantined: new(expvar.Int), workersRestarted: new(expvar.Int), unreadRows: new(expvar.Int), staleViews: new(expvar.Int),
+		lostWithWorker: new(expvar.Int), crashLimitReached: new(expvar.Int), suspectedSteps: new(expvar.Int), quotaHeldSteps: new(expvar.Int), quarantined: new(expvar.Int), workersRestarted: new(expvar.Int), inheritedLeaseBounds: new(expvar.Int), unreadRows: new(expvar.Int), staleViews: new(expvar.Int),
 		lanes: new(expvar.Map), adviceService: new(expvar.Map), ticketsReceived: new(expvar.Int), ticketsUsed: new(expvar.Int),
 		finalsBySize: new(expvar.Map),
 	}
@@ -74,6 +74,7 @@
 	all.Set("advice_steps_left_out", m.adviceLeftOut)
 	all.Set("workers_quarantined", m.quarantined)
 	all.Set("workers_started_again", m.workersRestarted)
+	all.Set("lease_bounds_inherited", m.inheritedLeaseBounds)
 	all.Set("report_rows_unread", m.unreadRows)
 	all.Set("evacuations_unconfirmed", m.staleViews)
 	all.Set("grants", m.grants)
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -92,6 +92,13 @@
 		s.revokeStart(t, reason)
 		return fleet.Worker{}, fleet.StartOrder{}, startAbandon
 	}
+	if !s.mayExtendLease(w) { // a start extends the lease
+		if w.extensionBlocked && !t.startSent || time.Now().After(expiry) {
+			s.revokeStart(t, "the lease of its worker must not be extended")
+			return fleet.Worker{}, fleet.StartOrder{}, startAbandon
+		}
+		return fleet.Worker{}, fleet.StartOrder{}, startHold
+	}
 	if decision := s.admitStart(t, expiry); decision != startSend {
 		return fleet.Worker{}, fleet.StartOrder{}, decision
 	}
--- a/scheduler/rejected.go
+++ b/scheduler/rejected.go
@@ -19,7 +19,7 @@
 	s.log.Error().Err(cause).Int("jobs", len(tx.writes)).Int("entries", tx.entries).Int("bytes", tx.bytes).Msg("store rejected a transaction")
 	s.undo(tx)
 	s.confirmations = append(confirmations, s.confirmations...)
-	if len(tx.writes) == 1 {
+	if len(tx.writes) == 1 && tx.leases == nil {
 		s.giveUp(tx.writes[0].job)
 	}
 	s.writeLimit = max(1, len(tx.writes)/2)
@@ -57,6 +57,9 @@
 	}
 	s.obsoleteBundles = append(tx.bundles, s.obsoleteBundles...)
 	s.orphanParts = append(tx.orphans, s.orphanParts...)
+	if tx.leases != nil {
+		s.leaseBounds.changed, s.leaseBounds.rejected = true, true
+	}
 }
 
 // giveUp fails a job whose state the store rejects, or withdraws it if the store has nothing of it.
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -8,7 +8,7 @@
 	"chutereach/workload"
 )
 
-// handleReport processes a worker's report and reports whether any ends are not yet stored.
+// handleReport processes a worker's report and reports whether the next call should wait for a transaction.
 func (s *Scheduler) handleReport(w *worker, report fleet.Report, sent time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -30,7 +30,8 @@
 	if !w.unresponsive {
 		s.recordCallResult(true)
 	}
-	w.lastReportAt, w.unresponsive, w.connectionClosed, w.failedCalls = now, false, false, 0
+	w.lastReportAt, w.unresponsive, w.silent, w.connectionClosed, w.failedCalls = now, false, false, false, 0
+	s.reviewLeaseBound(w)
 	s.clearLost(w)
 	w.observeClock(report.Clock, now)
 	s.recordUnread(w, report, now)
@@ -52,7 +53,7 @@
 	w.advancePersisted()
 	s.finishTrial(w, now)
 	wake(s.dispatchWake)
-	return len(w.pendingEnds) > 0
+	return w.awaitsTransaction()
 }
 
 // unreadGracePeriod is how long a missing attempt is assumed to be in a row that could not be
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -159,6 +159,10 @@
 	// formerLeaseExpiry is when the last lease that a former owner may have granted
 	// has expired.
 	formerLeaseExpiry time.Time
+	leaseBounds       leaseBounds
+	released          leadership.Release // the release of this owner's leases that is in force, or zero
+	releaseEndedAt    time.Time
+	commitTook        time.Duration           // how long the last transaction took
 	stoppingStrays    map[string]bool         // stray attempts with a stop call in flight, as TASK#WORKER
 	passSerial        uint64                  // number of dispatch passes
 	passes            passSummary             // of the passes since they were last logged
@@ -202,7 +206,7 @@
 		identities: map[string]*identity{}, endedIncarnations: map[fleet.Incarnation]bool{}, maxLease: max(config.Lease, config.LongestLease),
 		queues: map[string]workload.Queue{}, accounts: map[string]*accountState{}, demands: map[string]headroom.Demand{},
 		stoppingStrays: map[string]bool{}, bundles: map[string]*bundle{}, eligibleShares: map[string]float64{}, sizeOrder: newSizeOrder(), fleetSpeed: 1,
-		formerLeaseExpiry: latestLeaseExpiry(term.FormerSentBefore().Add(leaseExtensionWindow), config.Lease), Loaded: make(chan struct{}),
+		formerLeaseExpiry: latestFormerLease(term, config.Lease), Loaded: make(chan struct{}),
 		firstCalls: newCallLimiter(maxFirstCalls), workerEnds: workerEnds{observedSince: time.Now()},
 		limits: limits, memory: memoryBudget{machine: config.Memory},
 		commitWake: make(chan struct{}, 1), dispatchWake: make(chan struct{}, 1), commitSlot: make(chan struct{}, 1),
@@ -247,6 +251,7 @@
 	s.ctx, s.cancel = ctx, cancel
 	s.stopFinalJobs()
 	s.startPollingAll()
+	s.reviewLeaseBounds()
 	deposed := s.deposed
 	s.mu.Unlock()
 	if deposed != nil {
--- a/scheduler/store_clock.go
+++ b/scheduler/store_clock.go
@@ -9,14 +9,15 @@
 )
 
 const (
-	// storeClockInterval is the time between readings of the store's clock. At a rate that differs by 2%, the
-	// estimate is wrong by 0.6 s at most.
-	storeClockInterval = 30 * time.Second
+	// storeClockInterval is the time between readings of the store's clock.
+	storeClockInterval = 10 * time.Second
 	storeClockTimeout  = time.Second
+	// storeClockDrift bounds by how much the rates of the store's clock and of a machine's steady clock differ.
+	storeClockDrift = 0.01
 )
 
-// storeClock estimates the current time of the store's clock. All owners use that clock to expire final jobs, because
-// their own clocks may differ or be stepped. The zero value means that the time is unknown.
+// storeClock estimates the current time of the store's clock. All owners use that clock to expire final jobs, and for bounds of
+// leases, because their own clocks may differ or be stepped. The zero value means that the time is unknown.
 type storeClock struct {
 	reading         time.Duration // 0 if the clock is not known
 	asked, answered clock.Instant // the store has read its clock in between
@@ -35,6 +36,29 @@
 
 func (c storeClock) latest() time.Duration { return c.since(c.asked) }
 
+// latestAt returns an upper bound of the store's time at a local time, or 0 if it is not known.
+func (c storeClock) latestAt(t time.Time) time.Duration {
+	if c.reading == 0 {
+		return 0
+	}
+	ahead := time.Until(t)
+	return c.latest() + ahead + drift(c.asked.Since()+ahead)
+}
+
+// reached returns a local time by which the store's clock has certainly reached a time, and whether it is known.
+func (c storeClock) reached(storeTime time.Duration) (time.Time, bool) {
+	if c.reading == 0 {
+		return time.Time{}, false
+	}
+	ahead := storeTime - c.earliest()
+	return time.Now().Add(ahead + drift(c.answered.Since()+ahead)), true
+}
+
+// drift returns by how much the store's clock and that of this machine may differ after a time.
+func drift(elapsed time.Duration) time.Duration {
+	return time.Duration(storeClockDrift * float64(max(0, elapsed)))
+}
+
 func (c storeClock) since(i clock.Instant) time.Duration {
 	if c.reading == 0 {
 		return 0
--- a/scheduler/transaction.go
+++ b/scheduler/transaction.go
@@ -28,10 +28,11 @@
 	writes  []jobWrite
 	puts    []rowstore.Put
 	deletes []rowstore.Key
-	bundles []*bundle // whose deletion it contains
-	orphans []string  // parts whose deletion it contains
-	bytes   int       // of the values of puts
-	entries int       // puts and deletes
+	bundles []*bundle   // whose deletion it contains
+	orphans []string    // parts whose deletion it contains
+	leases  *leaseWrite // nil: it leaves the lease bounds as they are
+	bytes   int         // of the values of puts
+	entries int         // puts and deletes
 }
 
 func (s *Scheduler) newTransaction() *transaction { return &transaction{limits: s.limits} }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -43,8 +43,17 @@
 	brokeOpenCall     bool          // and had been open before, so that the worker lived until then
 	leaving           bool          // draining, or removed from discovery while it still answered
 	lostAttempts      []lostAttempt // until it is known whether the worker has ended
-	trial             trial
-	checkingSurvival  bool // checkSurvival is running
+	// silent is whether the worker has been unresponsive for long enough that a bound of its lease should be stored.
+	silent bool
+	// storedExpiry is the bound of its lease that the store may have, by the store's clock; 0 if it has none. boundListed is
+	// whether the last transaction of lease bounds has it, which may not have been applied.
+	storedExpiry time.Duration
+	boundListed  bool
+	// extensionBlocked is whether the store may have a bound for its lease, or for that of the former incarnation from which an
+	// attempt has moved here. The lease must not be extended until that is withdrawn.
+	extensionBlocked bool
+	trial            trial
+	checkingSurvival bool // checkSurvival is running
 
 	lastEndSequence uint64          // highest end sequence processed
 	unreadSequences map[uint64]bool // lower sequences whose ends could not be decoded
@@ -188,7 +197,7 @@
 // usable reports whether the worker may get new tasks. A worker that discovery does not list may if
 // listIncomplete is set.
 func (w *worker) usable(now time.Time, listIncomplete bool) bool {
-	return !w.ended && !w.superseded && (w.discovered || listIncomplete && w.recentlyDiscovered) && !w.info.Draining && !w.unresponsive && w.foreignAttempts == 0 &&
+	return !w.ended && !w.superseded && !w.extensionBlocked && (w.discovered || listIncomplete && w.recentlyDiscovered) && !w.info.Draining && !w.unresponsive && w.foreignAttempts == 0 &&
 		now.Sub(w.lastReportAt) < reportMaxAge && now.After(w.blockedUntil)
 }
 
