scheduler: slow tests run in parallel

Package scheduler took 523 s of the 600 s that go test allows, with the race detector on eight cores of arm64 beside other packages. Ten tests that share nothing now run in parallel with each other; what they check is unchanged.

--- a/scheduler/bundle_test.go
+++ b/scheduler/bundle_test.go
@@ -104,6 +104,7 @@
 // Guards against expired jobs that stay in the store because they are left out of bundles and nothing but bundles is
 // written while many jobs expire or change.
 func TestManyJobsExpireAtOnce(t *testing.T) {
+	t.Parallel()
 	const jobs = 150
 	for name, interval := range map[string]time.Duration{"without other jobs": 0, "beside other jobs": 20 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -53,6 +53,7 @@
 // No start exceeds a worker's capacity under random sequences of resizes, starts, stops and
 // takeovers. The fleettest package checks every start.
 func TestCapacityRandomOrder(t *testing.T) {
+	t.Parallel()
 	const sequences = 1000
 	forSeeds(t, sequences, func(t *testing.T, seed uint64) {
 		withCell(t, 3, func(c *cell) { c.runRandomResizes(rand.New(rand.NewPCG(seed, 3))) })
--- a/scheduler/evacuated_test.go
+++ b/scheduler/evacuated_test.go
@@ -277,6 +277,7 @@
 // outages and moved workers, no task starts in an evacuated data hall after the bound, and every
 // job ends once all halls are readmitted.
 func TestEvacuationsRandomOrder(t *testing.T) {
+	t.Parallel()
 	events := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) hallEvent {
 		return hallEvent{
 			Kind:  hallEventKind(rapid.IntRange(0, int(hallEventKindCount)-1).Draw(t, "kind")),
--- a/scheduler/fairness_test.go
+++ b/scheduler/fairness_test.go
@@ -104,6 +104,7 @@
 // An account that submits many times its usual load does not delay the jobs of other accounts,
 // and still uses the spare capacity.
 func TestFairnessWithOneBusyAccount(t *testing.T) {
+	t.Parallel()
 	const (
 		minOthers = 0.97
 		minBusy   = 0.7
--- a/scheduler/gangclaims_test.go
+++ b/scheduler/gangclaims_test.go
@@ -110,6 +110,7 @@
 // Guards against gangs that starve: one that needs each worker starts beside as much other work as there is room for, while
 // jobs wait that must not be held back any longer.
 func TestLargestGangStartsBesideBatches(t *testing.T) {
+	t.Parallel()
 	for _, lasts := range []bool{false, true} {
 		f := newServiceFixture(t, 12)
 		submit := func() { // 38 CPUs a tick, 1% less than there are
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -114,6 +114,7 @@
 // Guards against an order by size that completes fewer jobs in time than the order by latest start, that
 // loses jobs, or that applies without an overload or with the switch off.
 func TestSizeOrderReplay(t *testing.T) {
+	t.Parallel()
 	replay := func(sizeOrder bool, load float64) *overloadReplay {
 		r := newOverloadReplay(t, sizeOrder, 40)
 		if r.run(30*time.Second, load*40*32); len(r.active) > 0 {
@@ -141,6 +142,7 @@
 // Guards against an overload that is detected from work that nobody could have served in time: what was
 // late when the owner loaded it, or what waits while no worker is usable.
 func TestNewOwnerStartsWithoutOverload(t *testing.T) {
+	t.Parallel()
 	for _, workers := range []int{0, 4} {
 		r := newOverloadReplay(t, true, workers)
 		for range 50 {
--- a/scheduler/parts_test.go
+++ b/scheduler/parts_test.go
@@ -211,6 +211,7 @@
 // Guards against review/5: the progress of a large job outgrows a row, its transaction is rejected for good, and no other
 // job is stored any more.
 func TestProgressOfLargeJobsFits(t *testing.T) {
+	t.Parallel()
 	longID, checkpoint := 200, strings.Repeat("c", workload.MaxCheckpointBytes)
 	cases := []struct {
 		name     string
@@ -272,6 +273,7 @@
 // Guards against progress that is stored wrongly or incompletely in parts: whatever happens to some jobs, between any two
 // transactions a successor knows all that may run, and in the end the same as this owner.
 func TestStoredProgressIsRestored(t *testing.T) {
+	t.Parallel()
 	proptest.Check(t, func(rt *rapid.T) {
 		f := newStoredFixture(t, 8, rapid.IntRange(5, 40).Draw(rt, "ID length"), rowLimits{row: 6000, transaction: rapid.IntRange(7000, 30_000).Draw(rt, "transaction")})
 		ctx, cancel := context.WithCancel(context.Background())
--- a/scheduler/size_replay_test.go
+++ b/scheduler/size_replay_test.go
@@ -231,6 +231,7 @@
 // Guards against large gangs that starve under overload: the largest tenth of a queue's jobs, and the fifth below
 // it, must be served at least half as often as all of its jobs.
 func TestLargestGangsStarve(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		r := newSizeReplay(t, 1)
 		r.run(30*time.Second, 2.5)
