scheduler, workload: ends of workers after the start fail no job

Cause: five conclusive losses gave a task up, also those of attempts that had been seen to outlive their start. Conclusive means that chance is unlikely, which is no proof against ends of workers that follow a task.

Change: only losses of attempts that are not known to have outlived their start count towards the limit of five. A task with three conclusive losses starts again 2 s after each loss, whatever that loss shows, so that one which crashes its workers late takes down at most one in 2 s.

The stand-in checks the 2 s instead of the number of starts, only for tasks all of whose crashes came 100 ms or later after a start.

--- a/fleet/fleettest/crash.go
+++ b/fleet/fleettest/crash.go
@@ -15,24 +15,34 @@
 	RestartTime = 3200 * time.Millisecond
 	// entryTTL is how long discovery lists a worker after its process has ended.
 	entryTTL = 3 * time.Second
-	// A task that has crashed maxCrashes workers may be started maxRetries more times.
-	maxCrashes = 3
-	maxRetries = 2
+	// A task that has crashed maxCrashes workers may be started maxRetries more times if it crashes them at its
+	// start. One that crashes them later cannot be told from a sound task whose workers end: it must not be given
+	// up, but must not be started within minStartDelay of its last crash.
+	maxCrashes    = 3
+	maxRetries    = 2
+	lateCrashTime = 100 * time.Millisecond
+	minStartDelay = 2 * time.Second
 )
 
 // crashRecord counts the crashes caused by a task.
 type crashRecord struct {
-	workers int
-	starts  int // after maxCrashes crashes
+	workers     int
+	starts      int // after maxCrashes crashes
+	lateCrashes int // at least lateCrashTime after a start
+	lastCrash   time.Time
 }
 
-// crashWorker records that a task has crashed its worker, and restarts the worker.
-func (f *Fleet) crashWorker(w *worker, task workload.TaskID) {
+// crashWorker records that a task has crashed its worker after it worked for a time, and restarts the worker.
+func (f *Fleet) crashWorker(w *worker, task workload.TaskID, worked time.Duration) {
 	name := task.String()
 	if f.crashes[name] == nil {
 		f.crashes[name] = new(crashRecord)
 	}
 	f.crashes[name].workers++
+	f.crashes[name].lastCrash = time.Now()
+	if worked >= lateCrashTime {
+		f.crashes[name].lateCrashes++
+	}
 	if f.sameIDRestartDelay > 0 {
 		f.restartSameID(w, f.sameIDRestartDelay)
 		return
@@ -48,12 +58,18 @@
 	f.sameIDRestartDelay = pause
 }
 
-// checkCrashes records a violation if a task is started too often after crashing workers.
+// checkCrashes records a violation if a task is started too often, or too soon, after crashing workers.
 func (f *Fleet) checkCrashes(task workload.TaskID) {
 	c := f.crashes[task.String()]
 	if c == nil || c.workers < maxCrashes {
 		return
 	}
+	if c.lateCrashes == c.workers {
+		if delay := time.Since(c.lastCrash); delay < minStartDelay {
+			f.violation("%s was started %v after it had crashed its last of %d workers, want at least %v", task, delay, c.workers, minStartDelay)
+		}
+		return
+	}
 	if c.starts++; c.starts == maxRetries+1 { // recorded once per task
 		f.violation("%s was started %d times after it had crashed %d workers", task, c.starts, maxCrashes)
 	}
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -198,7 +198,7 @@
 			return
 		}
 		if plan.Crashes {
-			f.crashWorker(w, r.task)
+			f.crashWorker(w, r.task, max(0, remaining))
 			return
 		}
 		outcome := plan.Outcome
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -39,9 +39,10 @@
 	// and unreachable. Entries expire after three missed heartbeats, 4.5 s with the platform's
 	// interval of 1.5 s.
 	listedAliveDelay = 6 * time.Second
-	// crashRetryDelay is the delay after the loss of an attempt before a task that may be given up soon is placed again.
-	// Workers end in bursts, and one burst must not use up all starts of a sound task. The delay is below the 3 s within
-	// which a job without running tasks must be started again if there is capacity.
+	// crashRetryDelay is the delay after the loss of an attempt before a task under which several workers have ended is
+	// placed again. Workers end in bursts, and one burst must not use up all starts of a sound task; and a task that
+	// crashes its workers late must not take down many in a short time. The delay is below the 3 s within which a job
+	// without running tasks must be started again if there is capacity.
 	crashRetryDelay = 2 * time.Second
 )
 
@@ -187,7 +188,7 @@
 	if evidence.Suspicious() {
 		s.markSuspected(t.step)
 	}
-	if evidence.Suspicious() && t.crashes.FewStartsLeft() {
+	if t.crashes.MustBackOff() {
 		t.step.delayRetry(w.unresponsiveSince.Add(crashRetryDelay))
 	}
 	w.lostAttempts = append(w.lostAttempts, lostAttempt{t, t.attempt})
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -190,7 +190,7 @@
 // and is to be restarted elsewhere.
 func (s *Scheduler) shouldMoveOffSlowWorker(t *task, now time.Time) bool {
 	spec := t.step.spec
-	return t.state == taskRunning && t.step.job.record.Queue.Priority == 0 && !spec.Gang && !spec.LongRunning && !t.moved && !t.crashes.FewStartsLeft() &&
+	return t.state == taskRunning && t.step.job.record.Queue.Priority == 0 && !spec.Gang && !spec.LongRunning && !t.moved && !t.crashes.MustBackOff() &&
 		t.percent < slowCheckPercent && now.Sub(t.startedAt) > slowCheckDelay && t.worker.health.slowness(s.fleetSpeed, now) > slowThreshold
 }
 
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -87,7 +87,7 @@
 	if t.state != taskRunning || !spec.Checkpoints || spec.Gang || spec.LongRunning || j.record.Request.Scheduled() {
 		return false
 	}
-	if t.preemptions >= maxPreemptions || t.crashes.FewStartsLeft() || now.Sub(t.startedAt) < minRunTime {
+	if t.preemptions >= maxPreemptions || t.crashes.MustBackOff() || now.Sub(t.startedAt) < minRunTime {
 		return false
 	}
 	rest := t.step.round.remainingChain(&j.record.Request) - min(spec.Estimate, now.Sub(t.startedAt))
--- a/workload/crashes.go
+++ b/workload/crashes.go
@@ -8,17 +8,16 @@
 )
 
 const (
-	// lossLimit is the number of conclusive losses, or of consecutive unsurvived ones, after which a task
-	// is given up. The platform contract allows at most two starts after a task has crashed three
-	// workers.
+	// lossLimit is the number of consecutive unsurvived losses after which a task is given up. The platform
+	// contract allows at most two starts after a task has crashed three workers.
 	lossLimit = 5
 	// immediateLossLimit replaces lossLimit if no conclusive loss had an exposure of more than
 	// immediateExposure. A fault that follows a sound task from worker to worker takes longer to strike.
 	immediateLossLimit = 3
 	immediateExposure  = 25 * time.Millisecond
-	// fewStartsLeftFrom is the number of losses from which a task is not preempted, its starts are spread
-	// over time, and attempts that end before they have worked may count.
-	fewStartsLeftFrom = 3
+	// backoffFrom is the number of losses from which a task is not preempted, its starts are spread over
+	// time, and attempts that end before they have worked may count.
+	backoffFrom = 3
 	// maxUnseenCounted is the number of unseen losses that count at most. Most are of sound tasks.
 	maxUnseenCounted = 2
 	// contradictionFactor is the ratio of an attempt's run time to the longest exposure of the
@@ -137,7 +136,7 @@
 // the starts that are left to a task that crashes its workers.
 func (c CrashHistory) WithIdleAttempt() CrashHistory {
 	c.Suspected = false
-	if max(c.ConclusiveLosses, c.UnsurvivedLosses) >= fewStartsLeftFrom {
+	if max(c.ConclusiveLosses, c.UnsurvivedLosses) >= backoffFrom {
 		c.IdleAttempts++
 	}
 	return c
@@ -206,23 +205,23 @@
 	return c
 }
 
-// Exhausted reports whether the task is given up. Idle attempts and unseen losses count only if a loss was
-// conclusive: where workers go down and up by turns, gangs often end before they work.
+// Exhausted reports whether the task is given up. Losses of attempts that have survived their start never
+// suffice, however unlikely a coincidence is: trouble may follow a sound task. Idle attempts and unseen losses
+// count only if a loss was conclusive: where workers go down and up by turns, gangs often end before they work.
 func (c CrashHistory) Exhausted() bool {
 	if c.ConclusiveLosses >= immediateLossLimit && c.LongestExposure <= immediateExposure {
 		return true
 	}
-	conclusive, unsurvived := c.ConclusiveLosses, c.UnsurvivedLosses
-	if conclusive > 0 {
-		conclusive += c.IdleAttempts
+	unsurvived := c.UnsurvivedLosses
+	if c.ConclusiveLosses > 0 {
 		unsurvived += c.IdleAttempts + min(c.UnseenLosses, maxUnseenCounted)
 	}
-	return max(conclusive, unsurvived) >= lossLimit
+	return unsurvived >= lossLimit
 }
 
-// FewStartsLeft reports whether the task may be given up after two more losses. Its attempts must then not be
-// preempted, and its starts are spread over time.
-func (c CrashHistory) FewStartsLeft() bool {
+// MustBackOff reports whether workers have ended under the task so often that it may be given up after two more
+// losses, or ends workers late. Its attempts must then not be preempted, and its starts are spread over time.
+func (c CrashHistory) MustBackOff() bool {
 	worst := c.withUnresolvedCrashed()
-	return max(worst.ConclusiveLosses, worst.UnsurvivedLosses) >= fewStartsLeftFrom
+	return max(worst.ConclusiveLosses, worst.UnsurvivedLosses) >= backoffFrom
 }
