node: new owners do not wait for nodes that have left

Cause: a new owner accepts jobs once enough members have acknowledged it, or 10 s after the last owner. A node that leaves stays a member for three minutes, and the few that remain are not enough.

A node that is told to stop now marks its row as departed, and a new owner counts the mark as an acknowledgement. From before the mark a stopping node confirms no ownership, and its next process confirms none until it has replaced the row. The mark is conditional on an announcement that is known to be applied, so a mark that the store applies late fails once the next process has replaced the row, and a process that finds its row without either writes nothing. The row stays, so that owners agree on the number of members. Takeovers of a node are serialized by a channel, since a mutex stops the clock of tests in simulated time.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -215,7 +215,7 @@
 func (n *Node) answerPing(context.Context, empty) (pingResponse, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return pingResponse{Owner: n.owner, IsOwner: n.scheduler != nil || n.takingOver, UpFor: n.startedAt.Since()}, nil
+	return pingResponse{Owner: n.owner, IsOwner: n.scheduler != nil || n.takingOver, UpFor: n.confirmedFor()}, nil
 }
 
 // checkStore hands the shard over when the store does not answer this node but answers others.
--- a/node/member_removal.go
+++ b/node/member_removal.go
@@ -49,7 +49,7 @@
 	}
 	var keys []rowstore.Key
 	for _, member := range removed {
-		keys = append(keys, rowstore.Key{Table: nodesTable, Name: member.rowName()})
+		keys = append(keys, member.rowKey())
 		n.log.Info().Str("node", member.Node).Dur("after", memberRemovalDelay).Msg("removed unresponsive node")
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/node/members.go
+++ b/node/members.go
@@ -37,10 +37,12 @@
 	return fmt.Sprintf("%06d %s", order, m.Node)
 }
 
+func (m Member) rowKey() rowstore.Key { return rowstore.Key{Table: nodesTable, Name: m.rowName()} }
+
 // register writes the node's row, by which owners find it, and reads the succession. It retries
-// until that succeeds.
+// until that succeeds or the node stops.
 func (n *Node) register(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !n.isStopping() {
 		err := n.registerOnce(ctx)
 		if err == nil {
 			n.recordStoreSuccess()
@@ -60,17 +62,17 @@
 func (n *Node) registerOnce(ctx context.Context) error {
 	ctx, cancel := transfer.WithStallLimit(ctx, storeTimeout, nil)
 	defer cancel()
-	store := n.platform.Store
-	put := rowstore.Put{Key: rowstore.Key{Table: nodesTable, Name: n.config.Self.rowName()}, Value: codec.MustMarshal(n.config.Self)}
+	store, self := n.platform.Store, n.config.Self
 	page, err := store.Read(ctx, nodesTable, "", "", successionSize)
 	if err != nil {
 		return err
 	}
-	current, err := rowIsCurrent(ctx, store, page.Rows, put)
+	stage, found, err := storedDeparture(ctx, store, page.Rows, self)
 	if err != nil {
 		return err
 	}
-	if !current {
+	if !found {
+		put := rowstore.Put{Key: self.rowKey(), Value: codec.MustMarshal(self)}
 		if _, err = store.Commit(ctx, rowstore.Transaction{Puts: []rowstore.Put{put}}); err != nil {
 			return err
 		}
@@ -78,21 +80,29 @@
 			return err
 		}
 	}
+	if stage == present {
+		n.recordPresent()
+	}
 	n.setMembers(indexByName(page.Rows))
 	return nil
 }
 
-// rowIsCurrent reports whether the store holds the row that put would write. It reads the row
-// from the store unless it is among those already read.
-func rowIsCurrent(ctx context.Context, store rowstore.Store, read []rowstore.Row, put rowstore.Put) (bool, error) {
-	row, found := indexByName(read)[put.Key.Name]
+// storedDeparture returns the stage of departure in a member's row, and whether there is a row that equals the member's
+// otherwise. It reads the row from the store unless it is among those already read.
+func storedDeparture(ctx context.Context, store rowstore.Store, read []rowstore.Row, member Member) (departure, bool, error) {
+	row, found := indexByName(read)[member.rowName()]
 	if !found {
 		var err error
-		if row, err = rowstore.ReadOne(ctx, store, put.Key); err != nil {
-			return false, err
+		if row, err = rowstore.ReadOne(ctx, store, member.rowKey()); err != nil {
+			return present, false, err
+		}
+	}
+	for stage := present; stage <= departed; stage++ {
+		if row.Version != 0 && bytes.Equal(row.Value, codec.MustMarshal(member.withDeparture(stage))) {
+			return stage, true, nil
 		}
 	}
-	return row.Version != 0 && bytes.Equal(row.Value, put.Value), nil
+	return present, false, nil
 }
 
 func indexByName(rows []rowstore.Row) map[string]rowstore.Row {
@@ -103,17 +113,21 @@
 	return rowsByName
 }
 
-func (n *Node) setMembers(rows map[string]rowstore.Row) {
+// setMembers adds or updates the members with the given rows, and returns them.
+func (n *Node) setMembers(rows map[string]rowstore.Row) []Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	members := make([]Member, 0, len(rows))
 	for _, row := range rows {
 		var member Member
 		if err := codec.Unmarshal(row.Value, &member); err != nil {
 			n.log.Error().Str("node", row.Name).Err(err).Msg("cannot decode a node's row")
 			continue
 		}
+		members = append(members, member)
 		n.addMember(member)
 	}
+	return members
 }
 
 // addMember adds or updates a member. n.mu must be held.
--- a/node/messages.go
+++ b/node/messages.go
@@ -39,6 +39,8 @@
 	LinkMbps float64 `cbor:"5,keyasint,omitempty"`
 	// MemoryMiB is the memory of the machine; 0: unknown.
 	MemoryMiB int `cbor:"6,keyasint,omitempty"`
+	// Departure is set in the row of a node whose process has been told to stop.
+	Departure departure `cbor:"7,keyasint,omitempty"`
 }
 
 // compare orders members by preference as owner, the most preferred first.
@@ -106,7 +108,8 @@
 type pingResponse struct {
 	Owner   ownership `cbor:"1,keyasint"`
 	IsOwner bool      `cbor:"2,keyasint"`
-	// UpFor is how long the node's process has been up, including time during which its machine was suspended.
+	// UpFor is how long the node's process has been up and its row been in the store, including time during which its
+	// machine was suspended. It is negative if the node confirms nothing.
 	UpFor time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -55,9 +55,7 @@
 	client   *peer.Client
 	log      zerolog.Logger
 	metrics  *Metrics
-	// startedAt is when this process became a node.
-	startedAt clock.Instant
-	routes    routing.Newest
+	routes   routing.Newest
 	// configurer passes the table in routes to the scheduler.
 	configurer configurer
 	// evacuations holds the data halls that the operator has evacuated.
@@ -102,9 +100,11 @@
 	storeAnsweredAt time.Time
 	storeDown       bool
 	stopping        bool
-	registered      bool        // the node's row is written and the succession read
-	takingOver      bool        // a takeover is in progress; the owner's row may already name this node
-	loadFailing     atomic.Bool // the last attempt to load the shard failed
+	registered      bool // the node's row is written and the succession read
+	// presentSince is when this process first knew its row to be in the store without a departure; zero if it does not.
+	presentSince clock.Instant
+	takingOver   bool        // a takeover is in progress; the owner's row may already name this node
+	loadFailing  atomic.Bool // the last attempt to load the shard failed
 
 	// sampledLog is for calls of callers, which may be repeated indefinitely.
 	sampledLog zerolog.Logger
@@ -112,7 +112,7 @@
 	orders     orderSource
 	lag        lagMeter
 	speed      speedMeter
-	takeoverMu sync.Mutex // serializes takeovers
+	takeover   chan struct{} // holds an element during a takeover, so that takeovers are serialized
 	ctx        context.Context
 	tasks      wait.Group
 }
@@ -131,10 +131,10 @@
 // New returns a Node that answers calls until ctx ends. Run starts its background work.
 func New(ctx context.Context, config Config, platform Platform, client *peer.Client, metrics *Metrics, log zerolog.Logger) *Node {
 	n := &Node{
-		ctx: ctx, config: config, platform: platform, client: client, log: log, metrics: metrics, startedAt: clock.Now(),
+		ctx: ctx, config: config, platform: platform, client: client, log: log, metrics: metrics,
 		sampledLog: log.Sample(&zerolog.BurstSampler{Burst: callLogBurst, Period: time.Second}),
 		changed:    make(chan struct{}), members: map[string]Member{config.Self.Node: config.Self}, membersVersion: 1,
-		peers: map[string]peerState{},
+		peers: map[string]peerState{}, takeover: make(chan struct{}, 1),
 	}
 	n.config.Scheduler.TimerLag = n.lag.Mean
 	n.config.Scheduler.Evacuations = n.evacuations.Current
@@ -151,7 +151,10 @@
 func (n *Node) Run() {
 	ctx := n.ctx
 	n.tasks.Go(func() { n.followOrders(ctx) })
-	n.tasks.Go(func() { n.register(ctx) })
+	n.tasks.Go(func() {
+		n.register(ctx)
+		n.clearDeparture(ctx)
+	})
 	n.tasks.Go(func() { n.watchOwner(ctx) })
 	n.tasks.Go(func() { n.heartbeatLoop(ctx) })
 	n.tasks.Go(func() { n.lagCheckLoop(ctx) })
@@ -261,6 +264,7 @@
 	own := n.scheduler
 	n.mu.Unlock()
 	n.log.Info().Bool("owner", own != nil).Msg("stopping")
+	n.tasks.Go(func() { n.markDeparted(n.ctx) })
 	if own == nil {
 		return
 	}
--- a/node/owner.go
+++ b/node/owner.go
@@ -254,8 +254,12 @@
 
 // takeOwnership makes this node the owner unless the owner's row has changed since it was seen.
 func (n *Node) takeOwnership(ctx context.Context, seen leadership.ObservedRow, why string) error {
-	n.takeoverMu.Lock()
-	defer n.takeoverMu.Unlock()
+	select {
+	case n.takeover <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-n.takeover }()
 	n.mu.Lock()
 	isOwner, stopping := n.scheduler != nil, n.stopping
 	n.takingOver = true
@@ -347,7 +351,7 @@
 func (n *Node) followMembers(ctx context.Context, sole *soleOwner) {
 	first := true
 	rowstore.Follow(ctx, n.platform.Store, nodesTable, "", func(rows map[string]rowstore.Row) {
-		n.setMembers(rows)
+		sole.acknowledgeDeparted(n.setMembers(rows))
 		sole.membersKnown.Store(true)
 		n.updateAdviceNodes()
 		if first {
--- a/node/sole_owner.go
+++ b/node/sole_owner.go
@@ -17,8 +17,8 @@
 // An owner that cannot reach the store may have been replaced without noticing. Before it rejects a submission, it
 // asks the other nodes whether a later owner may have accepted the job:
 //
-//   - A new owner accepts no job until enough nodes have acknowledged a heartbeat of its term, or until no earlier owner
-//     may use this proof any more (acceptanceDelay).
+//   - A new owner accepts no job until enough nodes have acknowledged a heartbeat of its term or have departed (markDeparted),
+//     or until no earlier owner may use this proof any more (acceptanceDelay).
 //   - The proof holds if all nodes but a few (doubtfulNodes) confirm that they do not own the shard and know of no later
 //     owner.
 //
@@ -73,7 +73,7 @@
 	membersKnown atomic.Bool
 
 	mu           sync.Mutex
-	acknowledged map[string]bool // nodes that have acknowledged a heartbeat of this term
+	acknowledged map[string]bool // nodes that have acknowledged a heartbeat of this term, or have departed
 	acceptable   chan struct{}   // closed once this node may accept jobs
 	accepting    bool            // acceptable is closed
 }
@@ -94,6 +94,19 @@
 	}
 }
 
+// acknowledgeDeparted counts the members that have departed as if they had acknowledged a heartbeat of this term. The members
+// must have been read from the store during this term.
+func (s *soleOwner) acknowledgeDeparted(members []Member) {
+	s.node.mu.Lock()
+	known := len(s.node.members)
+	s.node.mu.Unlock()
+	for _, node := range departedNodes(members) {
+		if node != s.node.config.Self.Node {
+			s.acknowledge(node, known)
+		}
+	}
+}
+
 // expireFormer lets this node accept jobs once the proofs of all earlier owners have expired.
 func (s *soleOwner) expireFormer(ctx context.Context, members int) {
 	if acknowledgementsNeeded(members) > 0 && wait.For(ctx, time.Until(s.term.FormerSentBefore().Add(acceptanceDelay))) != nil {
@@ -129,8 +142,11 @@
 
 // askAll asks all other nodes. It returns as soon as enough of them have confirmed, or too many have not.
 func (s *soleOwner) askAll() error {
-	if !s.membersKnown.Load() {
+	switch {
+	case !s.membersKnown.Load():
 		return &MembersUnknownError{}
+	case s.node.isStopping(): // a new owner may count this node as departed
+		return &StoppingError{}
 	}
 	if since := s.term.SinceLastCommit(); since > proofLifetime {
 		return &ProofExpiredError{since}
@@ -168,7 +184,7 @@
 
 // ask returns nil if a node confirms that it does not own the shard and has not heard of an owner later than this one,
 // and a DeposedError if it says the contrary. An earlier process of the node may have heard of one, so the process must
-// have been up since the last applied transaction.
+// have been up and its row in the store since the last applied transaction.
 func (s *soleOwner) ask(ctx context.Context, member Member) error {
 	answer, err := peer.Call[pingResponse](ctx, s.node.client, member.Address, pingPath, empty{})
 	switch {
--- /dev/null
+++ b/node/sole_owner_random_test.go
@@ -0,0 +1,163 @@
+package node_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chutereach/proptest"
+	"chutereach/rowstore/memory"
+)
+
+// proofRole is what happens to a node other than the owner before (prepare) and after (disturb) the owner is cut off.
+// Either may be nil.
+type proofRole struct {
+	name             string
+	withOwner        bool // the owner reaches the node after the cut, and the successor does not
+	prepare, disturb func(*cell, *member)
+}
+
+func refuseWrites(_ *cell, m *member) {
+	m.storeCaller.SetFault(func(write bool) memory.Fault { return memory.Fault{Reject: write} })
+}
+
+func applyLate(_ *cell, m *member) {
+	m.storeCaller.SetFault(func(write bool) memory.Fault {
+		if write {
+			return memory.Fault{ApplyDelay: 4 * time.Second}
+		}
+		return memory.Fault{}
+	})
+}
+
+func stopAsPlanned(c *cell, m *member) { m.Stop(c.ctx) }
+
+func restartAsPlanned(c *cell, m *member) {
+	c.leave(m)
+	c.start(m)
+}
+
+// inTurn returns a function that calls the given ones in turn.
+func inTurn(calls ...func(*cell, *member)) func(*cell, *member) {
+	return func(c *cell, m *member) {
+		for _, call := range calls {
+			call(c, m)
+		}
+	}
+}
+
+var proofRoles = []proofRole{
+	{"stays with the owner", true, nil, refuseWrites},
+	{"stays with the successor", false, nil, nil},
+	{"stops slowly", true, nil, stopAsPlanned},
+	{"stops slowly before", true, stopAsPlanned, nil},
+	{"has left", false, (*cell).leave, nil},
+	{"was killed", false, (*cell).stop, nil},
+	{"leaves", true, nil, (*cell).leave},
+	{"is killed", true, nil, (*cell).stop},
+	{"has restarted", true, restartAsPlanned, refuseWrites},
+	{"has restarted without writing", true, inTurn(restartAsPlanned, refuseWrites), nil},
+	{"has restarted, and its mark comes late", true, inTurn(applyLate, restartAsPlanned, refuseWrites), nil},
+	{"restarts", true, nil, inTurn(restartAsPlanned, refuseWrites)},
+	{"was killed and comes back with the successor", false, (*cell).stop, (*cell).start},
+}
+
+// Guards against two owners that accept work with the proof: members leave, restart and come back before and while the owner
+// is cut off from the store and some members, and its successor from others. No owner proves that it is the last one once a
+// later owner accepts jobs.
+func TestReplacedOwnerProvesNothing(t *testing.T) {
+	var replaced, proofs int
+	proptest.Check(t, func(r *rapid.T) {
+		count := rapid.IntRange(3, 12).Draw(r, "nodes")
+		// Few kinds of roles at a time, so that many nodes share one.
+		kinds := rapid.SliceOfN(rapid.IntRange(0, len(proofRoles)-1), 1, 3).Draw(r, "kinds of roles")
+		picks := rapid.SliceOfN(rapid.IntRange(0, len(kinds)), count-1, count-1).Draw(r, "roles")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 1_000), 2*count, 2*count).Draw(r, "pauses in ms")
+		runInCell(t, count, func(c *cell) {
+			for _, w := range c.fleet.List() {
+				c.fleet.Crash(w.ID) // workers would tell the former owner of its successor
+			}
+			former := c.owner()
+			roles := map[*member]proofRole{}
+			successor := c.nodeOtherThan(former)
+			roles[successor] = proofRoles[1]
+			var others []*member
+			for _, m := range c.nodes {
+				if m != former && m != successor {
+					roles[m] = proofRoles[append(kinds, 0)[picks[len(others)]]]
+					others = append(others, m)
+				}
+			}
+			for i, m := range others {
+				if prepare := roles[m].prepare; prepare != nil {
+					prepare(c, m)
+					time.Sleep(time.Duration(pauses[i]) * time.Millisecond)
+				}
+			}
+			time.Sleep(time.Duration(10*pauses[count]) * time.Millisecond)
+			c.divide(former, roles)
+			var disturbing sync.WaitGroup
+			for i, m := range others {
+				if disturb := roles[m].disturb; disturb != nil {
+					disturbing.Go(func() {
+						time.Sleep(time.Duration(pauses[count+i]) * time.Millisecond)
+						disturb(c, m)
+					})
+				}
+			}
+			for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				foundReplaced, proved := c.checkProofs()
+				replaced, proofs = replaced+foundReplaced, proofs+proved
+			}
+			disturbing.Wait()
+		})
+		if t.Failed() {
+			r.FailNow()
+		}
+	})
+	if replaced == 0 || proofs == 0 {
+		t.Errorf("%d checks of a replaced owner, %d proofs of an owner; want some of each", replaced, proofs)
+	}
+	t.Logf("%d checks of a replaced owner beside one that accepts jobs, %d proofs of the last owner", replaced, proofs)
+}
+
+// divide cuts an owner off from the store and from the nodes on the successor's side, and these from the owner's.
+func (c *cell) divide(owner *member, roles map[*member]proofRole) {
+	owner.storeCaller.SetFault(func(bool) memory.Fault { return memory.Fault{Reject: true} })
+	withOwner := func(m *member) bool { return m == owner || roles[m].withOwner }
+	for _, a := range c.nodes {
+		for _, b := range c.nodes {
+			if withOwner(a) != withOwner(b) {
+				c.network.Partition(a.name, b.name)
+			}
+		}
+	}
+}
+
+// checkProofs fails the test if an owner proves that it is the last one although a later owner accepts jobs. It returns how
+// many owners were replaced by such a one, and how many of the others proved that they are the last one.
+func (c *cell) checkProofs() (replaced, proofs int) {
+	c.t.Helper()
+	var accepting uint64
+	for _, m := range c.nodes {
+		accepting = max(accepting, m.AcceptingToken())
+	}
+	for _, m := range c.nodes {
+		token := m.OwnedToken()
+		if token == 0 || m.Stopped() {
+			continue
+		}
+		err := m.ProveSoleOwner(c.ctx)
+		switch {
+		case token < accepting && err == nil:
+			c.t.Errorf("%s proves with token %d that it is the last owner, beside one with token %d that accepts jobs", m.name, token, accepting)
+		case token < accepting:
+			replaced++
+		case err == nil:
+			proofs++
+		}
+	}
+	return replaced, proofs
+}
