--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -110,8 +110,15 @@
 	// MoreEnds is whether the worker may have ended attempts beyond those in Ended. It lists them once these are
 	// acknowledged.
 	MoreEnds bool
+	// Partial is whether the report was not read to its end: any attempt may be missing from Running and Ended. The
+	// ends up to the last one in Ended are complete.
+	Partial bool
 }
 
+// ListsAll reports whether every attempt that runs on the worker, or has ended there and is not acknowledged, is in the
+// report, except for undecoded rows.
+func (r Report) ListsAll() bool { return !r.MoreEnds && !r.Partial }
+
 // StartOrder asks a worker to start an attempt. Workers refuse it after Deadline.
 type StartOrder struct {
 	Task       string
--- a/fleet/fleettest/fleettest.go
+++ b/fleet/fleettest/fleettest.go
@@ -95,6 +95,7 @@
 	delayed            bool                 // the order being executed was delayed by Fault.Delay
 	responseLost       bool                 // the caller gets no response to the order being executed
 	closedHalls        map[string]time.Time // evacuation deadlines by data hall
+	maxReportRows      int                  // see SetMaxReportRows
 }
 
 // New returns a fleet without workers.
--- a/fleet/fleettest/orders.go
+++ b/fleet/fleettest/orders.go
@@ -305,7 +305,25 @@
 	for name, r := range w.runs {
 		report.Running = append(report.Running, fleet.Attempt{Task: name, Number: r.number, Checkpoint: r.checkpoint(), Percent: r.percent()})
 	}
-	return report, nil
+	return f.truncate(report), nil
+}
+
+// SetMaxReportRows makes the client read only so many attempts of a report, the running ones first. 0 means all.
+func (f *Fleet) SetMaxReportRows(rows int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.maxReportRows = rows
+}
+
+// truncate returns the part of a report that the client reads. The lock is held.
+func (f *Fleet) truncate(report fleet.Report) fleet.Report {
+	if f.maxReportRows == 0 || len(report.Running)+len(report.Ended) <= f.maxReportRows {
+		return report
+	}
+	report.Partial = true
+	report.Running = report.Running[:min(len(report.Running), f.maxReportRows)]
+	report.Ended = report.Ended[:min(len(report.Ended), f.maxReportRows-len(report.Running))]
+	return report
 }
 
 // acknowledge removes the ended attempts up to a sequence number from the worker's reports.
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -28,6 +28,10 @@
 	// hides the ends on its worker until it times out.
 	lossyWait  = 250 * time.Millisecond
 	lossyGrace = 100 * time.Millisecond
+	// partialWait replaces holdWait after a partial report. The rest of the lease is left to the transfer of the next
+	// one, for which longReportGrace extends the timeout.
+	partialWait     = 250 * time.Millisecond
+	longReportGrace = 1250 * time.Millisecond
 	// reportMaxAge is the maximum age of the last report of a worker that gets new tasks.
 	reportMaxAge = holdWait + holdGrace + holdRetryDelay
 	// clockDrift and clockSlack extend a lease that is measured by another clock.
@@ -103,6 +107,9 @@
 		timeout = order.Wait + max(lossyGrace, s.answers.timeout())
 	}
 	timeout += s.latenessAllowance()
+	if !w.partialSince.IsZero() {
+		timeout += longReportGrace
+	}
 	if remaining := time.Until(w.leaseExpiry); w.unresponsive && remaining > 0 {
 		timeout = min(timeout, remaining+time.Millisecond)
 	}
@@ -129,6 +136,9 @@
 	if w.trial.step != nil {
 		order.Wait = min(order.Wait, trialWait)
 	}
+	if !w.partialSince.IsZero() {
+		order.Wait = min(order.Wait, partialWait)
+	}
 	first := w.lastReportAt.IsZero()
 	if first || w.unresponsive || w.awaitsTransaction() {
 		order.Wait = 0
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -206,7 +206,8 @@
 // replaceIncarnation ends an earlier incarnation after the next one has answered. Attempts in the
 // report move to the next incarnation, which executed starts sent to the earlier one. All others
 // have ended and are placed again at once, as the tokens of their unanswered starts are now too
-// low. The caller must hold s.mu.
+// low. If the report does not list all, they move too and are stopped, until a report that does
+// shows what became of them. The caller must hold s.mu.
 func (s *Scheduler) replaceIncarnation(former, next *worker, report fleet.Report) {
 	s.metrics.workersRestarted.Add(1)
 	s.log.Warn().Str("worker", former.info.ID).Int64("born", next.info.StartTime).Int64("born_before", former.info.StartTime).
@@ -214,8 +215,15 @@
 		Int("running", len(report.Running)).Int("ended", len(report.Ended)).Msg("worker has started again")
 	reported := reportedAttempts(report)
 	for _, t := range former.taskList() {
-		if t.worker == former && reported[attemptKey{t.id().String(), t.attempt}] {
+		if t.worker != former {
+			continue
+		}
+		switch {
+		case reported[attemptKey{t.id().String(), t.attempt}]:
+			s.moveAttempt(next, t)
+		case !report.ListsAll() && t.state != taskGranted:
 			s.moveAttempt(next, t)
+			s.stop(t, "its worker has started again, and its report does not list all attempts")
 		}
 	}
 	next.extensionBlocked = next.extensionBlocked || former.extensionBlocked
--- a/scheduler/many_ends_test.go
+++ b/scheduler/many_ends_test.go
@@ -56,3 +56,48 @@
 		})
 	})
 }
+
+// Guards against jobs that stand still because the reports of their workers are never read to their end: each report
+// must acknowledge some ends, or wait until fewer tasks run.
+func TestReportsAreNeverReadToTheirEnd(t *testing.T) {
+	const jobs, maxRows = 5, 3
+	submit := func(c *cell, o *owner) {
+		time.Sleep(time.Second)
+		c.fleet.SetMaxReportRows(maxRows)
+		for i := range jobs {
+			small := newRequest(10, 500)
+			if err := c.submit(o, fmt.Sprintf("job-%02d", i), small, succeedAfter(2*time.Second)); err != nil {
+				c.t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		if running := c.fleet.Running(); running <= 2*maxRows {
+			c.t.Fatalf("%d tasks run, want more than two reports list", running)
+		}
+	}
+	assertEachTaskRanOnce := func(c *cell, o *owner) {
+		c.t.Helper()
+		for i := range jobs {
+			c.awaitState(o, fmt.Sprintf("job-%02d", i), workload.Completed, time.Minute)
+		}
+		if starts := c.fleet.Starts(); starts != jobs*10 {
+			c.t.Errorf("got %d starts, want %d", starts, jobs*10)
+		}
+	}
+	t.Run("one owner", func(t *testing.T) {
+		withCell(t, 2, func(c *cell) {
+			o := c.startOwner()
+			submit(c, o)
+			assertEachTaskRanOnce(c, o)
+		})
+	})
+	t.Run("owner replaced while tasks run", func(t *testing.T) {
+		withCell(t, 2, func(c *cell) {
+			o := c.startOwner()
+			submit(c, o)
+			o.kill()
+			time.Sleep(2 * time.Second)
+			assertEachTaskRanOnce(c, c.startOwner())
+		})
+	})
+}
--- a/scheduler/metrics.go
+++ b/scheduler/metrics.go
@@ -16,7 +16,7 @@
 	stops, overdueStops, grants, adviceFailed, late                     *expvar.Int
 	preempted, lostWithWorker, crashLimitReached, suspectedSteps        *expvar.Int
 	quotaHeldSteps, quarantined, workersRestarted, inheritedLeaseBounds *expvar.Int
-	unreadRows, staleViews                                              *expvar.Int
+	unreadRows, partialReports, staleViews                              *expvar.Int
 	gangsWaiting, stepsWithheld                                         *expvar.Int
 	rejectedTransactions, jobMemory                                     *expvar.Int
 	overloaded, overloads, adviceLeftOut                                *expvar.Int
@@ -40,7 +40,7 @@
 		rejectedTransactions: new(expvar.Int), jobMemory: new(expvar.Int),
 		overloaded: new(expvar.Int), overloads: new(expvar.Int), adviceLeftOut: new(expvar.Int),
 		overloadSeconds: new(expvar.Float), missedWork: new(expvar.Float),
-		lostWithWorker: new(expvar.Int), crashLimitReached: new(expvar.Int), suspectedSteps: new(expvar.Int), quotaHeldSteps: new(expvar.Int), quarantined: new(expvar.Int), workersRestarted: new(expvar.Int), inheritedLeaseBounds: new(expvar.Int), unreadRows: new(expvar.Int), staleViews: new(expvar.Int),
+		lostWithWorker: new(expvar.Int), crashLimitReached: new(expvar.Int), suspectedSteps: new(expvar.Int), quotaHeldSteps: new(expvar.Int), quarantined: new(expvar.Int), workersRestarted: new(expvar.Int), inheritedLeaseBounds: new(expvar.Int), unreadRows: new(expvar.Int), partialReports: new(expvar.Int), staleViews: new(expvar.Int),
 		lanes: new(expvar.Map), adviceService: new(expvar.Map), ticketsReceived: new(expvar.Int), ticketsUsed: new(expvar.Int),
 		finalsBySize: new(expvar.Map),
 	}
@@ -76,6 +76,7 @@
 	all.Set("workers_started_again", m.workersRestarted)
 	all.Set("lease_bounds_inherited", m.inheritedLeaseBounds)
 	all.Set("report_rows_unread", m.unreadRows)
+	all.Set("reports_partial", m.partialReports)
 	all.Set("evacuations_unconfirmed", m.staleViews)
 	all.Set("grants", m.grants)
 	all.Set("advice_failed", m.adviceFailed)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -35,9 +35,11 @@
 	s.clearLost(w)
 	w.observeClock(report.Clock, now)
 	s.recordUnread(w, report, now)
+	s.recordPartial(w, report, now)
 	for _, end := range report.Ended {
 		s.handleEnd(w, end)
 	}
+	formerForeign := w.foreignAttempts
 	w.foreignAttempts = 0
 	listed := make(map[string]bool, len(report.Running))
 	for _, run := range report.Running {
@@ -45,8 +47,11 @@
 			listed[run.Task] = true
 		}
 	}
+	if report.Partial { // the rest may list them
+		w.foreignAttempts = max(w.foreignAttempts, formerForeign)
+	}
 	for name, t := range w.tasks {
-		if !listed[name] && !report.MoreEnds && !w.mayBeUnread(now) {
+		if !listed[name] && report.ListsAll() && !w.mayBeUnread(now) {
 			s.handleMissing(t, sent)
 		}
 	}
@@ -62,9 +67,11 @@
 
 // recordUnread records which part of a report could not be decoded. The caller must hold s.mu.
 func (s *Scheduler) recordUnread(w *worker, report fleet.Report, now time.Time) {
-	w.unreadFrom = report.UndecodedFrom
+	w.unreadFrom = unreadFromAfter(w.unreadFrom, report)
 	if report.UndecodedRows == 0 {
-		w.unreadSince = time.Time{}
+		if !report.Partial {
+			w.unreadSince = time.Time{}
+		}
 		return
 	}
 	s.metrics.unreadRows.Add(int64(report.UndecodedRows))
@@ -75,6 +82,32 @@
 	}
 }
 
+// unreadFromAfter returns from which sequence on ends may be missing after a report, given the value before it. A partial
+// report may have been cut off before rows that could not be decoded.
+func unreadFromAfter(before uint64, report fleet.Report) uint64 {
+	if !report.Partial || report.UndecodedFrom > 0 || before == 0 {
+		return report.UndecodedFrom
+	}
+	if count := len(report.Ended); count > 0 {
+		return max(before, report.Ended[count-1].Sequence+1)
+	}
+	return before
+}
+
+// recordPartial records whether a report is partial. The caller must hold s.mu.
+func (s *Scheduler) recordPartial(w *worker, report fleet.Report, now time.Time) {
+	if !report.Partial {
+		w.partialSince = time.Time{}
+		return
+	}
+	s.metrics.partialReports.Add(1)
+	if w.partialSince.IsZero() {
+		w.partialSince = now
+		s.log.Warn().Str("worker", w.info.ID).Int("running", len(report.Running)).Int("ended", len(report.Ended)).
+			Msg("a worker's report is too long to be read to its end")
+	}
+}
+
 // mayBeUnread reports whether an attempt missing from the last report may be in a row that could
 // not be decoded.
 func (w *worker) mayBeUnread(now time.Time) bool {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -61,7 +61,8 @@
 	// because a row could not be decoded. unreadSince is when such rows were first reported.
 	unreadFrom        uint64
 	unreadSince       time.Time
-	persistedSequence uint64 // ends up to this sequence are stored
+	partialSince      time.Time // since when its reports are partial; zero if the last one is not
+	persistedSequence uint64    // ends up to this sequence are stored
 	pendingEnds       []pendingEnd
 	persistedWake     chan struct{}
 
