scheduler: steps that cannot start no longer use up advice

Cause: a pass requests advice for 150 steps in order of urgency, and every step counted that could ever need advice, also one that no worker could take or that needed none. Work without a deadline soon comes first and stays there, so that no step behind it ever got a ticket.

Change: a step counts only if it needs advice now, that is, a call about it is in flight or there are workers to ask about. Whether any usable worker could take it is bounded once a pass for each service, label and priority; a step beyond that bound is passed over without examining workers. A pass examines at most 300 steps (and as many late ones of priority 0 with `order = size`), and those far down the order less often. 15 of the steps that the limits have left out for 2 s get a turn in each pass, so that nothing at the front of the order keeps them from advice for good.

TestAdviceForLateLookups had no workers, so that it required steps that cannot start to use up the limit. Its steps now have four workers with room, with the same expected order and numbers, and it checks in addition that none is left out while these are full.

Tests of package scheduler pass.

--- a/resource/resource.go
+++ b/resource/resource.go
@@ -47,6 +47,11 @@
 	return Amount{a.CPU - b.CPU, a.Memory - b.Memory, a.Accelerators - b.Accelerators}
 }
 
+// Max returns the larger of a and b in each dimension.
+func (a Amount) Max(b Amount) Amount {
+	return Amount{max(a.CPU, b.CPU), max(a.Memory, b.Memory), max(a.Accelerators, b.Accelerators)}
+}
+
 // Times returns a multiplied by n.
 func (a Amount) Times(n int64) Amount {
 	return Amount{a.CPU * MilliCPU(n), a.Memory * Bytes(n), a.Accelerators * n}
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -37,6 +37,7 @@
 	// 40 ms took 0.13 of a core.
 	urgentRecheckInterval = 40 * time.Millisecond
 	otherRecheckInterval  = 160 * time.Millisecond
+	maxRecheckInterval    = 960 * time.Millisecond
 	urgentSteps           = 32
 	// initialEligibleShare is the assumed share of eligible workers before the first answer for a
 	// queue, and eligibleShareWeight the weight of the newest answer in the moving average.
@@ -71,37 +72,47 @@
 }
 
 // recheckInterval returns the delay before the step at a position in the urgency order is
-// examined again.
+// examined again. Beyond the first maxAdviceSteps it grows with the position, so that a long
+// backlog is not examined much more often than a short one.
 func recheckInterval(position int) time.Duration {
 	if position < urgentSteps {
 		return urgentRecheckInterval
 	}
-	return otherRecheckInterval
+	return min(otherRecheckInterval*time.Duration(1+position/maxAdviceSteps), maxRecheckInterval)
 }
 
-// requestAdvice requests tickets for the tasks of a step that could not be placed. It does
-// nothing if the step needs no advice, a call is in flight, or no node can take a call. If
-// no worker is worth asking about, the step is examined again after the given delay. The
-// caller holds the lock.
-func (s *Scheduler) requestAdvice(p *pass, c candidate, recheckDelay time.Duration) {
+// requestAdvice requests tickets for the tasks of a step that could not be placed, and reports
+// whether the step needs advice. It requests none if a call is in flight or no node can take a
+// call. If no worker is worth asking about, the step needs none. That is examined again after the
+// given delay, or as soon as a node can take the call of a step that needs advice. The caller
+// holds the lock.
+func (s *Scheduler) requestAdvice(p *pass, c candidate, recheckDelay time.Duration) bool {
 	st := c.step
 	a, policy := &st.advice, st.job.record.Queue.Advice
-	if !policy.Enabled() || a.callsInFlight > 0 || p.now.Before(a.nextCheck) || s.chooseAdviceNode(policy.Latency(1), p.now) == nil {
-		return
+	if a.callsInFlight > 0 {
+		return true
 	}
-	if c.tasks = c.placeableTasks(); len(c.tasks) == 0 {
-		return
+	canCall := s.chooseAdviceNode(policy.Latency(1), p.now) != nil
+	if !canCall && p.now.Before(a.neededUntil) {
+		return true
 	}
+	c.tasks = c.placeableTasks()
 	named := s.workersToAsk(p, c)
 	if len(named) == 0 {
-		a.nextCheck = p.now.Add(recheckDelay)
-		return
+		a.checkedAt, a.nextCheck, a.neededUntil = p.now, p.now.Add(recheckDelay), time.Time{}
+		return false
+	}
+	if !canCall {
+		a.neededUntil, a.lacksCapacity = p.now.Add(recheckDelay), false // it waits for advice
+		return true
 	}
+	a.checkedAt, a.neededUntil = p.now, time.Time{}
 	for part := range slices.Chunk(p.fillCall(st, named), workersPerCall(policy)) {
 		if !s.startAdviceCall(st, part, p.now) {
-			return
+			break
 		}
 	}
+	return true
 }
 
 // startAdviceCall asks about the workers for a step in the background. It returns false if no
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -116,7 +116,8 @@
 		s.recordWait(c, p.withheld, now)
 		s.requestAdviceWithin(&limit, p, c)
 	}
-	s.metrics.adviceLeftOut.Set(int64(limit.leftOut))
+	s.requestAdviceInTurn(&limit, p)
+	s.metrics.adviceLeftOut.Set(int64(len(limit.leftOut)))
 }
 
 // placeableTasks returns the tasks that can be placed, as many as the account's quota allows.
@@ -125,50 +126,6 @@
 	return list[:min(len(list), c.quotaAllowance)]
 }
 
-// maxAdviceSteps is the maximum number of steps, in order of urgency, for which a pass
-// requests advice. The tickets of further steps would expire unused.
-const maxAdviceSteps = 150
-
-// adviceLimit counts the steps for which a pass requests advice.
-type adviceLimit struct {
-	// lateUrgent is whether late steps of priority 0 with cheap calls have a limit of their own. They
-	// rank after all in-time steps, but their calls have lanes that these do not use.
-	lateUrgent bool
-	asked      int // steps in order of urgency, at most maxAdviceSteps
-	askedLate  int // further late steps of priority 0, at most maxAdviceSteps
-	leftOut    int // steps with tasks left for which no advice is requested
-}
-
-// admit reports whether advice may be requested for a step, and counts the step. The first maxAdviceSteps
-// count whether or not they need advice.
-func (l *adviceLimit) admit(c candidate) bool {
-	switch {
-	case l.asked < maxAdviceSteps:
-		l.asked++
-	case !c.step.job.record.Queue.Advice.Enabled() || !c.step.anyPlaceable():
-		return false
-	case l.lateUrgent && l.askedLate < maxAdviceSteps && c.urgency.Rank == urgency.UrgentLate && c.step.hasCheapCalls():
-		l.askedLate++
-	default:
-		l.leftOut++
-		return false
-	}
-	return true
-}
-
-// hasCheapCalls reports whether a usual call for advice about the step is cheap.
-func (st *step) hasCheapCalls() bool {
-	return st.job.record.Queue.Advice.Latency(minWorkersPerCall) <= maxCheapCost
-}
-
-// requestAdviceWithin requests advice for a candidate if its account's quota and the limit allow it.
-func (s *Scheduler) requestAdviceWithin(limit *adviceLimit, p *pass, c candidate) {
-	position := limit.asked + limit.askedLate
-	if c.quotaAllowance = c.step.allowedTasks(); c.quotaAllowance > 0 && limit.admit(c) {
-		s.requestAdvice(p, c, recheckInterval(position))
-	}
-}
-
 // maxGrantOutage is how long the store may fail before granting stops: grants that cannot
 // be written occupy capacity, and their tickets expire.
 const maxGrantOutage = 900 * time.Millisecond
@@ -180,7 +137,7 @@
 	for _, c := range list {
 		s.requestAdviceWithin(&limit, p, c)
 	}
-	s.metrics.adviceLeftOut.Set(int64(limit.leftOut))
+	s.metrics.adviceLeftOut.Set(int64(len(limit.leftOut)))
 }
 
 // candidates returns the steps with tasks that can be placed, most urgent first.
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -177,7 +177,7 @@
 // Guards against late lookups that get no advice while in-time steps use up the limit of a pass.
 func TestAdviceForLateLookups(t *testing.T) {
 	for _, on := range []bool{false, true} {
-		r := newOverloadReplay(t, on, 0)
+		r := newOverloadReplay(t, on, 4)
 		r.add(0, 1, 1000, time.Second, 200*time.Millisecond).deadline = r.now.Add(400 * time.Millisecond) // late with costly calls
 		for range 200 {
 			r.add(2, 1, 1000, time.Second, 200*time.Millisecond) // in time
@@ -187,7 +187,11 @@
 		}
 		limit, admitted, mark := adviceLimit{lateUrgent: on}, "", map[bool]string{true: "+", false: "-"}
 		for _, c := range r.candidates(r.now) {
-			admitted += mark[limit.admit(c)]
+			use := limit.admit(c)
+			admitted += mark[use != nil]
+			if use != nil {
+				*use = use.With(true)
+			}
 		}
 		want := strings.Repeat("+", 150) + strings.Repeat("-", 50+1) + strings.Repeat(mark[on], 150) + strings.Repeat("-", 50+200)
 		if admitted != want {
@@ -196,6 +200,12 @@
 		if r.pass(); r.metrics.adviceLeftOut.Value() != int64(strings.Count(want, "-")) {
 			t.Errorf("%v steps are left out with the switch %v, want %d", r.metrics.adviceLeftOut, on, strings.Count(want, "-"))
 		}
+		for _, w := range r.workers {
+			w.used = w.info.Capacity
+		}
+		if r.pass(); r.metrics.adviceLeftOut.Value() != 0 {
+			t.Errorf("%v steps are left out with the switch %v while no worker has room, want none", r.metrics.adviceLeftOut, on)
+		}
 	}
 }
 
--- a/scheduler/pass.go
+++ b/scheduler/pass.go
@@ -26,6 +26,7 @@
 	standingCounts  map[string]poolCounts     // by service
 	services        map[string]serviceState
 	avoidance       avoidance // of the step for which it was determined last
+	bounds          map[workerClass]capacityBound
 	// quotaReservedFor is the gang that the rest of an account's quota is reserved for.
 	quotaReservedFor map[*accountState]*step
 	// quotaPreemptionTried holds the accounts whose own tasks were considered for preemption.
@@ -37,7 +38,7 @@
 func newPass(now time.Time, serial uint64, includeUnlisted bool, times WorkerTimes, halls evacuation.View) *pass {
 	return &pass{
 		now: now, serial: serial, includeUnlisted: includeUnlisted, workerTimes: times, halls: halls, pools: map[string][]*worker{}, lastGrowth: map[string]uint64{},
-		headroom: map[string]headroom.Slots{}, standingCounts: map[string]poolCounts{}, quotaReservedFor: map[*accountState]*step{},
+		headroom: map[string]headroom.Slots{}, bounds: map[workerClass]capacityBound{}, standingCounts: map[string]poolCounts{}, quotaReservedFor: map[*accountState]*step{},
 		quotaPreemptionTried: map[*accountState]bool{},
 	}
 }
--- a/scheduler/tickets.go
+++ b/scheduler/tickets.go
@@ -24,6 +24,8 @@
 	byWorker      map[*worker]*workerTicket // tickets by worker
 	callsInFlight int                       // advice calls
 	nextCheck     time.Time                 // no calls before this time
+	checkedAt     time.Time                 // when advice was last requested, or found to be of no use
+	neededUntil   time.Time                 // until then the step needs advice that no node could be asked for
 	lacksCapacity bool                      // the last survey expected too little capacity for the waiting tasks
 }
 
