scheduler: the answers to a gang's starts date it

Cause: by a worker's clock, a gang's start was known only from the first report after all members had started. Only the next report could show that an attempt had outlived its start, 10 ms or more later, and five ends before it gave the gang up.

Change: a member's start is dated no later than the time that the clock of its worker can have shown when the last answer to the gang's starts was processed: the clock in the member's own answer, plus the time since that call was sent.

The draws of TestFourWorkerEndsFailNoJob are in the same order as before.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -51,6 +51,19 @@
 	sentAt     time.Time     // when the start was first sent; zero if a former owner sent it
 	startClock fleet.Clock   // the worker's clock when the attempt was at work; 0 if unknown
 	shownRun   time.Duration // how long the attempt has worked by the worker's clock, at least
+	// gangAnswer is the answer to the start of a member of a gang.
+	gangAnswer startAnswer
+}
+
+// startAnswer is the answer to a start: the worker's clock, read at some time after the call was sent.
+type startAnswer struct {
+	clock  fleet.Clock // 0: no answer yet
+	sentAt time.Time
+}
+
+// latestClock returns the latest time that the worker's clock can have shown at a time of this process.
+func (a startAnswer) latestClock(at time.Time) fleet.Clock {
+	return a.clock + fleet.Clock(at.Sub(a.sentAt).Milliseconds()) + 1
 }
 
 // withStartAnswer returns e after an answer, made at the given time of the worker's clock, that shows
@@ -159,8 +172,11 @@
 // running, has run by the worker's clock. This process may be late by any time, so its own clock does
 // not show that an attempt has survived its start. The caller must hold s.mu.
 func (s *Scheduler) recordShownRun(t *task) {
-	if t.exposure.startClock == 0 && !t.workingSince().IsZero() {
+	if since := t.workingSince(); t.exposure.startClock == 0 && !since.IsZero() {
 		t.exposure = t.exposure.withStartAnswer(t.worker.clock)
+		if answer := t.exposure.gangAnswer; answer.clock > 0 { // the report may be much later than the gang's start
+			t.exposure = t.exposure.withStartAnswer(answer.latestClock(since))
+		}
 	}
 	t.exposure = t.exposure.withReport(t.worker.clock)
 	if !t.exposure.survivedStart() || t.crashes.IsEmpty() {
--- a/scheduler/crash_series_test.go
+++ b/scheduler/crash_series_test.go
@@ -55,8 +55,8 @@
 }
 
 var (
-	seriesSeeds     = flag.Uint64("series.seeds", 40, "number of seeds of TestFourWorkerEndsFailNoJob and TestLateWorkerEndsFailNoJob")
-	seriesSeedFirst = flag.Uint64("series.first", 0, "first seed of TestFourWorkerEndsFailNoJob and TestLateWorkerEndsFailNoJob")
+	seriesSeeds     = flag.Uint64("series.seeds", 40, "number of seeds of TestFourWorkerEndsFailNoJob and those like it")
+	seriesSeedFirst = flag.Uint64("series.first", 0, "first seed of TestFourWorkerEndsFailNoJob and those like it")
 )
 
 // minEndAfterStart is how soon after a start of the task TestFourWorkerEndsFailNoJob ends its worker. What ends
@@ -91,14 +91,45 @@
 	}
 }
 
-// runWorkerEnds ends a number of workers that run a task of a sound job, each at a random time from minDelay after the
-// start, and fails the test unless the job goes on.
+// Guards against a gang that is given up because its owner learns too late that the attempts have outlived their start
+// (seed 443 of TestSoakFailures).
+func TestWorkerEndsAfterGangStartsFailNoJob(t *testing.T) {
+	for seed := *seriesSeedFirst; seed < *seriesSeedFirst+*seriesSeeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 443))
+			withCell(t, 8+rng.IntN(100), func(c *cell) {
+				ends := workerEndsOfTask{count: 5 + rng.IntN(8), minDelay: minEndAfterStart, spread: 30 * time.Millisecond, sameID: rng.IntN(2) == 0}
+				c.endWorkersOfSoundJob(rng, newGangRequest(3, 2000), time.Second, ends)
+			})
+		})
+	}
+}
+
+// runWorkerEnds draws a job and how its workers end, each from minDelay after a start, and runs it.
 func (c *cell) runWorkerEnds(rng *rand.Rand, count int, minDelay time.Duration) {
-	c.lease = shortLease
-	o := c.startOwner()
-	time.Sleep(time.Duration(rng.IntN(10_000)) * time.Millisecond)
+	pause := time.Duration(rng.IntN(10_000)) * time.Millisecond
 	requests := []workload.Request{newRequest(1, 1000), newRequest(4, 1000), newGangRequest(3, 2000), newLastingRequest(1, 1000)}
 	request := requests[rng.IntN(len(requests))]
+	spread := []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 4 * time.Second}[rng.IntN(3)]
+	ends := workerEndsOfTask{count: count, minDelay: minDelay, spread: spread, sameID: rng.IntN(2) == 0}
+	c.endWorkersOfSoundJob(rng, request, pause, ends)
+}
+
+// workerEndsOfTask describes how the workers end that run a task.
+type workerEndsOfTask struct {
+	count            int
+	minDelay, spread time.Duration // each ends at a random time in spread from minDelay after the start
+	sameID           bool          // they restart under the same id
+}
+
+// endWorkersOfSoundJob submits a job of sound tasks after a pause, ends workers of its first one, and fails the test unless
+// the job goes on.
+func (c *cell) endWorkersOfSoundJob(rng *rand.Rand, request workload.Request, pause time.Duration, how workerEndsOfTask) {
+	c.t.Helper()
+	c.lease = shortLease
+	o := c.startOwner()
+	time.Sleep(pause)
 	work, want := 6*time.Second, workload.Completed
 	if request.Steps[0].LongRunning {
 		work, want = time.Hour, workload.Running
@@ -106,16 +137,14 @@
 	if err := c.submit(o, "job", request, succeedAfter(work)); err != nil {
 		c.t.Fatal(err)
 	}
-	spread := []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 4 * time.Second}[rng.IntN(3)]
-	sameID := rng.IntN(2) == 0
 	ends := 0
-	for end := time.Now().Add(time.Duration(count) * 10 * time.Second); ends < count && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(time.Duration(how.count) * 10 * time.Second); ends < how.count && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		worker := c.fleet.WorkerOf("job.0.0.0")
 		if worker == "" {
 			continue
 		}
-		time.Sleep(minDelay + time.Duration(rng.Int64N(int64(spread))))
-		if sameID {
+		time.Sleep(how.minDelay + time.Duration(rng.Int64N(int64(how.spread))))
+		if how.sameID {
 			c.fleet.RestartSameID(worker, 200*time.Millisecond)
 		} else {
 			c.fleet.Restart(worker)
@@ -123,10 +152,10 @@
 		ends++
 	}
 	time.Sleep(15 * time.Second)
-	if state, err := o.State(c.ctx, "job"); state != want || err != nil || ends != count {
-		c.t.Errorf("job is %q (%v) after %d ends of workers, want %q after %d", state, err, ends, want, count)
+	if state, err := o.State(c.ctx, "job"); state != want || err != nil || ends != how.count {
+		c.t.Errorf("job is %q (%v) after %d ends of workers, want %q after %d", state, err, ends, want, how.count)
 	}
-	if sameID { // otherwise a task runs again only once its lease has expired
+	if how.sameID { // otherwise a task runs again only once its lease has expired
 		c.assertNeverIdle("job", maxIdleTime)
 	}
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -181,7 +181,11 @@
 		if t.state == taskStarting {
 			s.markRunning(t, now)
 		}
-		if w.info.Incarnation == result.incarnation && !t.step.spec.Gang {
+		switch {
+		case w.info.Incarnation != result.incarnation:
+		case t.step.spec.Gang:
+			t.exposure.gangAnswer = startAnswer{result.clock, now.Add(-result.took)}
+		default:
 			t.exposure = t.exposure.withStartAnswer(result.clock)
 		}
 		return true
