node: a series of owners removes lost nodes

Callers saw no job accepted for 10 s after each change of the owner if too few members were left, for as long as owners changed: each owner counted anew for three minutes how long a member did not answer, so that owners that lasted less removed none.

An owner that has heard nothing from a member for 10 s now notes in the member's row since when, by the store's clock, and the next owners go on from there. A member is removed by an owner whose term is older than 10 s and that has not heard it either, since the proofs of earlier owners, who may have counted on the member, have expired by then. All changes are conditional on the row, and an owner drops silent members whose rows are gone.

Evidence: TestSeriesOfOwnersRemovesLostNodes failed before (five rows left, no job within 4 s). TestReplacedOwnerProvesNothing now includes members that are removed and come back: it holds on 100 examples, and fails if stopping nodes confirm. The tests of package node pass.

--- a/node/departed_test.go
+++ b/node/departed_test.go
@@ -104,3 +104,23 @@
 		c.t.Errorf("the row of %s says that it has departed: %v, want %v", m.name, got, want)
 	}
 }
+
+// Guards against a proof that counts a node which a new owner takes for departed: a restarted node confirms nothing until it
+// has replaced its row.
+func TestRestartedNodeConfirmsOnlyWithItsRow(t *testing.T) {
+	runInCell(t, 4, func(c *cell) {
+		owner := c.owner()
+		m := c.nodeOtherThan(owner)
+		c.leave(m)
+		c.start(m)
+		m.storeCaller.SetFault(func(write bool) memory.Fault { return memory.Fault{Reject: write} })
+		time.Sleep(5 * time.Second)
+		var doubt *node.OwnershipDoubtError
+		if err := owner.ProveSoleOwner(c.ctx); !errors.As(err, &doubt) {
+			t.Errorf("proof beside a node with a departed row: %v, want an OwnershipDoubtError", err)
+		}
+		m.storeCaller.SetFault(nil)
+		time.Sleep(2 * time.Second)
+		wantNoError(t, "proof once the row is replaced", owner.ProveSoleOwner(c.ctx))
+	})
+}
--- a/node/member_removal_test.go
+++ b/node/member_removal_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"chutereach/rowstore"
 )
 
 // removedAfter exceeds memberRemovalDelay and one cleanup interval.
@@ -52,3 +54,54 @@
 		}
 	})
 }
+
+// Guards against lost nodes that count as members for good, and delay each new owner by 10 s: a series of owners, none of
+// which lasts as long as it takes to remove a member, removes them together.
+func TestSeriesOfOwnersRemovesLostNodes(t *testing.T) {
+	runInCell(t, 9, func(c *cell) {
+		lost, remaining := c.nodes[:5], c.nodes[5:]
+		for _, m := range lost {
+			c.stop(m)
+		}
+		for start := time.Now(); time.Since(start) < removedAfter; time.Sleep(20 * time.Second) {
+			if owner := c.owner(); owner != nil {
+				c.stop(owner)
+				time.Sleep(5 * time.Second)
+				c.start(owner)
+			}
+		}
+		for _, m := range lost {
+			if _, found := c.store.Row(rowstore.Key{Table: "nodes", Name: m.RowName()}); found {
+				t.Errorf("the lost node %s still has a row", m.name)
+			}
+		}
+		c.stop(c.owner())
+		c.wantAcceptedWithin(4*time.Second, c.runningNodeOtherThan(nil), "after the series")
+		for _, m := range remaining {
+			if _, found := c.store.Row(rowstore.Key{Table: "nodes", Name: m.RowName()}); !found {
+				t.Errorf("%s has no row", m.name)
+			}
+		}
+	})
+}
+
+// Guards against the removal of a node that was silent for a moment long ago: an owner that hears it again forgets its silence.
+func TestSilenceEndsWithAnswer(t *testing.T) {
+	runInCell(t, 4, func(c *cell) {
+		silent := c.nodeOtherThan(c.owner())
+		for range 2 {
+			c.partitionFrom(silent, silent)
+			time.Sleep(20 * time.Second)
+			for _, m := range c.nodes {
+				c.network.Heal(m.name, silent.name)
+				c.network.Heal(silent.name, m.name)
+			}
+			time.Sleep(removedAfter)
+		}
+		c.partitionFrom(silent, silent)
+		time.Sleep(20 * time.Second)
+		if _, found := c.store.Row(rowstore.Key{Table: "nodes", Name: silent.RowName()}); !found {
+			t.Error("the node was removed after 20 s of silence")
+		}
+	})
+}
--- a/node/members.go
+++ b/node/members.go
@@ -80,7 +80,7 @@
 			return err
 		}
 	}
-	if stage == present {
+	if !found || stage == present {
 		n.recordPresent()
 	}
 	n.setMembers(indexByName(page.Rows))
@@ -88,7 +88,7 @@
 }
 
 // storedDeparture returns the stage of departure in a member's row, and whether there is a row that equals the member's
-// otherwise. It reads the row from the store unless it is among those already read.
+// but for the departure and the silence, which the owner clears. It reads the row from the store unless it is among those already read.
 func storedDeparture(ctx context.Context, store rowstore.Store, read []rowstore.Row, member Member) (departure, bool, error) {
 	row, found := indexByName(read)[member.rowName()]
 	if !found {
@@ -97,12 +97,12 @@
 			return present, false, err
 		}
 	}
-	for stage := present; stage <= departed; stage++ {
-		if row.Version != 0 && bytes.Equal(row.Value, codec.MustMarshal(member.withDeparture(stage))) {
-			return stage, true, nil
-		}
+	var stored Member
+	if row.Version == 0 || codec.Unmarshal(row.Value, &stored) != nil {
+		return present, false, nil // the row is written
 	}
-	return present, false, nil
+	member.Departure, member.SilentSince = stored.Departure, stored.SilentSince
+	return stored.Departure, bytes.Equal(row.Value, codec.MustMarshal(member)), nil
 }
 
 func indexByName(rows []rowstore.Row) map[string]rowstore.Row {
--- a/node/messages.go
+++ b/node/messages.go
@@ -41,6 +41,9 @@
 	MemoryMiB int `cbor:"6,keyasint,omitempty"`
 	// Departure is set in the row of a node whose process has been told to stop.
 	Departure departure `cbor:"7,keyasint,omitempty"`
+	// SilentSince is set in the row of a node that has not answered an owner since a time of the store's clock, until it
+	// answers one.
+	SilentSince time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // compare orders members by preference as owner, the most preferred first.
--- a/node/sole_owner_random_test.go
+++ b/node/sole_owner_random_test.go
@@ -17,6 +17,8 @@
 	name             string
 	withOwner        bool // the owner reaches the node after the cut, and the successor does not
 	prepare, disturb func(*cell, *member)
+	// comeBack, if not nil, is called once members that are lost since prepare have been removed.
+	comeBack func(*cell, *member)
 }
 
 func refuseWrites(_ *cell, m *member) {
@@ -48,22 +50,29 @@
 	}
 }
 
-var proofRoles = []proofRole{
-	{"stays with the owner", true, nil, refuseWrites},
-	{"stays with the successor", false, nil, nil},
-	{"stops slowly", true, nil, stopAsPlanned},
-	{"stops slowly before", true, stopAsPlanned, nil},
-	{"has left", false, (*cell).leave, nil},
-	{"was killed", false, (*cell).stop, nil},
-	{"leaves", true, nil, (*cell).leave},
-	{"is killed", true, nil, (*cell).stop},
-	{"has restarted", true, restartAsPlanned, refuseWrites},
-	{"has restarted without writing", true, inTurn(restartAsPlanned, refuseWrites), nil},
-	{"has restarted, and its mark comes late", true, inTurn(applyLate, restartAsPlanned, refuseWrites), nil},
-	{"restarts", true, nil, inTurn(restartAsPlanned, refuseWrites)},
-	{"was killed and comes back with the successor", false, (*cell).stop, (*cell).start},
+// removalRoles are the last of proofRoles.
+var removalRoles = []proofRole{
+	{"was removed", false, (*cell).stop, nil, func(*cell, *member) {}},
+	{"was removed and came back", true, (*cell).stop, refuseWrites, (*cell).start},
+	{"was removed and comes back with the successor", false, (*cell).stop, (*cell).start, func(*cell, *member) {}},
 }
 
+var proofRoles = append([]proofRole{
+	{"stays with the owner", true, nil, refuseWrites, nil},
+	{"stays with the successor", false, nil, nil, nil},
+	{"stops slowly", true, nil, stopAsPlanned, nil},
+	{"stops slowly before", true, stopAsPlanned, nil, nil},
+	{"has left", false, (*cell).leave, nil, nil},
+	{"was killed", false, (*cell).stop, nil, nil},
+	{"leaves", true, nil, (*cell).leave, nil},
+	{"is killed", true, nil, (*cell).stop, nil},
+	{"has restarted", true, restartAsPlanned, refuseWrites, nil},
+	{"has restarted without writing", true, inTurn(restartAsPlanned, refuseWrites), nil, nil},
+	{"has restarted, and its mark comes late", true, inTurn(applyLate, restartAsPlanned, refuseWrites), nil, nil},
+	{"restarts", true, nil, inTurn(restartAsPlanned, refuseWrites), nil},
+	{"was killed and comes back with the successor", false, (*cell).stop, (*cell).start, nil},
+}, removalRoles...)
+
 // Guards against two owners that accept work with the proof: members leave, restart and come back before and while the owner
 // is cut off from the store and some members, and its successor from others. No owner proves that it is the last one once a
 // later owner accepts jobs.
@@ -72,7 +81,10 @@
 	proptest.Check(t, func(r *rapid.T) {
 		count := rapid.IntRange(3, 12).Draw(r, "nodes")
 		// Few kinds of roles at a time, so that many nodes share one.
-		kinds := rapid.SliceOfN(rapid.IntRange(0, len(proofRoles)-1), 1, 3).Draw(r, "kinds of roles")
+		kinds := rapid.SliceOfN(rapid.IntRange(0, len(proofRoles)-len(removalRoles)-1), 1, 3).Draw(r, "kinds of roles")
+		if rapid.IntRange(0, 9).Draw(r, "removals") == 7 { // removals take minutes
+			kinds[0] = len(proofRoles) - 1 - rapid.IntRange(0, len(removalRoles)-1).Draw(r, "removal")
+		}
 		picks := rapid.SliceOfN(rapid.IntRange(0, len(kinds)), count-1, count-1).Draw(r, "roles")
 		pauses := rapid.SliceOfN(rapid.IntRange(0, 1_000), 2*count, 2*count).Draw(r, "pauses in ms")
 		runInCell(t, count, func(c *cell) {
@@ -96,7 +108,11 @@
 					time.Sleep(time.Duration(pauses[i]) * time.Millisecond)
 				}
 			}
+			c.comeBack(others, roles)
 			time.Sleep(time.Duration(10*pauses[count]) * time.Millisecond)
+			if c.owner() != former {
+				return
+			}
 			c.divide(former, roles)
 			var disturbing sync.WaitGroup
 			for i, m := range others {
@@ -123,6 +139,20 @@
 	t.Logf("%d checks of a replaced owner beside one that accepts jobs, %d proofs of the last owner", replaced, proofs)
 }
 
+// comeBack lets the members whose role says so come back once lost ones have been removed.
+func (c *cell) comeBack(members []*member, roles map[*member]proofRole) {
+	waited := false
+	for _, m := range members {
+		if comeBack := roles[m].comeBack; comeBack != nil {
+			if !waited {
+				time.Sleep(removedAfter)
+			}
+			waited = true
+			comeBack(c, m)
+		}
+	}
+}
+
 // divide cuts an owner off from the store and from the nodes on the successor's side, and these from the owner's.
 func (c *cell) divide(owner *member, roles map[*member]proofRole) {
 	owner.storeCaller.SetFault(func(bool) memory.Fault { return memory.Fault{Reject: true} })
