node: the property on replaced owners restarts nodes from its own goroutine

Under the race detector TestReplacedOwnerProvesNothing failed: it restarted nodes in goroutines of their own while it asked them for proofs, a race of the test only. Restarts now take turns with the checks.

--- a/node/departed_test.go
+++ b/node/departed_test.go
@@ -13,7 +13,7 @@
 // leave stops a node as planned work does, and ends its process.
 func (c *cell) leave(m *member) {
 	m.Stop(c.ctx)
-	time.Sleep(time.Second)
+	time.Sleep(200 * time.Millisecond)
 	c.stop(m)
 }
 
--- a/node/sole_owner_random_test.go
+++ b/node/sole_owner_random_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"sync"
 	"testing"
 	"time"
 
@@ -114,20 +113,21 @@
 				return
 			}
 			c.divide(former, roles)
-			var disturbing sync.WaitGroup
-			for i, m := range others {
-				if disturb := roles[m].disturb; disturb != nil {
-					disturbing.Go(func() {
-						time.Sleep(time.Duration(pauses[count+i]) * time.Millisecond)
+			dividedAt := time.Now()
+			disturbed := map[*member]bool{}
+			for time.Since(dividedAt) < 8*time.Second {
+				for i, m := range others {
+					due := time.Duration(pauses[count+i]) * time.Millisecond
+					if disturb := roles[m].disturb; disturb != nil && !disturbed[m] && time.Since(dividedAt) >= due {
 						disturb(c, m)
-					})
+						disturbed[m] = true
+						break
+					}
 				}
-			}
-			for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 				foundReplaced, proved := c.checkProofs()
 				replaced, proofs = replaced+foundReplaced, proofs+proved
+				time.Sleep(50 * time.Millisecond)
 			}
-			disturbing.Wait()
 		})
 		if t.Failed() {
 			r.FailNow()
