--- a/scheduler/lost_while_replaced_test.go
+++ b/scheduler/lost_while_replaced_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -224,7 +225,7 @@
 
 // setReach makes all calls to the unreachable workers get lost.
 func (s *ownerSeries) setReach() {
-	unreachable := s.unreachable
+	unreachable := maps.Clone(s.unreachable) // calls read it while later events change the other
 	s.fleet.SetFault(func(_ fleettest.Call, worker string) fleettest.Fault {
 		return fleettest.Fault{RequestLost: unreachable[worker]}
 	})
