scheduler, leadership, docs: comments on lease bounds and releases state their reasons

A reader who joins could not tell why a release is withdrawn, what its Leases are, or when a bound is stored after one failed call. No code changes.

--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -62,7 +62,8 @@
 type Release struct {
 	Term     string `cbor:"1,keyasint"`
 	Sequence uint64 `cbor:"2,keyasint"`
-	// Leases is how long leases may last from then on that are longer than those of this owner, as those of earlier owners.
+	// Leases is how long the longest lease may still last, at the time of the release, that this owner has not granted for its usual
+	// time: one of an earlier owner, or of a restarted worker.
 	Leases time.Duration `cbor:"3,keyasint,omitempty"`
 	// receivedAt is when the successor received the release, by its own clock.
 	receivedAt time.Time
@@ -83,7 +84,8 @@
 // ReceivedAt returns when the successor received the release.
 func (r Release) ReceivedAt() time.Time { return r.receivedAt }
 
-// covers reports whether the release holds for an owner's row: its owner has not resumed extending leases since.
+// covers reports whether the release holds for an owner's row. A row with a higher Sequence shows that its owner may have
+// extended leases again.
 func (r Release) covers(row Row) bool {
 	return r.Term != "" && r.Term == row.Term && row.Sequence <= r.Sequence
 }
@@ -148,7 +150,7 @@
 	confirmed        atomic.Uint64
 	formerSentBefore time.Time // upper bound of when the previous owner sent its last applied transaction
 	formerRelease    Release   // of the previous owner's leases; zero if it has not released them
-	// started and applied are the numbers of the last transaction that was started, and that is known to be applied.
+	// started and applied are the Sequence of the last transaction that was started, and of the last that is known to be applied.
 	started, applied atomic.Uint64
 	// answerTimeout is how long a transaction may go unanswered before the owner's row is read to
 	// learn its outcome.
--- a/scheduler/lease_bounds.go
+++ b/scheduler/lease_bounds.go
@@ -30,9 +30,9 @@
 	rows    []string
 }
 
-// needsLeaseBound reports whether the lease bound of a worker should be stored: a later owner that does not reach the
-// worker either must know when what may run there is over. A bound is kept until the worker answers. A worker whose address is
-// not known, so that it cannot be called, needs one at once.
+// needsLeaseBound reports whether the lease bound of a worker should be stored, so that a later owner that does not reach
+// the worker either knows when its attempts have ended. A bound is kept until the worker answers. A worker whose address is
+// unknown cannot be called, and needs one at once.
 func (w *worker) needsLeaseBound() bool {
 	switch {
 	case w.ended || len(w.tasks) == 0 && len(w.lostAttempts) == 0:
@@ -43,7 +43,7 @@
 	return false
 }
 
-// reviewLeaseBound has the bounds written again if that of a worker should be stored and is not, or the other way round.
+// reviewLeaseBound schedules a write of the bounds if a worker needs one that is not stored, or has one that it no longer needs.
 // The caller must hold s.mu.
 func (s *Scheduler) reviewLeaseBound(w *worker) {
 	if w.needsLeaseBound() != w.boundListed && !s.leaseBounds.rejected {
@@ -52,7 +52,7 @@
 	}
 }
 
-// reviewLeaseBounds does the same for all workers. The caller must hold s.mu.
+// reviewLeaseBounds calls reviewLeaseBound for all workers. The caller must hold s.mu.
 func (s *Scheduler) reviewLeaseBounds() {
 	for _, w := range s.workers {
 		s.reviewLeaseBound(w)
@@ -163,7 +163,8 @@
 	return s.released.WithLeases(time.Until(s.latestLongLease()))
 }
 
-// ResumeExtendingLeases ends a release that no successor has used or will use.
+// ResumeExtendingLeases withdraws a release after a handover that has certainly failed, so that leases do not expire until the
+// next transaction. It must not be called while a successor may still use the release.
 func (s *Scheduler) ResumeExtendingLeases() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -184,8 +185,8 @@
 	return s.released.Term == ""
 }
 
-// latestLongLease returns when the leases have expired that may last for longer than those of this owner: of former owners, and
-// of restarted workers. The caller must hold s.mu.
+// latestLongLease returns when all leases have expired that may be longer than s.lease: those granted by former owners, and those
+// of restarted workers, which may have been granted by the clock of the former incarnation. The caller must hold s.mu.
 func (s *Scheduler) latestLongLease() time.Time {
 	latest := s.formerLeaseExpiry
 	for _, w := range s.workers {
@@ -199,8 +200,8 @@
 // mayExtendLease reports whether orders may extend the lease of a worker. The caller must hold s.mu.
 func (s *Scheduler) mayExtendLease(w *worker) bool { return !w.extensionBlocked && s.extendsLeases() }
 
-// quickCommit is how long a transaction takes at most at a store that is quick enough to store the bound of a worker that may
-// answer the next call: the bound has to be withdrawn long before the lease ends.
+// quickCommit is the transaction time up to which a bound is stored after a single failed call. The worker may answer the
+// next call, and the bound must then be withdrawn long before the lease expires.
 const quickCommit = 100 * time.Millisecond
 
 // storeIsQuick reports whether transactions are applied quickly. The caller must hold s.mu.
