node, scheduler: comments of tests and of member removal use plain terms

Comments said that nodes stay away, that an owner may say so and that owners are replaced by such a one, which a reader has to guess. They name the condition now. No code changes.

--- a/node/departed_test.go
+++ b/node/departed_test.go
@@ -50,7 +50,7 @@
 	})
 }
 
-// Guards against members that stay away for good after a restart: a node that comes back counts as present again.
+// Guards against nodes that count as departed for good: a node that has restarted counts as present again.
 func TestReturnedNodeIsNotMarkedAsDeparted(t *testing.T) {
 	runInCell(t, 4, func(c *cell) {
 		m := c.nodeOtherThan(c.owner())
--- a/node/member_removal.go
+++ b/node/member_removal.go
@@ -83,7 +83,8 @@
 	}
 }
 
-// silenceMatters reports whether a member has become silent or has ended its silence, and this owner may say so.
+// silenceMatters reports whether the rows of members may have to be changed because a member has stopped answering or answers
+// again. It saves reading the table of nodes otherwise.
 func (n *Node) silenceMatters(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/node/sole_owner_random_test.go
+++ b/node/sole_owner_random_test.go
@@ -166,8 +166,8 @@
 	}
 }
 
-// checkProofs fails the test if an owner proves that it is the last one although a later owner accepts jobs. It returns how
-// many owners were replaced by such a one, and how many of the others proved that they are the last one.
+// checkProofs fails the test if an owner proves that it is the last one although a later owner accepts jobs. It returns the
+// number of owners with a later owner that accepts jobs, and the number of other owners that proved to be the last one.
 func (c *cell) checkProofs() (replaced, proofs int) {
 	c.t.Helper()
 	var accepting uint64
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -44,9 +44,9 @@
 	}
 }
 
-// Guards against failing the job of a task whose workers end after it has outlived its start, and against a task that
-// crashes its workers so late and takes many of them down in a short time: it runs on one worker at a time, the
-// stand-in checks that it is not started within 2 s of its last crash, and jobs beside it complete.
+// Guards against failing the job of a task whose workers end after it has outlived its start, and against such a task
+// crashing many workers in a short time. It runs on one worker at a time, fleettest checks that it is not started within 2 s
+// of its last crash, and jobs beside it complete.
 func TestTaskThatCrashesLateIsSlowedDown(t *testing.T) {
 	const observed = 60 * time.Second
 	for _, work := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond} {
--- a/scheduler/lost_while_replaced_test.go
+++ b/scheduler/lost_while_replaced_test.go
@@ -168,7 +168,7 @@
 	})
 }
 
-// ownerSeries applies events to a cell with long-running tasks on all workers.
+// ownerSeries applies seriesEvents to a cell whose workers run long-running tasks.
 type ownerSeries struct {
 	*cell
 	owner       *owner
@@ -223,7 +223,7 @@
 	}
 }
 
-// setReach makes all calls to the unreachable workers get lost.
+// setReach loses the calls of all owners to the unreachable workers.
 func (s *ownerSeries) setReach() {
 	unreachable := maps.Clone(s.unreachable) // calls read it while later events change the other
 	s.fleet.SetFault(func(_ fleettest.Call, worker string) fleettest.Fault {
--- a/scheduler/moved_lease_test.go
+++ b/scheduler/moved_lease_test.go
@@ -53,8 +53,8 @@
 	})
 }
 
-// Guards against a task that runs twice: the owner knows that a lease on a restarted worker may last for the longest that
-// workers take, and releases its leases.
+// Guards against a task that runs twice: a late call may have granted a restarted worker the longest lease that workers accept,
+// and the owner's release must cover it.
 func TestReleaseCoversLongestLeases(t *testing.T) {
 	for name, releases := range map[string]bool{"released": true, "not released": false} {
 		t.Run(name, func(t *testing.T) {
--- a/scheduler/release_test.go
+++ b/scheduler/release_test.go
@@ -102,7 +102,8 @@
 	})
 }
 
-// Guards against a task that runs twice: an owner hands over while one before it, cut off, still extends a lease.
+// Guards against a task that runs twice: an owner releases its leases while an earlier owner, which is cut off from the store,
+// still extends the lease of a worker that the later one has not reached.
 func TestReleaseCoversLeasesOfEarlierOwners(t *testing.T) {
 	withSlowOwner(t, func(c *cell, o *owner, slow *slowStarts, host string) {
 		c.reachOnly(o, slow, host)
