--- a/scheduler/advice_limit.go
+++ b/scheduler/advice_limit.go
@@ -44,8 +44,8 @@
 	return u
 }
 
-// adviceLimit limits the steps for which a pass requests advice. Steps that need none, as far as that is known
-// without examining workers, do not count.
+// adviceLimit limits the steps for which a pass requests advice. Steps that are known to need none without examining workers
+// do not count, because steps that cannot start would otherwise use up the limit for good.
 type adviceLimit struct {
 	// lateUrgent is whether late steps of priority 0 with cheap calls have a limit of their own. They
 	// rank after all in-time steps, but their calls have lanes that these do not use.
@@ -92,7 +92,7 @@
 }
 
 // requestAdviceInTurn requests advice for some of the steps that the limit has left out for long, those examined least
-// recently first. Otherwise steps that stay at the front of the order would keep them from advice for good.
+// recently first. Steps that stay at the front of the order would otherwise use up the limit in each pass.
 func (s *Scheduler) requestAdviceInTurn(limit *adviceLimit, p *pass) {
 	var waiting []candidate
 	for _, c := range limit.leftOut {
--- a/scheduler/advice_limit_test.go
+++ b/scheduler/advice_limit_test.go
@@ -46,8 +46,8 @@
 	return queue
 }
 
-// Guards against review/10: steps that cannot start, or only much later, use up the limit of steps that a pass requests
-// advice for, and no other job of the service ever starts.
+// Guards against jobs that never start because steps that cannot start, or only much later, use up the number of steps for
+// which a pass requests advice.
 func TestStepsThatCannotStartKeepAdviceFromOthers(t *testing.T) {
 	lasting := func(cpu resource.MilliCPU, label string) workload.Step {
 		return workload.Step{Count: 1, Need: resource.Amount{CPU: cpu, Memory: 1 << 30}, RequiredLabel: label, LongRunning: true}
