--- a/scheduler/rejected_bounds_test.go
+++ b/scheduler/rejected_bounds_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"chutereach/fleet/fleettest"
 	"chutereach/rowstore"
 	"chutereach/workload"
 )
@@ -26,3 +27,15 @@
 		}
 	})
 }
+
+// Guards against a lease that expires on a worker that answers again, because its bound was rejected and so cannot be withdrawn.
+func TestLeaseIsExtendedAfterItsBoundWasRejected(t *testing.T) {
+	withLastingTaskAndLease(t, fleettest.MaxLease, func(c *cell, o *owner, host string) {
+		c.store.RejectRows(func(put rowstore.Put) bool { return put.Table == "leases" })
+		o.client.blockWorker(host)
+		time.Sleep(noticeTime + 500*time.Millisecond)
+		o.client.blockWorker("")
+		time.Sleep(10 * time.Second)
+		c.assertNotRestarted(host)
+	})
+}
